--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/config/RecordTable.java
@@ -0,0 +1,153 @@
+package org.zinniatack.core.config;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
+/**
+ * The configuration records, changed by compare-and-set on their revision. Revisions are
+ * log indexes, so they only rise.
+ */
+public final class RecordTable {
+
+	/** The expected revision of a record that must not exist yet. */
+	public static final long ABSENT_REVISION = 0;
+
+	private final Map<String, ConfigurationRecord> records = new TreeMap<>();
+
+	private final Map<String, String> keyNamesByDigest = new HashMap<>();
+
+	private long revision;
+
+	/**
+	 * Returns a table of stored records.
+	 * @param revision the log index of the newest change
+	 * @param records the records
+	 * @return the table
+	 * @throws ServiceException if a record cannot be read under its schema version
+	 */
+	public static RecordTable of(long revision, Collection<ConfigurationRecord> records) throws ServiceException {
+		RecordTable table = new RecordTable();
+		for (ConfigurationRecord record : records) {
+			table.store(record, Schema.of(record.schemaVersion()).read(record.kind(), record.document()));
+		}
+		table.revision = revision;
+		return table;
+	}
+
+	/**
+	 * Finds a record.
+	 * @param kind the kind
+	 * @param name the name
+	 * @return the record, withdrawn or not, or empty if there never was one
+	 */
+	public Optional<ConfigurationRecord> find(RecordKind kind, String name) {
+		return Optional.ofNullable(this.records.get(keyOf(kind, name)));
+	}
+
+	/**
+	 * Writes a record.
+	 * @param record the record, whose revision is the log index of the change
+	 * @param expectedRevision the revision that the operator has seen, 0 for none
+	 * @throws ServiceException if the document is invalid, refers to what does not exist,
+	 * or the record has another revision
+	 */
+	public void put(ConfigurationRecord record, long expectedRevision) throws ServiceException {
+		Specification specification = Schema.of(record.schemaVersion()).read(record.kind(), record.document());
+		requireReference(specification);
+		requireUnusedDigest(record, specification);
+		requireRevision(record.kind(), record.name(), expectedRevision);
+		store(record, specification);
+	}
+
+	/**
+	 * Returns all records, withdrawn ones too.
+	 * @return the records in the order of kind and name
+	 */
+	public List<ConfigurationRecord> records() {
+		return List.copyOf(this.records.values());
+	}
+
+	/**
+	 * Returns the records that changed after a revision.
+	 * @param afterRevision the revision that a process holds
+	 * @return the changed records
+	 */
+	public List<ConfigurationRecord> recordsAfter(long afterRevision) {
+		return this.records.values().stream().filter((record) -> record.revision() > afterRevision).toList();
+	}
+
+	/**
+	 * Returns the log index of the newest change.
+	 * @return the revision
+	 */
+	public long revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Takes a record out of force and keeps it for history.
+	 * @param kind the kind
+	 * @param name the name
+	 * @param expectedRevision the revision that the operator has seen
+	 * @param atRevision the log index of the change
+	 * @throws ServiceException if the record does not exist or has another revision
+	 */
+	public void withdraw(RecordKind kind, String name, long expectedRevision, long atRevision) throws ServiceException {
+		ConfigurationRecord found = find(kind, name).filter((record) -> !record.withdrawn())
+			.orElseThrow(() -> ServiceException.of(ResultCode.RECORD_UNKNOWN, kind.lowerCaseName() + " " + name));
+		requireRevision(kind, name, expectedRevision);
+		Specification specification = Schema.of(found.schemaVersion()).read(kind, found.document());
+		store(new ConfigurationRecord(kind, name, found.schemaVersion(), atRevision, true, found.document()),
+				specification);
+	}
+
+	private void store(ConfigurationRecord record, Specification specification) {
+		this.records.put(keyOf(record.kind(), record.name()), record);
+		if (specification instanceof Specification.Key key) {
+			this.keyNamesByDigest.put(key.digest().hex(), record.name());
+		}
+		this.revision = record.revision();
+	}
+
+	private void requireRevision(RecordKind kind, String name, long expectedRevision) throws ServiceException {
+		long actual = find(kind, name).map(ConfigurationRecord::revision).orElse(ABSENT_REVISION);
+		if (actual != expectedRevision) {
+			throw ServiceException.of(ResultCode.REVISION_CONFLICT,
+					"expected revision " + expectedRevision + ", found " + actual);
+		}
+	}
+
+	private void requireReference(Specification specification) throws ServiceException {
+		String customer = "";
+		if (specification instanceof Specification.Key key) {
+			customer = key.customer();
+		}
+		else if (specification instanceof Specification.CustomerPolicy policy) {
+			customer = policy.customer();
+		}
+		if (!customer.isEmpty() && find(RecordKind.CUSTOMER, customer).filter((r) -> !r.withdrawn()).isEmpty()) {
+			throw ServiceException.of(ResultCode.REFERENCE_UNKNOWN, "customer " + customer + " does not exist");
+		}
+	}
+
+	private void requireUnusedDigest(ConfigurationRecord record, Specification specification) throws ServiceException {
+		if (specification instanceof Specification.Key key) {
+			String owner = this.keyNamesByDigest.getOrDefault(key.digest().hex(), record.name());
+			if (!owner.equals(record.name())) {
+				throw ServiceException.of(ResultCode.RECORD_INVALID, "the digest belongs to key " + owner);
+			}
+		}
+	}
+
+	private static String keyOf(RecordKind kind, String name) {
+		return kind.lowerCaseName() + "/" + name;
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ConsensusMessage.java
@@ -0,0 +1,119 @@
+package org.zinniatack.core.consensus;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/**
+ * A message between two replicas of one log.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({ @JsonSubTypes.Type(value = ConsensusMessage.VoteRequest.class, name = "vq"),
+		@JsonSubTypes.Type(value = ConsensusMessage.VoteResponse.class, name = "vr"),
+		@JsonSubTypes.Type(value = ConsensusMessage.AppendRequest.class, name = "aq"),
+		@JsonSubTypes.Type(value = ConsensusMessage.AppendResponse.class, name = "ar"),
+		@JsonSubTypes.Type(value = ConsensusMessage.SnapshotRequest.class, name = "sq"),
+		@JsonSubTypes.Type(value = ConsensusMessage.TransferRequest.class, name = "tq") })
+public sealed interface ConsensusMessage {
+
+	/**
+	 * Returns the sender.
+	 * @return the id of the sending replica
+	 */
+	String from();
+
+	/**
+	 * Returns the sender's term.
+	 * @return the term
+	 */
+	long term();
+
+	/**
+	 * Returns the receiver.
+	 * @return the id of the receiving replica
+	 */
+	String to();
+
+	/**
+	 * Asks for a vote.
+	 *
+	 * @param from the candidate
+	 * @param to the voter
+	 * @param term the term that the candidate wants to lead
+	 * @param lastIndex the index of the candidate's last entry
+	 * @param lastTerm the term of the candidate's last entry
+	 * @param preVote true if the candidate only asks whether it would be elected
+	 * @param transfer true if the leader itself handed over
+	 */
+	record VoteRequest(String from, String to, long term, long lastIndex, long lastTerm, boolean preVote,
+			boolean transfer) implements ConsensusMessage {
+	}
+
+	/**
+	 * Answers a request for a vote.
+	 *
+	 * @param from the voter
+	 * @param to the candidate
+	 * @param term the voter's term, or the requested term for a granted preliminary vote
+	 * @param preVote true if the request was preliminary
+	 * @param granted true if the vote is given
+	 */
+	record VoteResponse(String from, String to, long term, boolean preVote,
+			boolean granted) implements ConsensusMessage {
+	}
+
+	/**
+	 * Carries entries, or none as a heartbeat.
+	 *
+	 * @param from the leader
+	 * @param to the follower
+	 * @param term the leader's term
+	 * @param previousIndex the index before the first entry
+	 * @param previousTerm the term of the entry before the first
+	 * @param entries the entries
+	 * @param commitIndex the leader's commit index
+	 * @param sentAtMs the leader's clock when sending, in milliseconds
+	 */
+	record AppendRequest(String from, String to, long term, long previousIndex, long previousTerm,
+			List<LogEntry> entries, long commitIndex, long sentAtMs) implements ConsensusMessage {
+	}
+
+	/**
+	 * Answers entries, a heartbeat or a snapshot.
+	 *
+	 * @param from the follower
+	 * @param to the leader
+	 * @param term the follower's term
+	 * @param success true if the follower's log holds the leader's up to the match index
+	 * @param matchIndex the last matching index, or a hint where to try next
+	 * @param sentAtMs the time that the request carried, in milliseconds
+	 */
+	record AppendResponse(String from, String to, long term, boolean success, long matchIndex,
+			long sentAtMs) implements ConsensusMessage {
+	}
+
+	/**
+	 * Carries a snapshot to a follower whose next entries are compacted.
+	 *
+	 * @param from the leader
+	 * @param to the follower
+	 * @param term the leader's term
+	 * @param snapshot the snapshot
+	 * @param sentAtMs the leader's clock when sending, in milliseconds
+	 */
+	record SnapshotRequest(String from, String to, long term, Snapshot snapshot,
+			long sentAtMs) implements ConsensusMessage {
+	}
+
+	/**
+	 * Asks a caught-up follower to start an election at once.
+	 *
+	 * @param from the leader
+	 * @param to the follower
+	 * @param term the leader's term
+	 */
+	record TransferRequest(String from, String to, long term) implements ConsensusMessage {
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/LogEntry.java
@@ -0,0 +1,73 @@
+package org.zinniatack.core.consensus;
+
+import java.util.Objects;
+
+/**
+ * One entry of the replicated log.
+ *
+ * @param index the position, counted from 1
+ * @param term the term of the leader that created the entry
+ * @param kind what the payload holds
+ * @param membership the members from this entry on, empty unless the kind is MEMBERSHIP
+ * @param command the encoded command, empty unless the kind is COMMAND
+ */
+public record LogEntry(long index, long term, Kind kind, Membership membership, byte[] command) {
+
+	private static final byte[] NO_COMMAND = new byte[0];
+
+	/**
+	 * Checks the arguments.
+	 */
+	public LogEntry {
+		Objects.requireNonNull(kind, "kind");
+		Objects.requireNonNull(membership, "membership");
+		Objects.requireNonNull(command, "command");
+	}
+
+	/**
+	 * Returns an entry that carries a command.
+	 * @param index the position
+	 * @param term the leader's term
+	 * @param command the encoded command
+	 * @return the entry
+	 */
+	public static LogEntry command(long index, long term, byte[] command) {
+		return new LogEntry(index, term, Kind.COMMAND, Membership.empty(), command);
+	}
+
+	/**
+	 * Returns an entry that changes the members.
+	 * @param index the position
+	 * @param term the leader's term
+	 * @param membership the members from this entry on
+	 * @return the entry
+	 */
+	public static LogEntry membership(long index, long term, Membership membership) {
+		return new LogEntry(index, term, Kind.MEMBERSHIP, membership, NO_COMMAND);
+	}
+
+	/**
+	 * Returns the empty entry with which a leader opens its term.
+	 * @param index the position
+	 * @param term the leader's term
+	 * @return the entry
+	 */
+	public static LogEntry noop(long index, long term) {
+		return new LogEntry(index, term, Kind.NOOP, Membership.empty(), NO_COMMAND);
+	}
+
+	/** What an entry holds. */
+	public enum Kind {
+
+		/** A command for the replicated state. */
+		COMMAND,
+
+		/** A change of the members. */
+		MEMBERSHIP,
+
+		/** Nothing; opens a term. */
+		NOOP
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaSettings.java
@@ -0,0 +1,47 @@
+package org.zinniatack.core.consensus;
+
+import java.util.Objects;
+
+/**
+ * The timing of a replica.
+ *
+ * @param id the replica's id, unique for each data folder
+ * @param heartbeatIntervalMs the time between two heartbeats, in milliseconds
+ * @param electionTimeoutMs the shortest silence before an election, in milliseconds; the
+ * longest is twice as long
+ * @param leaseDurationMs the time for which a heartbeat that a quorum answered makes the
+ * leader's word valid, in milliseconds
+ * @param maximumBatchEntries the largest number of entries in one message
+ */
+public record ReplicaSettings(String id, long heartbeatIntervalMs, long electionTimeoutMs, long leaseDurationMs,
+		int maximumBatchEntries) {
+
+	private static final long DEFAULT_HEARTBEAT_INTERVAL_MS = 150;
+
+	private static final long DEFAULT_ELECTION_TIMEOUT_MS = 600;
+
+	private static final long DEFAULT_LEASE_DURATION_MS = 500;
+
+	private static final int DEFAULT_MAXIMUM_BATCH_ENTRIES = 256;
+
+	/**
+	 * Checks the arguments.
+	 */
+	public ReplicaSettings {
+		Objects.requireNonNull(id, "id");
+		if (leaseDurationMs >= electionTimeoutMs) {
+			throw new IllegalArgumentException("leaseDurationMs must be below electionTimeoutMs");
+		}
+	}
+
+	/**
+	 * Returns settings with the default timing.
+	 * @param id the replica's id
+	 * @return the settings
+	 */
+	public static ReplicaSettings defaults(String id) {
+		return new ReplicaSettings(id, DEFAULT_HEARTBEAT_INTERVAL_MS, DEFAULT_ELECTION_TIMEOUT_MS,
+				DEFAULT_LEASE_DURATION_MS, DEFAULT_MAXIMUM_BATCH_ENTRIES);
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -0,0 +1,234 @@
+package org.zinniatack.core.result;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * The numbered result codes. The table in {@code docs/RESULT-CODES.md} lists them all.
+ */
+public enum ResultCode {
+
+	/** The request succeeded. */
+	OK(0, 200, Outcome.RAN, "The request succeeded."),
+
+	/** The body is not well-formed. */
+	MALFORMED_BODY(1001, 400, Outcome.NOT_RUN, "The body is not well-formed JSON."),
+
+	/** The body exceeds the size limit. */
+	BODY_TOO_LARGE(1002, 413, Outcome.NOT_RUN, "The body exceeds the size limit."),
+
+	/** No route matches. */
+	UNKNOWN_ROUTE(1003, 404, Outcome.NOT_RUN, "No route has this name."),
+
+	/** The route needs a key. */
+	KEY_MISSING(1004, 401, Outcome.NOT_RUN, "The route needs a key and none was sent."),
+
+	/** The key is unknown. */
+	KEY_UNKNOWN(1005, 401, Outcome.NOT_RUN, "The key is unknown."),
+
+	/** The key was withdrawn. */
+	KEY_WITHDRAWN(1006, 401, Outcome.UNKNOWN, "The key was withdrawn while its request was queued or running."),
+
+	/** The customer may not use the route. */
+	ROUTE_FORBIDDEN(1007, 403, Outcome.NOT_RUN, "The route does not serve the customer of this key."),
+
+	/** A field is missing or has a wrong value. */
+	FIELD_INVALID(1008, 400, Outcome.NOT_RUN, "A field is missing or has a wrong value."),
+
+	/** The route needs an idempotency key. */
+	IDEMPOTENCY_KEY_MISSING(1009, 400, Outcome.NOT_RUN,
+			"The route may not be repeated and needs an Idempotency-Key header."),
+
+	/** The idempotency key was used with another body. */
+	IDEMPOTENCY_KEY_REUSED(1010, 422, Outcome.NOT_RUN, "The idempotency key was used before with another request."),
+
+	/** The customer has reached a limit of its policy. */
+	CUSTOMER_LIMIT_REACHED(2001, 429, Outcome.NOT_RUN, "The customer has reached a limit of its policy."),
+
+	/** The request cannot start within its queue time. */
+	DEADLINE_UNREACHABLE(2002, 503, Outcome.NOT_RUN, "The request cannot start within the queue time of its policy."),
+
+	/** No target serves the route. */
+	NO_TARGET(2003, 503, Outcome.NOT_RUN, "No target that serves the route is available."),
+
+	/** The target is at capacity. */
+	TARGET_BUSY(2004, 503, Outcome.NOT_RUN, "The target is at capacity and did not start the request."),
+
+	/** The process is shutting down. */
+	SHUTTING_DOWN(2005, 503, Outcome.NOT_RUN, "The process is shutting down."),
+
+	/** The process has not heard from a quorum within the lease. */
+	AUTHORITY_EXPIRED(2006, 503, Outcome.NOT_RUN,
+			"The process has not heard from a quorum of control within the lease and honours no key."),
+
+	/** The target is leaving. */
+	TARGET_LEAVING(2007, 503, Outcome.NOT_RUN, "The target is leaving and accepts no new work."),
+
+	/** The request is quarantined. */
+	QUARANTINED(2008, 422, Outcome.NOT_RUN, "The request crashed targets before and is quarantined."),
+
+	/** The spending ceiling is reached. */
+	SPENDING_CEILING_REACHED(2009, 429, Outcome.NOT_RUN, "The customer has reached the spending ceiling."),
+
+	/** Whether the request ran is unknown. */
+	OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "The target was lost and it is unknown whether the request ran."),
+
+	/** The answer ended early. */
+	ANSWER_CUT_SHORT(3002, 502, Outcome.UNKNOWN, "The answer ended before it was whole."),
+
+	/** An earlier attempt has an unknown outcome. */
+	NOT_REPEATED(3003, 409, Outcome.UNKNOWN,
+			"An earlier attempt with this idempotency key has an unknown outcome and is not repeated."),
+
+	/** An earlier attempt is still running. */
+	IN_PROGRESS(3004, 409, Outcome.UNKNOWN, "An earlier attempt with this idempotency key is still running."),
+
+	/** The target answered with an error. */
+	TARGET_FAILED(3101, 502, Outcome.RAN, "The target answered with an error."),
+
+	/** The record has another revision. */
+	REVISION_CONFLICT(4001, 409, Outcome.NOT_RUN, "The record has another revision than the expected one."),
+
+	/** The schema version is unknown. */
+	SCHEMA_UNKNOWN(4002, 400, Outcome.NOT_RUN, "The schema version is unknown for this kind of record."),
+
+	/** The record is invalid. */
+	RECORD_INVALID(4003, 400, Outcome.NOT_RUN, "The record has a missing, unknown or wrong field."),
+
+	/** No such record. */
+	RECORD_UNKNOWN(4004, 404, Outcome.NOT_RUN, "No record has this kind and name."),
+
+	/** An operator's key is needed. */
+	OPERATOR_KEY_REQUIRED(4005, 401, Outcome.NOT_RUN, "The call needs a valid operator's key."),
+
+	/** This replica does not lead. */
+	NOT_LEADER(4006, 503, Outcome.NOT_RUN, "This replica does not lead and knows no leader to forward to."),
+
+	/** The change was not accepted. */
+	NOT_ACCEPTED(4007, 503, Outcome.NOT_RUN, "The change was not accepted and will not take effect."),
+
+	/** Whether the change was accepted is unknown. */
+	CHANGE_UNDECIDED(4008, 504, Outcome.UNKNOWN,
+			"It is unknown whether the change was accepted; resend it with the same request id."),
+
+	/** A referenced record is missing. */
+	REFERENCE_UNKNOWN(4009, 409, Outcome.NOT_RUN, "The record refers to a record that does not exist."),
+
+	/** The request id was used for another change. */
+	REQUEST_ID_REUSED(4010, 409, Outcome.NOT_RUN, "The request id was used before for another change."),
+
+	/** No such step. */
+	STEP_UNKNOWN(4101, 404, Outcome.NOT_RUN, "The customer has no step with this name."),
+
+	/** The batch is not whole yet. */
+	STEP_INCOMPLETE(4102, 409, Outcome.RAN, "The batch of the step is not whole yet."),
+
+	/** The step was released. */
+	STEP_RELEASED(4103, 410, Outcome.RAN, "The batch was delivered and released."),
+
+	/** The step exists with other groups. */
+	STEP_MISMATCH(4104, 409, Outcome.NOT_RUN, "The step exists with other groups."),
+
+	/** A sample lacks its weight version. */
+	SAMPLE_UNATTRIBUTED(4105, 502, Outcome.RAN, "The engine stated no weight version for the sample."),
+
+	/** A sample is older than the bound. */
+	SAMPLE_TOO_OLD(4106, 409, Outcome.RAN, "The sample is older than the bound of its policy."),
+
+	/** A frame exceeds the size limit. */
+	FRAME_TOO_LARGE(5001, 500, Outcome.NOT_RUN, "A frame exceeds the size limit."),
+
+	/** The handshake was refused. */
+	HANDSHAKE_REFUSED(5002, 500, Outcome.NOT_RUN, "The peer does not hold the cluster secret or sent no handshake."),
+
+	/** The protocol versions differ. */
+	PROTOCOL_VERSION_UNKNOWN(5003, 500, Outcome.NOT_RUN, "The peer speaks another version of the protocol."),
+
+	/** The frame cannot be decoded. */
+	FRAME_MALFORMED(5004, 500, Outcome.NOT_RUN, "A frame cannot be decoded."),
+
+	/** The connection was lost. */
+	PEER_LOST(5005, 502, Outcome.UNKNOWN, "The connection to the peer was lost."),
+
+	/** The order carries an old fencing number. */
+	FENCED(5006, 409, Outcome.NOT_RUN, "The order carries an older fencing number than one already seen."),
+
+	/** The call took too long. */
+	CALL_TIMED_OUT(5007, 504, Outcome.UNKNOWN, "The peer did not answer in time."),
+
+	/** The log is corrupt. */
+	LOG_CORRUPT(5101, 500, Outcome.NOT_RUN,
+			"A record before the end of the log is corrupt; restore the data folder or empty it to join as a learner."),
+
+	/** The data folder is in use. */
+	FOLDER_LOCKED(5102, 500, Outcome.NOT_RUN, "Another process holds the data folder."),
+
+	/** The disk refused a write. */
+	DISK_FULL(5103, 507, Outcome.NOT_RUN, "The disk refused a write; state stays readable, changes are refused."),
+
+	/** The data folder has an unknown format version. */
+	FORMAT_UNKNOWN(5104, 500, Outcome.NOT_RUN, "The data folder was written in an unknown format version."),
+
+	/** The settings are invalid. */
+	SETTINGS_INVALID(5201, 500, Outcome.NOT_RUN, "The settings file has a missing, unknown or wrong field."),
+
+	/** An unexpected failure. */
+	INTERNAL(5999, 500, Outcome.UNKNOWN, "An unexpected failure; the log has its cause.");
+
+	private final int number;
+
+	private final int httpStatus;
+
+	private final Outcome outcome;
+
+	private final String description;
+
+	ResultCode(int number, int httpStatus, Outcome outcome, String description) {
+		this.number = number;
+		this.httpStatus = httpStatus;
+		this.outcome = outcome;
+		this.description = description;
+	}
+
+	/**
+	 * Finds a code by its number.
+	 * @param number the number
+	 * @return the code, or empty if no code has the number
+	 */
+	public static Optional<ResultCode> ofNumber(int number) {
+		return Arrays.stream(values()).filter((code) -> code.number == number).findFirst();
+	}
+
+	/**
+	 * Returns the sentence that explains the code.
+	 * @return the description
+	 */
+	public String description() {
+		return this.description;
+	}
+
+	/**
+	 * Returns the HTTP status under which the code is sent.
+	 * @return the status
+	 */
+	public int httpStatus() {
+		return this.httpStatus;
+	}
+
+	/**
+	 * Returns the number that identifies the code in answers, logs and exits.
+	 * @return the number
+	 */
+	public int number() {
+		return this.number;
+	}
+
+	/**
+	 * Returns what the code says about the execution of the request.
+	 * @return the outcome
+	 */
+	public Outcome outcome() {
+		return this.outcome;
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -0,0 +1,257 @@
+package org.zinniatack.core.state;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.zinniatack.core.config.ConfigurationRecord;
+import org.zinniatack.core.config.RecordTable;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.sample.Step;
+import org.zinniatack.core.sample.StepLedger;
+import org.zinniatack.core.usage.UsageLedger;
+
+/**
+ * The replicated state of control. Applying the same commands in the same order gives the
+ * same state and the same replies on each replica.
+ */
+public final class ControlState {
+
+	private RecordTable records = new RecordTable();
+
+	private RequestHistory history = new RequestHistory();
+
+	private IntentTable intents = new IntentTable();
+
+	private StepLedger steps = new StepLedger();
+
+	private UsageLedger usage = new UsageLedger();
+
+	private CrashTable crashes = new CrashTable();
+
+	private final Map<String, TargetOrder> orders = new TreeMap<>();
+
+	private final Map<String, Long> weights = new TreeMap<>();
+
+	private long appliedIndex;
+
+	/**
+	 * Returns the state from its stored form.
+	 * @param image the stored form
+	 * @return the state
+	 * @throws ServiceException if a record cannot be read under its schema version
+	 */
+	public static ControlState of(Image image) throws ServiceException {
+		ControlState state = new ControlState();
+		state.records = RecordTable.of(image.recordRevision(), image.records());
+		state.history = RequestHistory.of(image.answered());
+		state.intents = IntentTable.of(image.intents());
+		state.steps = StepLedger.of(image.steps());
+		state.usage = UsageLedger.of(image.usage());
+		state.crashes = CrashTable.of(image.crashes());
+		image.orders().forEach((order) -> state.orders.put(order.pool(), order));
+		state.weights.putAll(image.weights());
+		state.appliedIndex = image.appliedIndex();
+		return state;
+	}
+
+	/**
+	 * Applies a command.
+	 * @param index the log index of the command, larger than any before
+	 * @param command the command
+	 * @return the reply, which is a refusal if the command changed nothing
+	 */
+	public Reply apply(long index, Command command) {
+		this.appliedIndex = index;
+		if (command instanceof Command.PutRecord put) {
+			return this.history.answerOnce(put.requestId(), put, () -> put(index, put));
+		}
+		if (command instanceof Command.WithdrawRecord withdraw) {
+			return this.history.answerOnce(withdraw.requestId(), withdraw, () -> withdraw(index, withdraw));
+		}
+		try {
+			return applyOther(index, command);
+		}
+		catch (ServiceException ex) {
+			return Reply.refused(ex);
+		}
+	}
+
+	private Reply put(long index, Command.PutRecord command) {
+		try {
+			this.records.put(new ConfigurationRecord(command.kind(), command.name(), command.schemaVersion(), index,
+					false, command.document()), command.expectedRevision());
+			return new Reply.Accepted(index);
+		}
+		catch (ServiceException ex) {
+			return Reply.refused(ex);
+		}
+	}
+
+	private Reply withdraw(long index, Command.WithdrawRecord command) {
+		try {
+			this.records.withdraw(command.kind(), command.name(), command.expectedRevision(), index);
+			return new Reply.Accepted(index);
+		}
+		catch (ServiceException ex) {
+			return Reply.refused(ex);
+		}
+	}
+
+	private Reply applyOther(long index, Command command) throws ServiceException {
+		if (command instanceof Command.BeginIntent begin) {
+			return new Reply.Intent(this.intents.begin(begin));
+		}
+		if (command instanceof Command.FinishIntent finish) {
+			this.intents.finish(finish);
+		}
+		else if (command instanceof Command.OrderTargets order) {
+			this.orders.put(order.pool(),
+					new TargetOrder(order.pool(), index, Map.copyOf(order.countsByFailureDomain())));
+		}
+		else if (command instanceof Command.AnnounceWeights announced) {
+			this.weights.merge(announced.model(), announced.version(), Math::max);
+		}
+		else if (command instanceof Command.ReportCrash crash) {
+			this.crashes.report(crash.crashId(), crash.requestDigests());
+		}
+		else if (command instanceof Command.ClearSuspect clear) {
+			this.crashes.clear(clear.requestDigest());
+		}
+		else if (!applyUsage(command)) {
+			return applyStep(index, command);
+		}
+		return new Reply.Accepted(index);
+	}
+
+	private boolean applyUsage(Command command) {
+		if (command instanceof Command.RecordUsage used) {
+			this.usage.record(used.source(), used.sequence(), used.windowStartMs(), used.figures());
+		}
+		else if (command instanceof Command.CloseWindow close) {
+			this.usage.close(close.startMs(), close.endMs());
+		}
+		else if (command instanceof Command.AcknowledgeWindow acknowledge) {
+			this.usage.acknowledge(acknowledge.startMs());
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private Reply applyStep(long index, Command command) throws ServiceException {
+		if (command instanceof Command.OpenStep open) {
+			return new Reply.Slots(this.steps.open(new StepLedger.StepId(open.customer(), open.step()), open.model(),
+					open.digest(), open.slotCount(), open.ageBoundVersions()));
+		}
+		if (command instanceof Command.FillSlots fill) {
+			StepLedger.StepId id = new StepLedger.StepId(fill.customer(), fill.step());
+			return new Reply.Slots(this.steps.fill(id, fill.samples(), newestVersion(this.steps.modelOf(id))));
+		}
+		if (command instanceof Command.CommitStep commit) {
+			StepLedger.StepId id = new StepLedger.StepId(commit.customer(), commit.step());
+			return new Reply.Slots(this.steps.commit(id, newestVersion(this.steps.modelOf(id))));
+		}
+		if (command instanceof Command.ReleaseStep release) {
+			this.steps.release(new StepLedger.StepId(release.customer(), release.step()));
+		}
+		return new Reply.Accepted(index);
+	}
+
+	/**
+	 * Returns the log index of the newest applied command.
+	 * @return the index
+	 */
+	public long appliedIndex() {
+		return this.appliedIndex;
+	}
+
+	/**
+	 * Returns the suspects and the quarantined requests.
+	 * @return the stored form of the table
+	 */
+	public CrashTable.Image crashes() {
+		return this.crashes.image();
+	}
+
+	/**
+	 * Returns the stored form.
+	 * @return the image
+	 */
+	public Image image() {
+		return new Image(this.appliedIndex, this.records.revision(), this.records.records(), this.history.images(),
+				this.intents.images(), this.steps.images(), this.usage.image(), this.crashes.image(),
+				List.copyOf(this.orders.values()), new TreeMap<>(this.weights));
+	}
+
+	/**
+	 * Returns the newest weight version of a model.
+	 * @param model the model
+	 * @return the version, 0 if none was announced
+	 */
+	public long newestVersion(String model) {
+		return this.weights.getOrDefault(model, 0L);
+	}
+
+	/**
+	 * Returns the newest order of each pool.
+	 * @return the orders
+	 */
+	public Collection<TargetOrder> orders() {
+		return List.copyOf(this.orders.values());
+	}
+
+	/**
+	 * Returns the configuration records.
+	 * @return the table, which only this state may change
+	 */
+	public RecordTable records() {
+		return this.records;
+	}
+
+	/**
+	 * Returns the steps of trainers.
+	 * @return the ledger, which only this state may change
+	 */
+	public StepLedger steps() {
+		return this.steps;
+	}
+
+	/**
+	 * Returns the usage of all customers.
+	 * @return the ledger, which only this state may change
+	 */
+	public UsageLedger usage() {
+		return this.usage;
+	}
+
+	/**
+	 * Returns the newest weight version of each model.
+	 * @return the versions by model
+	 */
+	public Map<String, Long> weights() {
+		return Map.copyOf(this.weights);
+	}
+
+	/**
+	 * The stored form of the state.
+	 *
+	 * @param appliedIndex the log index of the newest applied command
+	 * @param recordRevision the log index of the newest change of records
+	 * @param records the configuration records
+	 * @param answered the operators' requests with their first answers
+	 * @param intents the requests that may not be repeated
+	 * @param steps the steps of trainers
+	 * @param usage the usage
+	 * @param crashes the suspects and the quarantined requests
+	 * @param orders the newest order of each pool
+	 * @param weights the newest weight version of each model
+	 */
+	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
+			List<RequestHistory.Answered> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
+			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights) {
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The replicated state of control: commands, replies and the tables that they change.
+ */
+@NullMarked
+package org.zinniatack.core.state;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageLedger.java
@@ -0,0 +1,160 @@
+package org.zinniatack.core.usage;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The usage of all customers by window. A window is closed once; what arrives for it
+ * later is counted in the open window and marked late. Each source numbers its reports,
+ * so a repeated report counts once.
+ */
+public final class UsageLedger {
+
+	private static final int SOURCES_KEPT = 16_384;
+
+	private static final int WINDOWS_KEPT = 64;
+
+	private final Map<String, Long> lastSequences = new LinkedHashMap<>();
+
+	private final Map<Long, Map<String, UsageFigure>> openFigures = new TreeMap<>();
+
+	private final TreeMap<Long, UsageWindow> closedWindows = new TreeMap<>();
+
+	private long closedUntilMs;
+
+	/**
+	 * Returns a ledger from its stored form.
+	 * @param image the stored form
+	 * @return the ledger
+	 */
+	public static UsageLedger of(Image image) {
+		UsageLedger ledger = new UsageLedger();
+		ledger.lastSequences.putAll(image.lastSequences());
+		ledger.closedUntilMs = image.closedUntilMs();
+		image.openFigures().forEach((open) -> open.figures().forEach((figure) -> ledger.add(open.startMs(), figure)));
+		image.closedWindows().forEach((window) -> ledger.closedWindows.put(window.startMs(), window));
+		return ledger;
+	}
+
+	/**
+	 * Notes that the platform has received the report of a window.
+	 * @param startMs the start of the window, in milliseconds since the epoch
+	 */
+	public void acknowledge(long startMs) {
+		this.closedWindows.computeIfPresent(startMs, (start, window) -> window.asAcknowledged());
+		while (this.closedWindows.size() > WINDOWS_KEPT && this.closedWindows.firstEntry().getValue().acknowledged()) {
+			this.closedWindows.pollFirstEntry();
+		}
+	}
+
+	/**
+	 * Closes a window, unless it or a later one is closed.
+	 * @param startMs the start of the window, in milliseconds since the epoch
+	 * @param endMs the end of the window, in milliseconds since the epoch
+	 */
+	public void close(long startMs, long endMs) {
+		if (startMs < this.closedUntilMs) {
+			return;
+		}
+		Map<String, UsageFigure> sum = new TreeMap<>();
+		this.openFigures.entrySet().removeIf((open) -> {
+			boolean ends = open.getKey() < endMs;
+			if (ends) {
+				open.getValue().values().forEach((figure) -> merge(sum, figure));
+			}
+			return ends;
+		});
+		this.closedWindows.put(startMs, new UsageWindow(startMs, endMs, List.copyOf(sum.values()), false));
+		this.closedUntilMs = endMs;
+	}
+
+	/**
+	 * Returns the end of the newest closed window.
+	 * @return milliseconds since the epoch, 0 if none is closed
+	 */
+	public long closedUntilMs() {
+		return this.closedUntilMs;
+	}
+
+	/**
+	 * Returns the closed windows that are kept.
+	 * @return the windows, oldest first
+	 */
+	public List<UsageWindow> closedWindows() {
+		return List.copyOf(this.closedWindows.values());
+	}
+
+	/**
+	 * Returns the stored form.
+	 * @return the image
+	 */
+	public Image image() {
+		List<OpenFigures> open = new ArrayList<>();
+		this.openFigures
+			.forEach((startMs, figures) -> open.add(new OpenFigures(startMs, List.copyOf(figures.values()))));
+		return new Image(new LinkedHashMap<>(this.lastSequences), open, closedWindows(), this.closedUntilMs);
+	}
+
+	/**
+	 * Returns the oldest closed window whose report the platform has not received.
+	 * @return the window, or empty if all are received
+	 */
+	public Optional<UsageWindow> oldestUnacknowledged() {
+		return this.closedWindows.values().stream().filter((window) -> !window.acknowledged()).findFirst();
+	}
+
+	/**
+	 * Counts a report of use, unless it was counted before.
+	 * @param source the id of the reporting process, new at each of its starts
+	 * @param sequence the number of the report, rising by source
+	 * @param startMs the start of the window of use, in milliseconds since the epoch
+	 * @param figures the figures
+	 */
+	public void record(String source, long sequence, long startMs, List<UsageFigure> figures) {
+		if (sequence <= this.lastSequences.getOrDefault(source, 0L)) {
+			return;
+		}
+		this.lastSequences.remove(source);
+		this.lastSequences.put(source, sequence);
+		if (this.lastSequences.size() > SOURCES_KEPT) {
+			this.lastSequences.remove(this.lastSequences.keySet().iterator().next());
+		}
+		boolean late = startMs < this.closedUntilMs;
+		long countedMs = Math.max(startMs, this.closedUntilMs);
+		figures.forEach((figure) -> add(countedMs, late ? figure.markedLate() : figure));
+	}
+
+	private void add(long startMs, UsageFigure figure) {
+		merge(this.openFigures.computeIfAbsent(startMs, (absent) -> new TreeMap<>()), figure);
+	}
+
+	private static void merge(Map<String, UsageFigure> figures, UsageFigure figure) {
+		figures.merge(figure.customer() + '\0' + figure.route() + '\0' + figure.late(), figure, UsageFigure::plus);
+	}
+
+	/**
+	 * Figures of a window that is not closed.
+	 *
+	 * @param startMs the start of the window, in milliseconds since the epoch
+	 * @param figures the figures
+	 */
+	public record OpenFigures(long startMs, List<UsageFigure> figures) {
+	}
+
+	/**
+	 * The stored form of a ledger.
+	 *
+	 * @param lastSequences the last counted report by source
+	 * @param openFigures the figures of open windows
+	 * @param closedWindows the closed windows that are kept
+	 * @param closedUntilMs the end of the newest closed window
+	 */
+	public record Image(Map<String, Long> lastSequences, List<OpenFigures> openFigures, List<UsageWindow> closedWindows,
+			long closedUntilMs) {
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Usage figures and the windows in which they are reported.
+ */
+@NullMarked
+package org.zinniatack.core.usage;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Checks.java
@@ -0,0 +1,74 @@
+package org.zinniatack.process;
+
+import java.util.regex.Pattern;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Checks of fields, which name the field and what would be right.
+ */
+public final class Checks {
+
+	private static final Pattern ADDRESS = Pattern.compile("[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}");
+
+	private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+
+	private Checks() {
+	}
+
+	/**
+	 * Checks an address.
+	 * @param field the name of the field
+	 * @param value the value
+	 * @return the value
+	 */
+	public static String address(String field, @Nullable String value) {
+		if (value == null || !ADDRESS.matcher(value).matches()) {
+			throw new IllegalArgumentException(field + " must be an IP number and a port, such as 127.0.0.1:7400");
+		}
+		return value;
+	}
+
+	/**
+	 * Checks a name.
+	 * @param field the name of the field
+	 * @param value the value
+	 * @return the value
+	 */
+	public static String name(String field, @Nullable String value) {
+		if (value == null || !NAME.matcher(value).matches()) {
+			throw new IllegalArgumentException(field + " must be lower-case letters, digits and hyphens");
+		}
+		return value;
+	}
+
+	/**
+	 * Checks that a value is there.
+	 * @param <T> the type of the value
+	 * @param field the name of the field
+	 * @param value the value
+	 * @return the value
+	 */
+	public static <T> T present(String field, @Nullable T value) {
+		if (value == null) {
+			throw new IllegalArgumentException(field + " is missing");
+		}
+		return value;
+	}
+
+	/**
+	 * Checks a number against a range.
+	 * @param field the name of the field
+	 * @param value the value
+	 * @param minimum the smallest right value
+	 * @param maximum the largest right value
+	 * @return the value
+	 */
+	public static long range(String field, long value, long minimum, long maximum) {
+		if (value < minimum || value > maximum) {
+			throw new IllegalArgumentException(field + " must be from " + minimum + " to " + maximum);
+		}
+		return value;
+	}
+
+}
--- /dev/null
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/ProcessController.java
@@ -0,0 +1,62 @@
+package org.zinniatack.process;
+
+import java.util.Map;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Header;
+import io.micronaut.http.annotation.Produces;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.result.ServiceException;
+
+/**
+ * Liveness, readiness, metrics and the state dump of a process.
+ */
+@Controller
+@Requires(beans = ProcessView.class)
+final class ProcessController {
+
+	private final ProcessView view;
+
+	private final OperatorKeys operatorKeys;
+
+	private final MeterRegistry metrics;
+
+	ProcessController(ProcessView view, OperatorKeys operatorKeys, MeterRegistry metrics) {
+		this.view = view;
+		this.operatorKeys = operatorKeys;
+		this.metrics = metrics;
+	}
+
+	@Get("/health/live")
+	Map<String, String> live() {
+		return Map.of("status", "live");
+	}
+
+	@Get("/health/ready")
+	HttpResponse<Map<String, String>> ready() {
+		return this.view.isReady() ? HttpResponse.ok(Map.of("status", "ready"))
+				: HttpResponse.<Map<String, String>>status(HttpStatus.SERVICE_UNAVAILABLE)
+					.body(Map.of("status", "not ready"));
+	}
+
+	@Get("/metrics")
+	@Produces(MediaType.TEXT_PLAIN)
+	String metrics() {
+		return (this.metrics instanceof PrometheusMeterRegistry prometheus) ? prometheus.scrape() : "";
+	}
+
+	@Get("/dump")
+	Map<String, Object> dump(@Header("Authorization") @Nullable String authorization) throws ServiceException {
+		this.operatorKeys.require(authorization);
+		return this.view.dump();
+	}
+
+}
--- /dev/null
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -0,0 +1,323 @@
+package org.zinniatack.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import org.zinniatack.core.consensus.Effects;
+import org.zinniatack.core.consensus.HardState;
+import org.zinniatack.core.consensus.LogEntry;
+import org.zinniatack.core.consensus.PersistentState;
+import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
+/**
+ * A store in a folder with the files {@code identity}, {@code lock},
+ * {@code snapshot-INDEX} and {@code journal-NUMBER}. Snapshots and new journals are
+ * written aside, synced and renamed.
+ */
+final class FolderStore implements ReplicaStore {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+	private static final String FORMAT_VERSION = "1";
+
+	private static final String JOURNAL_PREFIX = "journal-";
+
+	private static final String SNAPSHOT_PREFIX = "snapshot-";
+
+	private static final String ASIDE_SUFFIX = ".tmp";
+
+	private static final int INCARNATION_BYTES = 6;
+
+	private final Path folder;
+
+	private final FolderLock lock;
+
+	private final Journal.Opener opener;
+
+	private final String replicaId;
+
+	private HardState hardState = HardState.initial();
+
+	private Journal journal;
+
+	private long journalNumber;
+
+	private long journalLength;
+
+	private boolean tornByRefusal;
+
+	private boolean formed;
+
+	private FolderStore(Path folder, FolderLock lock, Journal.Opener opener, String replicaId)
+			throws IOException, ServiceException {
+		this.folder = folder;
+		this.lock = lock;
+		this.opener = opener;
+		this.replicaId = replicaId;
+		this.journalNumber = newest(JOURNAL_PREFIX).map((file) -> numberOf(file, JOURNAL_PREFIX)).orElse(0L);
+		this.formed = this.journalNumber > 0;
+		if (this.formed) {
+			recover();
+		}
+		this.journal = opener.open(journalPath());
+	}
+
+	static FolderStore open(Path folder, String replicaName, Journal.Opener opener) throws ServiceException {
+		try {
+			Files.createDirectories(folder);
+			FolderLock lock = FolderLock.acquire(folder);
+			try {
+				return new FolderStore(folder, lock, opener, identity(folder, replicaName));
+			}
+			catch (IOException | ServiceException ex) {
+				lock.close();
+				throw ex;
+			}
+		}
+		catch (IOException ex) {
+			throw refused(ex);
+		}
+	}
+
+	private static ServiceException refused(IOException cause) {
+		return ServiceException.of(ResultCode.DISK_FULL, String.valueOf(cause.getMessage()));
+	}
+
+	private static String identity(Path folder, String replicaName) throws IOException, ServiceException {
+		Path file = folder.resolve("identity");
+		if (!Files.exists(file)) {
+			byte[] incarnation = new byte[INCARNATION_BYTES];
+			new SecureRandom().nextBytes(incarnation);
+			String id = replicaName + '.' + HexFormat.of().formatHex(incarnation);
+			writeAside(folder, file, (FORMAT_VERSION + '\n' + id + '\n').getBytes(StandardCharsets.UTF_8));
+		}
+		List<String> lines = Files.readAllLines(file);
+		if (lines.size() < 2 || !lines.get(0).equals(FORMAT_VERSION)) {
+			throw ServiceException.of(ResultCode.FORMAT_UNKNOWN, "file " + file);
+		}
+		return lines.get(1);
+	}
+
+	private static void writeAside(Path folder, Path file, byte[] bytes) throws IOException {
+		Path aside = folder.resolve(file.getFileName() + ASIDE_SUFFIX);
+		try (FileChannel channel = FileChannel.open(aside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+				StandardOpenOption.TRUNCATE_EXISTING)) {
+			ByteBuffer buffer = ByteBuffer.wrap(bytes);
+			while (buffer.hasRemaining()) {
+				channel.write(buffer);
+			}
+			channel.force(true);
+		}
+		Files.move(aside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+		syncFolder(folder);
+	}
+
+	private static void syncFolder(Path folder) throws IOException {
+		try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+			channel.force(true);
+		}
+	}
+
+	private PersistentState recover() throws IOException, ServiceException {
+		Snapshot snapshot = readSnapshot();
+		Records.Content content = Records.decode(Files.readAllBytes(journalPath()));
+		List<LogEntry> entries = new ArrayList<>();
+		long baseIndex = 0;
+		long baseTerm = 0;
+		for (byte[] payload : content.payloads()) {
+			Batch batch = Batch.decode(payload);
+			if (batch.baseIndex() >= 0) {
+				baseIndex = batch.baseIndex();
+				baseTerm = batch.baseTerm();
+			}
+			replay(batch, entries);
+		}
+		if (content.torn()) {
+			LOGGER.atWarning().log("event=torn_tail_cut file=%s length=%d", journalPath(), content.wholeLength());
+			try (Journal torn = this.opener.open(journalPath())) {
+				torn.truncate(content.wholeLength());
+			}
+		}
+		this.journalLength = content.wholeLength();
+		return new PersistentState(this.hardState, snapshot, following(snapshot, baseIndex, baseTerm, entries));
+	}
+
+	private void replay(Batch batch, List<LogEntry> entries) {
+		if (batch.hardState() != null) {
+			this.hardState = batch.hardState();
+		}
+		if (batch.truncateFrom() > 0) {
+			entries.removeIf((entry) -> entry.index() >= batch.truncateFrom());
+		}
+		entries.addAll(batch.entries());
+	}
+
+	/** Returns the entries after the snapshot, none if they do not continue it. */
+	private static List<LogEntry> following(Snapshot snapshot, long baseIndex, long baseTerm, List<LogEntry> entries) {
+		boolean continues = (baseIndex == snapshot.index() && baseTerm == snapshot.term())
+				|| entries.stream().anyMatch((e) -> e.index() == snapshot.index() && e.term() == snapshot.term());
+		return continues ? entries.stream().filter((entry) -> entry.index() > snapshot.index()).toList() : List.of();
+	}
+
+	private Snapshot readSnapshot() throws IOException, ServiceException {
+		Optional<Path> file = newest(SNAPSHOT_PREFIX);
+		if (file.isEmpty()) {
+			return Snapshot.empty();
+		}
+		Records.Content content = Records.decode(Files.readAllBytes(file.get()));
+		if (content.payloads().size() != 1) {
+			throw ServiceException.of(ResultCode.LOG_CORRUPT, "snapshot " + file.get());
+		}
+		return MAPPER.readValue(content.payloads().get(0), Snapshot.class);
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.journal.close();
+			this.lock.close();
+		}
+		catch (IOException ex) {
+			LOGGER.atWarning().log("event=close_failed cause=\"%s\"", ex.getMessage());
+		}
+	}
+
+	@Override
+	public void form(PersistentState state) throws ServiceException {
+		if (this.formed) {
+			throw new IllegalStateException("the folder is formed");
+		}
+		this.hardState = state.hardState();
+		saveSnapshot(state.snapshot(), state.entries());
+	}
+
+	@Override
+	public boolean isFormed() {
+		return this.formed;
+	}
+
+	@Override
+	public PersistentState load() throws ServiceException {
+		try {
+			return this.formed ? recover() : PersistentState.empty();
+		}
+		catch (IOException ex) {
+			throw refused(ex);
+		}
+	}
+
+	@Override
+	public void persist(Effects effects) throws ServiceException {
+		if (effects.hardState() != null) {
+			this.hardState = effects.hardState();
+		}
+		if (effects.snapshot() != null) {
+			saveSnapshot(effects.snapshot(), effects.entries());
+		}
+		else if (effects.needsSync()) {
+			append(new Batch(effects.hardState(), -1, 0, effects.truncateFrom(), effects.entries()));
+		}
+	}
+
+	private void append(Batch batch) throws ServiceException {
+		try {
+			if (this.tornByRefusal) {
+				this.journal.truncate(this.journalLength);
+				this.tornByRefusal = false;
+			}
+			ByteBuffer record = Records.encode(batch.encode());
+			int length = record.remaining();
+			this.journal.append(record);
+			this.journal.sync();
+			this.journalLength += length;
+		}
+		catch (IOException ex) {
+			this.tornByRefusal = true;
+			throw refused(ex);
+		}
+	}
+
+	@Override
+	public String replicaId() {
+		return this.replicaId;
+	}
+
+	@Override
+	public void saveSnapshot(Snapshot snapshot, List<LogEntry> following) throws ServiceException {
+		try {
+			if (snapshot.index() > 0) {
+				Path file = this.folder.resolve(SNAPSHOT_PREFIX + snapshot.index());
+				writeAside(this.folder, file, Records.encode(MAPPER.writeValueAsBytes(snapshot)).array());
+			}
+			startJournal(new Batch(this.hardState, snapshot.index(), snapshot.term(), 0, following));
+			deleteOlder(JOURNAL_PREFIX, this.journalNumber);
+			deleteOlder(SNAPSHOT_PREFIX, snapshot.index());
+		}
+		catch (IOException ex) {
+			throw refused(ex);
+		}
+	}
+
+	private void startJournal(Batch first) throws IOException {
+		byte[] record = Records.encode(first.encode()).array();
+		Path next = this.folder.resolve(JOURNAL_PREFIX + (this.journalNumber + 1));
+		writeAside(this.folder, next, record);
+		this.journal.close();
+		this.journalNumber++;
+		this.journal = this.opener.open(next);
+		this.journalLength = record.length;
+		this.formed = true;
+	}
+
+	private void deleteOlder(String prefix, long number) throws IOException {
+		try (Stream<Path> files = Files.list(this.folder)) {
+			for (Path file : files.filter((path) -> isNumbered(path, prefix)).toList()) {
+				if (numberOf(file, prefix) < number) {
+					Files.deleteIfExists(file);
+				}
+			}
+		}
+	}
+
+	private Path journalPath() {
+		return this.folder.resolve(JOURNAL_PREFIX + this.journalNumber);
+	}
+
+	private Optional<Path> newest(String prefix) throws IOException {
+		try (Stream<Path> files = Files.list(this.folder)) {
+			return files.filter((path) -> isNumbered(path, prefix))
+				.max(Comparator.comparingLong((path) -> numberOf(path, prefix)));
+		}
+	}
+
+	private static boolean isNumbered(Path file, String prefix) {
+		String name = file.getFileName().toString();
+		return name.startsWith(prefix) && !name.endsWith(ASIDE_SUFFIX);
+	}
+
+	private static long numberOf(Path file, String prefix) {
+		return Long.parseLong(file.getFileName().toString().substring(prefix.length()));
+	}
+
+}
--- /dev/null
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
@@ -0,0 +1,245 @@
+package org.zinniatack.wire;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
+/**
+ * The exchanges of one connection. All its state belongs to the channel's event loop.
+ */
+final class ChannelPeer extends SimpleChannelInboundHandler<Frame> implements Peer {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long NOTICE_ID = 0;
+
+	private final Channel channel;
+
+	private final PeerIdentity identity;
+
+	private final PeerHandler handler;
+
+	private final Map<Long, ExchangeListener> asked = new HashMap<>();
+
+	private final Map<Long, ChannelResponder> answering = new HashMap<>();
+
+	private long nextExchangeId;
+
+	ChannelPeer(Channel channel, PeerIdentity identity, PeerHandler handler, boolean opener) {
+		this.channel = channel;
+		this.identity = identity;
+		this.handler = handler;
+		this.nextExchangeId = opener ? 1 : 2;
+	}
+
+	@Override
+	public CompletableFuture<Message> call(Message request, long timeoutMs) {
+		CompletableFuture<Message> answer = new CompletableFuture<>();
+		Runnable cancel = open(request, new CallListener(answer));
+		Future<?> timeout = this.channel.eventLoop().schedule(() -> {
+			if (answer.completeExceptionally(
+					ServiceException.of(ResultCode.CALL_TIMED_OUT, "no answer in " + timeoutMs + " ms"))) {
+				cancel.run();
+			}
+		}, timeoutMs, TimeUnit.MILLISECONDS);
+		answer.whenComplete((message, failure) -> timeout.cancel(false));
+		return answer;
+	}
+
+	@Override
+	public void close() {
+		this.channel.close();
+	}
+
+	@Override
+	public PeerIdentity identity() {
+		return this.identity;
+	}
+
+	@Override
+	public boolean isOpen() {
+		return this.channel.isActive();
+	}
+
+	@Override
+	public Runnable open(Message request, ExchangeListener listener) {
+		CompletableFuture<Long> id = new CompletableFuture<>();
+		onLoop(() -> id.complete(start(request, listener)));
+		return () -> onLoop(() -> id.thenAccept(this::cancel));
+	}
+
+	private long start(Message request, ExchangeListener listener) {
+		long id = this.nextExchangeId;
+		this.nextExchangeId += 2;
+		if (!this.channel.isActive()) {
+			listener.onLost(ResultCode.PEER_LOST);
+			return id;
+		}
+		this.asked.put(id, listener);
+		this.channel.writeAndFlush(new Frame(id, false, request));
+		return id;
+	}
+
+	private void cancel(long id) {
+		if (this.asked.remove(id) != null) {
+			this.channel.writeAndFlush(new Frame(id, true, new Message.Cancel()));
+		}
+	}
+
+	@Override
+	public void send(Message notice) {
+		this.channel.writeAndFlush(new Frame(NOTICE_ID, true, notice));
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+		if (frame.exchangeId() == NOTICE_ID) {
+			if (!(frame.message() instanceof Message.Heartbeat)) {
+				this.handler.onNotice(this, frame.message());
+			}
+		}
+		else if (isMine(frame.exchangeId())) {
+			onAnswer(frame);
+		}
+		else if (frame.message() instanceof Message.Cancel) {
+			ChannelResponder responder = this.answering.remove(frame.exchangeId());
+			if (responder != null) {
+				responder.cancelled();
+			}
+		}
+		else {
+			ChannelResponder responder = new ChannelResponder(frame.exchangeId());
+			this.answering.put(frame.exchangeId(), responder);
+			this.handler.onRequest(this, frame.message(), responder);
+		}
+	}
+
+	private boolean isMine(long exchangeId) {
+		return exchangeId % 2 == this.nextExchangeId % 2;
+	}
+
+	private void onAnswer(Frame frame) {
+		ExchangeListener listener = frame.last() ? this.asked.remove(frame.exchangeId())
+				: this.asked.get(frame.exchangeId());
+		if (listener != null) {
+			listener.onMessage(frame.message(), frame.last());
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		new ArrayList<>(this.asked.values()).forEach((listener) -> listener.onLost(ResultCode.PEER_LOST));
+		this.asked.clear();
+		new ArrayList<>(this.answering.values()).forEach(ChannelResponder::cancelled);
+		this.answering.clear();
+		this.handler.onClosed(this);
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof IdleStateEvent idle) {
+			if (idle.state() == IdleState.READER_IDLE) {
+				context.close();
+			}
+			else {
+				send(new Message.Heartbeat());
+			}
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		LOGGER.atWarning()
+			.log("event=connection_failed peer=%s role=%s code=%d cause=\"%s\"", this.identity.nodeId(),
+					this.identity.role(), ResultCode.FRAME_MALFORMED.number(), cause.getMessage());
+		context.close();
+	}
+
+	private void onLoop(Runnable action) {
+		if (this.channel.eventLoop().inEventLoop()) {
+			action.run();
+		}
+		else {
+			this.channel.eventLoop().execute(action);
+		}
+	}
+
+	private record CallListener(CompletableFuture<Message> answer) implements ExchangeListener {
+
+		@Override
+		public void onMessage(Message message, boolean last) {
+			if (message instanceof Message.Failure failure) {
+				this.answer.completeExceptionally(
+						ServiceException.retryable(failure.code(), failure.detail(), failure.retryAfterMs()));
+			}
+			else {
+				this.answer.complete(message);
+			}
+		}
+
+		@Override
+		public void onLost(ResultCode code) {
+			this.answer.completeExceptionally(ServiceException.of(code, "the connection was lost"));
+		}
+
+	}
+
+	private final class ChannelResponder implements Responder {
+
+		private final long exchangeId;
+
+		private Runnable cancelAction = () -> {
+		};
+
+		private boolean cancelled;
+
+		ChannelResponder(long exchangeId) {
+			this.exchangeId = exchangeId;
+		}
+
+		@Override
+		public void onCancel(Runnable action) {
+			onLoop(() -> {
+				if (this.cancelled) {
+					action.run();
+				}
+				else {
+					this.cancelAction = action;
+				}
+			});
+		}
+
+		@Override
+		public void respond(Message message, boolean last) {
+			onLoop(() -> {
+				if (this.cancelled) {
+					return;
+				}
+				if (last) {
+					ChannelPeer.this.answering.remove(this.exchangeId);
+				}
+				ChannelPeer.this.channel.writeAndFlush(new Frame(this.exchangeId, last, message));
+			});
+		}
+
+		void cancelled() {
+			this.cancelled = true;
+			this.cancelAction.run();
+		}
+
+	}
+
+}
