--- /dev/null
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -0,0 +1,335 @@
+package org.zinniatack.agent;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+
+import com.google.common.flogger.FluentLogger;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.routing.Hashing;
+import org.zinniatack.process.Link;
+import org.zinniatack.process.ProcessView;
+import org.zinniatack.process.Service;
+import org.zinniatack.wire.ClusterSecret;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+import org.zinniatack.wire.PeerHandler;
+import org.zinniatack.wire.PeerIdentity;
+import org.zinniatack.wire.Responder;
+import org.zinniatack.wire.Wire;
+
+/**
+ * One agent process: its connections to entries and the target beside it.
+ */
+public final class AgentService implements Service, ProcessView, PeerHandler {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long STOP_CHECK_MS = 20;
+
+	private static final int UNHEALTHY_AFTER = 2;
+
+	private final AgentSettings settings;
+
+	private final Target target;
+
+	private final Wire wire;
+
+	private final Admittance admittance;
+
+	private final Fence fence = new Fence();
+
+	private final String incarnation = UUID.randomUUID().toString();
+
+	private final Map<String, Link> links = new HashMap<>();
+
+	private final AtomicLong crashCount = new AtomicLong();
+
+	private final AtomicBoolean loading = new AtomicBoolean();
+
+	private final ScheduledExecutorService timer = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "agent-timer"));
+
+	private volatile long weightVersion;
+
+	private volatile boolean healthy;
+
+	private volatile long revision;
+
+	private volatile boolean stopping;
+
+	private int silentChecks;
+
+	/**
+	 * Returns a process that is not started.
+	 * @param settings the settings
+	 * @throws ServiceException if the target's URL is wrong
+	 */
+	public AgentService(AgentSettings settings) throws ServiceException {
+		this.settings = settings;
+		this.target = new HttpTarget(settings.targetUrl(), settings.isEngine());
+		this.admittance = new Admittance(settings.slotCount());
+		this.wire = new Wire(new PeerIdentity("agent", settings.targetId()), ClusterSecret.of(settings.clusterSecret()),
+				this, 1);
+	}
+
+	@Override
+	public void start() {
+		connect(Set.copyOf(this.settings.entryAddresses()));
+		this.timer.scheduleWithFixedDelay(this::round, 0, this.settings.loadIntervalMs(), TimeUnit.MILLISECONDS);
+		LOGGER.atInfo().log("event=agent_started target=%s pool=%s", this.settings.targetId(), this.settings.pool());
+	}
+
+	/** Refuses new work, waits for what runs, then closes. */
+	@Override
+	public void stop() {
+		this.stopping = true;
+		this.admittance.leaving(true);
+		report();
+		long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.drainTimeoutMs());
+		while (this.admittance.runningCount() > 0 && System.nanoTime() < deadlineNs) {
+			sleep();
+		}
+		this.timer.shutdownNow();
+		synchronized (this) {
+			this.links.values().forEach(Link::close);
+		}
+		this.wire.stop();
+		LOGGER.atInfo().log("event=agent_stopped target=%s", this.settings.targetId());
+	}
+
+	private static void sleep() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public boolean isReady() {
+		return this.healthy && !this.stopping && !this.admittance.isLeaving();
+	}
+
+	@Override
+	public Map<String, Object> dump() {
+		Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("role", "agent");
+		dump.put("targetId", this.settings.targetId());
+		dump.put("pool", this.settings.pool());
+		dump.put("failureDomain", this.settings.failureDomain());
+		dump.put("load", load());
+		dump.put("epoch", this.fence.newestEpoch());
+		synchronized (this) {
+			dump.put("entries", List.copyOf(this.links.keySet()));
+		}
+		return dump;
+	}
+
+	/** Keeps one connection to each of the given entries and to no other. */
+	private synchronized void connect(Set<String> addresses) {
+		this.links.entrySet().removeIf((link) -> {
+			boolean dropped = !addresses.contains(link.getKey());
+			if (dropped) {
+				link.getValue().close();
+			}
+			return dropped;
+		});
+		for (String address : addresses) {
+			this.links.computeIfAbsent(address, (absent) -> {
+				Link link = new Link(this.wire, address, this::announce);
+				link.open();
+				return link;
+			});
+		}
+	}
+
+	private void announce(Peer peer) {
+		peer.send(new Message.Announce(this.settings.targetId(), this.incarnation, this.settings.pool(),
+				this.settings.failureDomain(), this.settings.slotCount()));
+		peer.send(load());
+	}
+
+	private Message.Load load() {
+		return new Message.Load(this.admittance.runningCount(), this.weightVersion, this.admittance.isLeaving(),
+				this.healthy, this.crashCount.get(), this.revision);
+	}
+
+	private void round() {
+		this.target.state().whenComplete(this::onState);
+		report();
+	}
+
+	private void onState(Target.@Nullable State state, @Nullable Throwable failure) {
+		if (state != null) {
+			this.silentChecks = 0;
+			boolean news = !this.healthy || this.weightVersion != state.weightVersion();
+			this.healthy = true;
+			this.weightVersion = state.weightVersion();
+			if (news) {
+				report();
+			}
+		}
+		else if (++this.silentChecks >= UNHEALTHY_AFTER && this.healthy) {
+			this.healthy = false;
+			report();
+			LOGGER.atWarning().log("event=target_unhealthy target=%s", this.settings.targetId());
+		}
+	}
+
+	private synchronized void report() {
+		Message.Load load = load();
+		this.links.values().forEach((link) -> link.peer().ifPresent((peer) -> peer.send(load)));
+	}
+
+	@Override
+	public void onNotice(Peer peer, Message message) {
+		if (message instanceof Message.Directory directory) {
+			this.fence.learn(directory.epoch());
+			this.revision = Math.max(this.revision, directory.revision());
+			follow(directory.entries());
+			peer.send(load());
+		}
+		else if (message instanceof Message.TargetDirective directive) {
+			carryOut(directive);
+		}
+	}
+
+	private void follow(Map<String, String> entries) {
+		if (!entries.isEmpty()) {
+			List<String> chosen = Hashing.rendezvous(this.settings.targetId(), entries.keySet(),
+					this.settings.entryCount());
+			connect(chosen.stream().map(entries::get).collect(Collectors.toSet()));
+		}
+	}
+
+	private void carryOut(Message.TargetDirective directive) {
+		try {
+			this.fence.require(directive.epoch());
+			if (!this.stopping) {
+				this.admittance.leaving(directive.leaving());
+			}
+			boolean newer = directive.weightVersion() > this.weightVersion;
+			if (newer && this.loading.compareAndSet(false, true)) {
+				this.target.loadWeights(directive.weightVersion(), directive.epoch())
+					.whenComplete((done, failure) -> onLoaded(directive, failure));
+			}
+		}
+		catch (ServiceException ex) {
+			LOGGER.atWarning().log("event=order_refused code=%d detail=\"%s\"", ex.code().number(), ex.getMessage());
+		}
+	}
+
+	private void onLoaded(Message.TargetDirective directive, @Nullable Throwable failure) {
+		this.loading.set(false);
+		if (failure != null) {
+			LOGGER.atWarning()
+				.log("event=weights_failed target=%s version=%d detail=\"%s\"", this.settings.targetId(),
+						directive.weightVersion(), failure.getMessage());
+		}
+		this.target.state().whenComplete(this::onState);
+	}
+
+	@Override
+	public void onRequest(Peer peer, Message message, Responder responder) {
+		if (!(message instanceof Message.Run run)) {
+			responder.respond(new Message.Failure(ResultCode.FRAME_MALFORMED, "unexpected message", 0), true);
+			return;
+		}
+		try {
+			this.admittance.start(run.requestId(), run.requestDigest(), run.alone());
+		}
+		catch (ServiceException ex) {
+			responder.respond(new Message.Failure(ex.code(), String.valueOf(ex.getMessage()), ex.retryAfterMs()), true);
+			return;
+		}
+		Runnable cancel = this.target.run(run, new Relay(run, responder));
+		responder.onCancel(() -> {
+			cancel.run();
+			this.admittance.end(run.requestId());
+		});
+	}
+
+	private void onFailed(Message.Run run, Responder responder, Throwable failure, boolean reached) {
+		if (failure instanceof ServiceException known) {
+			this.admittance.end(run.requestId());
+			responder.respond(new Message.Failure(known.code(), String.valueOf(known.getMessage()), 0), true);
+			return;
+		}
+		if (!reached) {
+			this.admittance.end(run.requestId());
+			responder.respond(new Message.Failure(ResultCode.TARGET_BUSY, "the target cannot be reached", 0), true);
+			return;
+		}
+		this.target.state().whenComplete((state, stateFailure) -> {
+			if (state == null) {
+				onCrash();
+			}
+			this.admittance.end(run.requestId());
+			ResultCode code = (state != null) ? ResultCode.OUTCOME_UNKNOWN : ResultCode.TARGET_CRASHED;
+			responder.respond(new Message.Failure(code, "connection lost", 0), true);
+		});
+	}
+
+	/** Tells entries once of each crash, with all requests that were running. */
+	private synchronized void onCrash() {
+		if (this.healthy) {
+			this.healthy = false;
+			String crashId = this.settings.targetId() + '/' + this.incarnation + '/'
+					+ this.crashCount.incrementAndGet();
+			Message.TargetCrash crash = new Message.TargetCrash(crashId, List.copyOf(this.admittance.digests()));
+			this.links.values().forEach((link) -> link.peer().ifPresent((peer) -> peer.send(crash)));
+			report();
+			LOGGER.atWarning().log("event=target_crashed crash=%s running=%d", crashId, crash.requestDigests().size());
+		}
+	}
+
+	/** Passes an answer on to the entry that asked. */
+	private final class Relay implements Target.Receiver {
+
+		private final Message.Run run;
+
+		private final Responder responder;
+
+		Relay(Message.Run run, Responder responder) {
+			this.run = run;
+			this.responder = responder;
+		}
+
+		@Override
+		public void head(int httpStatus, String contentType) {
+			this.responder.respond(new Message.AnswerHead(httpStatus, contentType), false);
+		}
+
+		@Override
+		public void chunk(byte[] data) {
+			this.responder.respond(new Message.AnswerChunk(data), false);
+		}
+
+		@Override
+		public void end() {
+			AgentService.this.admittance.end(this.run.requestId());
+			this.responder.respond(new Message.AnswerEnd("", List.of()), true);
+		}
+
+		@Override
+		public void failed(Throwable failure, boolean reached) {
+			onFailed(this.run, this.responder, failure, reached);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/CodeCommand.java
@@ -0,0 +1,48 @@
+package org.zinniatack.cli;
+
+import java.util.Locale;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine;
+
+import org.zinniatack.core.result.ResultCode;
+
+/**
+ * Explains result codes.
+ */
+@CommandLine.Command(name = "code", mixinStandardHelpOptions = true,
+		description = "Explains a result code, or all as the table of the documentation.")
+final class CodeCommand implements Callable<Integer> {
+
+	private static final int UNKNOWN = 1;
+
+	@CommandLine.Parameters(index = "0", arity = "0..1", description = "the number; all codes without one")
+	private Integer number;
+
+	@Override
+	public Integer call() {
+		if (this.number == null) {
+			System.out.print(table());
+			return 0;
+		}
+		return ResultCode.ofNumber(this.number).map((code) -> {
+			System.out.println(row(code));
+			return 0;
+		}).orElse(UNKNOWN);
+	}
+
+	static String table() {
+		StringBuilder table = new StringBuilder(
+				"| code | name | HTTP status | outcome | meaning |\n|---|---|---|---|---|\n");
+		for (ResultCode code : ResultCode.values()) {
+			table.append(row(code)).append('\n');
+		}
+		return table.toString();
+	}
+
+	private static String row(ResultCode code) {
+		return "| " + code.number() + " | " + code.name().toLowerCase(Locale.ROOT) + " | " + code.httpStatus() + " | "
+				+ code.outcome().name().toLowerCase(Locale.ROOT).replace('_', ' ') + " | " + code.description() + " |";
+	}
+
+}
--- /dev/null
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/Daemon.java
@@ -0,0 +1,117 @@
+package org.zinniatack.cli;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+
+import com.google.common.flogger.FluentLogger;
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.server.EmbeddedServer;
+
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.process.Service;
+
+/**
+ * Runs services beside an HTTP server until the process is asked to end. The services
+ * stop first, in reverse order, then the server, so that every answer leaves.
+ */
+public final class Daemon implements Service {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private final ApplicationContext context;
+
+	private final List<Service> services;
+
+	private Daemon(ApplicationContext context, List<Service> services) {
+		this.context = context;
+		this.services = List.copyOf(services);
+	}
+
+	/**
+	 * Returns a daemon that is not started.
+	 * @param httpAddress the address of the HTTP server, as host and port
+	 * @param maximumBodyBytes the largest body that the server takes, in bytes
+	 * @param services the services, in the order of their start
+	 * @param beans what controllers may use
+	 * @return the daemon
+	 */
+	public static Daemon of(String httpAddress, int maximumBodyBytes, List<Service> services, Object... beans) {
+		int colon = httpAddress.lastIndexOf(':');
+		Map<String, Object> properties = new HashMap<>();
+		properties.put("micronaut.server.host", httpAddress.substring(0, colon));
+		properties.put("micronaut.server.port", httpAddress.substring(colon + 1));
+		properties.put("micronaut.server.max-request-size", maximumBodyBytes);
+		properties.put("micronaut.server.netty.max-header-size", "16KB");
+		properties.put("micronaut.http.services.default.read-timeout", "60s");
+		List<Object> singletons = new ArrayList<>(List.of(beans));
+		ApplicationContext context = ApplicationContext.builder()
+			.properties(properties)
+			.banner(false)
+			.deduceEnvironment(false)
+			.singletons(singletons.toArray())
+			.build();
+		return new Daemon(context, services);
+	}
+
+	@Override
+	public void start() throws ServiceException {
+		this.context.start();
+		for (Service service : this.services) {
+			service.start();
+		}
+		EmbeddedServer server = this.context.getBean(EmbeddedServer.class);
+		server.start();
+		LOGGER.atInfo().log("event=http_started url=%s", server.getURI());
+	}
+
+	@Override
+	public void stop() {
+		for (int last = this.services.size() - 1; last >= 0; last--) {
+			this.services.get(last).stop();
+		}
+		this.context.stop();
+	}
+
+	/**
+	 * Returns the URL of the HTTP server.
+	 * @return the URL
+	 */
+	public String url() {
+		return this.context.getBean(EmbeddedServer.class).getURI().toString();
+	}
+
+	/**
+	 * Starts the daemon and returns after it has stopped on a signal.
+	 * @throws ServiceException if it cannot start
+	 */
+	public void run() throws ServiceException {
+		CountDownLatch stopped = new CountDownLatch(1);
+		Thread runner = Thread.currentThread();
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			runner.interrupt();
+			awaitQuietly(stopped);
+		}, "stop"));
+		try {
+			start();
+			awaitQuietly(new CountDownLatch(1));
+		}
+		finally {
+			Thread.interrupted();
+			stop();
+			stopped.countDown();
+		}
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/Zinniatack.java
@@ -0,0 +1,33 @@
+package org.zinniatack.cli;
+
+import picocli.AutoComplete;
+import picocli.CommandLine;
+
+/**
+ * The command {@code zinniatack}.
+ */
+@CommandLine.Command(name = "zinniatack", mixinStandardHelpOptions = true, version = "zinniatack 0.1.0",
+		description = "A rollout service for reinforcement learning.",
+		subcommands = { DaemonCommands.Control.class, DaemonCommands.Entry.class, DaemonCommands.Agent.class,
+				StandInCommand.class, RecordCommand.class, KeyCommand.class, StatusCommand.class, DumpCommand.class,
+				DrainCommand.class, SettingsCommand.class, CodeCommand.class, TourCommand.class,
+				AutoComplete.GenerateCompletion.class })
+public final class Zinniatack {
+
+	private Zinniatack() {
+	}
+
+	/**
+	 * Runs a command and exits with 0, with 2 for a wrong call, or with 1 for a failure
+	 * whose result code is printed.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		System.exit(commandLine().execute(arguments));
+	}
+
+	static CommandLine commandLine() {
+		return new CommandLine(new Zinniatack()).setExecutionExceptionHandler(new FailurePrinter());
+	}
+
+}
--- /dev/null
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -0,0 +1,445 @@
+package org.zinniatack.control;
+
+import java.net.MalformedURLException;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.Ticker;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.consensus.ConsensusMessage;
+import org.zinniatack.core.membership.Admission;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.sample.Sample;
+import org.zinniatack.core.sample.StepLedger;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.state.Reply;
+import org.zinniatack.process.Link;
+import org.zinniatack.process.ProcessView;
+import org.zinniatack.process.Service;
+import org.zinniatack.store.ReplicaStore;
+import org.zinniatack.wire.ClusterSecret;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+import org.zinniatack.wire.PeerHandler;
+import org.zinniatack.wire.PeerIdentity;
+import org.zinniatack.wire.Responder;
+import org.zinniatack.wire.Wire;
+
+/**
+ * One control process: its replica, its connections to the other control processes, the
+ * feed of its entries and the duties of the leader.
+ */
+public final class ControlService implements Service, ProcessView, PeerHandler {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long PRESENCE_INTERVAL_MS = 250;
+
+	private static final long CALL_TIMEOUT_MS = 5_000;
+
+	private static final long NO_LEADER_RETRY_MS = 1_000;
+
+	private static final int WIRE_THREADS = 2;
+
+	private final ControlSettings settings;
+
+	private final Wire wire;
+
+	private final Map<String, Link> others = new HashMap<>();
+
+	private final Map<String, EntryLink> entryLinks = new ConcurrentHashMap<>();
+
+	private final Presence presence = new Presence();
+
+	private final ScheduledExecutorService timer = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "control-timer"));
+
+	private final ReplicaStore store;
+
+	private volatile @Nullable ReplicaDriver driver;
+
+	private @Nullable LeaderDuties duties;
+
+	private volatile Message.Roster roster = new Message.Roster(Map.of(), Map.of());
+
+	private volatile boolean stopping;
+
+	/**
+	 * Returns a process that is not started.
+	 * @param settings the settings
+	 * @throws ServiceException if the data folder cannot be opened
+	 */
+	public ControlService(ControlSettings settings) throws ServiceException {
+		this.settings = settings;
+		this.store = ReplicaStore.open(Path.of(settings.dataFolder()), settings.name());
+		this.wire = new Wire(new PeerIdentity("control", settings.name()), ClusterSecret.of(settings.clusterSecret()),
+				this, WIRE_THREADS);
+		settings.members().forEach((name, address) -> {
+			if (!name.equals(settings.name())) {
+				this.others.put(name, new Link(this.wire, address, (peer) -> {
+				}));
+			}
+		});
+	}
+
+	@Override
+	public void start() throws ServiceException {
+		this.wire.listen(this.settings.listenAddress());
+		this.others.values().forEach(Link::open);
+		try {
+			new FormationDriver(this.store, this.others).awaitFormation();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw ServiceException.of(ResultCode.SHUTTING_DOWN, "interrupted while forming");
+		}
+		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this::transport, this::onChange);
+		started.start();
+		this.driver = started;
+		this.duties = new LeaderDuties(started, this.presence, platform(), this.settings, System::currentTimeMillis);
+		this.duties.start();
+		this.timer.scheduleWithFixedDelay(this::exchangePresence, PRESENCE_INTERVAL_MS, PRESENCE_INTERVAL_MS,
+				TimeUnit.MILLISECONDS);
+		LOGGER.atInfo().log("event=control_started replica=%s", this.store.replicaId());
+	}
+
+	private Platform platform() throws ServiceException {
+		try {
+			return this.settings.platformUrl().isEmpty() ? Platform.none()
+					: new HttpPlatform(URI.create(this.settings.platformUrl()));
+		}
+		catch (MalformedURLException ex) {
+			throw ServiceException.of(ResultCode.SETTINGS_INVALID, "platformUrl must be a URL");
+		}
+	}
+
+	@Override
+	public void stop() {
+		this.stopping = true;
+		this.timer.shutdownNow();
+		if (this.duties != null) {
+			this.duties.stop();
+		}
+		if (this.driver != null) {
+			this.driver.stop();
+		}
+		this.others.values().forEach(Link::close);
+		this.wire.stop();
+		LOGGER.atInfo().log("event=control_stopped replica=%s", this.store.replicaId());
+	}
+
+	@Override
+	public boolean isReady() {
+		ReplicaDriver running = this.driver;
+		return running != null && !this.stopping && running.status().writable()
+				&& !running.status().leaderId().isEmpty();
+	}
+
+	@Override
+	public Map<String, Object> dump() {
+		Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("role", "control");
+		dump.put("name", this.settings.name());
+		ReplicaDriver running = this.driver;
+		if (running != null) {
+			dump.put("replica", running.status());
+			dump.put("entries", this.presence.all(running.nowMs()));
+			dump.put("state", running.read(this::summary).join());
+		}
+		return dump;
+	}
+
+	private Map<String, Object> summary(ControlState state) {
+		Map<String, Object> summary = new LinkedHashMap<>();
+		summary.put("recordRevision", state.records().revision());
+		summary.put("recordCount", state.records().records().size());
+		summary.put("weights", state.weights());
+		summary.put("orders", state.orders());
+		summary.put("draining", state.draining());
+		summary.put("closedWindows", state.usage().closedWindows());
+		summary.put("suspects", state.crashes().suspects());
+		summary.put("quarantined", state.crashes().quarantined());
+		summary.put("steps", state.steps().images().size());
+		return summary;
+	}
+
+	/**
+	 * Carries out a command, here or at the leader.
+	 * @param command the command
+	 * @return the reply of the replicated state; it fails with a {@link ServiceException}
+	 */
+	public CompletableFuture<Reply> propose(Command command) {
+		ReplicaDriver running = requireDriver();
+		if (running.status().isLeader()) {
+			return running.propose(command);
+		}
+		return leaderLink()
+			.map((peer) -> peer.call(new Message.Propose(command, true), CALL_TIMEOUT_MS)
+				.thenApply((answer) -> ((Message.Proposed) answer).reply()))
+			.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
+	}
+
+	/**
+	 * Reads the replicated state as of now.
+	 * @param <T> the type of the result
+	 * @param reader what to read
+	 * @return the result; it fails with a {@link ServiceException} if no leader answers
+	 */
+	public <T> CompletableFuture<T> readCurrent(Function<ControlState, T> reader) {
+		ReplicaDriver running = requireDriver();
+		return readIndex().thenCompose(running::awaitApplied).thenCompose((applied) -> running.read(reader));
+	}
+
+	private CompletableFuture<Long> readIndex() {
+		ReplicaDriver running = requireDriver();
+		ReplicaStatus status = running.status();
+		if (status.holdsLease(running.nowMs())) {
+			return CompletableFuture.completedFuture(status.commitIndex());
+		}
+		return leaderLink()
+			.map((peer) -> peer.call(new Message.ReadIndex(), CALL_TIMEOUT_MS)
+				.thenApply((answer) -> ((Message.ReadIndexAt) answer).index()))
+			.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
+	}
+
+	private Optional<Peer> leaderLink() {
+		String leaderId = requireDriver().status().leaderId();
+		return leaderId.isEmpty() ? Optional.empty()
+				: Optional.ofNullable(this.others.get(Admission.nameOf(leaderId))).flatMap(Link::peer);
+	}
+
+	private static ServiceException noLeader() {
+		return ServiceException.retryable(ResultCode.NOT_LEADER, "no leader is known", NO_LEADER_RETRY_MS);
+	}
+
+	private ReplicaDriver requireDriver() {
+		ReplicaDriver running = this.driver;
+		if (running == null) {
+			throw new IllegalStateException("not started");
+		}
+		return running;
+	}
+
+	/**
+	 * Tells what is in force where.
+	 * @return the status for operators; it fails with a {@link ServiceException} if no
+	 * leader answers
+	 */
+	public CompletableFuture<Map<String, Object>> status() {
+		ReplicaDriver running = requireDriver();
+		CompletableFuture<List<Message.EntryReport>> reports = running.status().isLeader()
+				? CompletableFuture.completedFuture(this.presence.all(running.nowMs()))
+				: leaderLink()
+					.map((peer) -> peer.call(new Message.PresenceRequest(), CALL_TIMEOUT_MS)
+						.thenApply((answer) -> ((Message.PresenceReport) answer).entries()))
+					.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
+		return reports.thenCombine(readCurrent((state) -> state.records().revision()),
+				(entries, revision) -> statusOf(entries, revision));
+	}
+
+	private Map<String, Object> statusOf(List<Message.EntryReport> entries, long revision) {
+		ReplicaStatus replica = requireDriver().status();
+		Map<String, Object> status = new LinkedHashMap<>();
+		status.put("revision", revision);
+		status.put("leader", replica.leaderId());
+		status.put("term", replica.term());
+		status.put("voters", replica.membership().voters());
+		status.put("learners", replica.membership().learners());
+		status.put("entries", entries.size());
+		status.put("entriesInForce", entries.stream().filter((entry) -> entry.revision() >= revision).count());
+		Map<String, Long> agents = new HashMap<>();
+		entries.forEach((entry) -> entry.agentRevisions().forEach((id, held) -> agents.merge(id, held, Math::min)));
+		status.put("agents", agents.size());
+		status.put("agentsInForce", agents.values().stream().filter((held) -> held >= revision).count());
+		status.put("targets", entries.stream().flatMap((entry) -> entry.targets().stream()).toList());
+		return status;
+	}
+
+	private void transport(ConsensusMessage message) {
+		Optional.ofNullable(this.others.get(Admission.nameOf(message.to())))
+			.flatMap(Link::peer)
+			.ifPresent((peer) -> peer.send(new Message.Consensus(message)));
+	}
+
+	private void exchangePresence() {
+		try {
+			ReplicaDriver running = requireDriver();
+			ReplicaStatus status = running.status();
+			if (!isSettledMember(status)) {
+				this.others.values()
+					.forEach((link) -> link.peer()
+						.ifPresent((peer) -> peer.send(new Message.JoinRequest(this.store.replicaId()))));
+			}
+			if (status.isLeader() && this.duties != null) {
+				this.roster = new Message.Roster(this.presence.addresses(running.nowMs()), this.duties.directives());
+				return;
+			}
+			leaderLink().ifPresent(
+					(peer) -> peer
+						.call(new Message.PresenceReport(this.store.replicaId(), this.presence.direct(running.nowMs())),
+								CALL_TIMEOUT_MS)
+						.thenAccept((answer) -> this.roster = (Message.Roster) answer));
+		}
+		catch (RuntimeException ex) {
+			LOGGER.atWarning().withCause(ex).log("event=presence_failed code=%d", ResultCode.INTERNAL.number());
+		}
+	}
+
+	private boolean isSettledMember(ReplicaStatus status) {
+		return status.membership()
+			.voters()
+			.stream()
+			.filter((id) -> Admission.nameOf(id).equals(this.settings.name()))
+			.toList()
+			.equals(List.of(this.store.replicaId()));
+	}
+
+	private void onChange(ControlState state) {
+		for (EntryLink link : this.entryLinks.values()) {
+			boolean news = link.sentRevision < state.records().revision()
+					|| link.sentCrashVersion < state.crashes().version();
+			if (news) {
+				feed(link, state);
+			}
+		}
+	}
+
+	/** Sends an entry what it lacks; runs on the replica's thread. */
+	private void feed(EntryLink link, ControlState state) {
+		ReplicaDriver running = requireDriver();
+		ReplicaStatus status = running.status();
+		long nowMs = running.nowMs();
+		link.peer.send(new Message.Feed(state.records().revision(), state.records().recordsAfter(link.sentRevision),
+				status.term(), Math.max(0, nowMs - status.currentAsOfMs()), state.weights(), this.roster.entries(),
+				state.crashes().version(), state.crashes().suspects(), state.crashes().quarantined(),
+				this.roster.directives()));
+		link.sentRevision = state.records().revision();
+		link.sentCrashVersion = state.crashes().version();
+	}
+
+	@Override
+	public void onNotice(Peer peer, Message message) {
+		ReplicaDriver running = this.driver;
+		if (running == null) {
+			return;
+		}
+		if (message instanceof Message.Consensus consensus) {
+			running.receive(consensus.message());
+		}
+		else if (message instanceof Message.JoinRequest join) {
+			running.join(join.replicaId());
+		}
+		else if (message instanceof Message.EntryReport report) {
+			this.presence.report(report, true, running.nowMs());
+			EntryLink link = this.entryLinks.computeIfAbsent(report.nodeId(), (absent) -> new EntryLink());
+			running.read((state) -> {
+				link.peer = peer;
+				link.sentRevision = report.revision();
+				link.sentCrashVersion = report.crashVersion();
+				feed(link, state);
+				return true;
+			});
+		}
+	}
+
+	@Override
+	public void onClosed(Peer peer) {
+		this.entryLinks.values().removeIf((link) -> link.peer == peer);
+	}
+
+	@Override
+	public void onRequest(Peer peer, Message message, Responder responder) {
+		if (message instanceof Message.FormationProbe) {
+			responder.respond(new Message.FormationState(this.store.replicaId(), this.store.isFormed(), List.of()),
+					true);
+			return;
+		}
+		if (this.driver == null) {
+			respondFailure(responder, noLeader());
+			return;
+		}
+		answer(message).whenComplete((answer, failure) -> {
+			if (failure == null) {
+				responder.respond(answer, true);
+			}
+			else {
+				respondFailure(responder, failure);
+			}
+		});
+	}
+
+	private CompletableFuture<Message> answer(Message message) {
+		ReplicaDriver running = requireDriver();
+		if (message instanceof Message.Propose propose) {
+			CompletableFuture<Reply> reply = propose.forwarded() ? running.propose(propose.command())
+					: propose(propose.command());
+			return reply.thenApply(Message.Proposed::new);
+		}
+		if (message instanceof Message.ReadIndex) {
+			ReplicaStatus status = running.status();
+			return status.holdsLease(running.nowMs())
+					? CompletableFuture.completedFuture(new Message.ReadIndexAt(status.commitIndex()))
+					: CompletableFuture.failedFuture(noLeader());
+		}
+		if (message instanceof Message.FetchBatch fetch) {
+			return batch(fetch).thenApply(Message.Batch::new);
+		}
+		if (message instanceof Message.PresenceRequest) {
+			return CompletableFuture.completedFuture(
+					new Message.PresenceReport(this.store.replicaId(), this.presence.all(running.nowMs())));
+		}
+		if (message instanceof Message.PresenceReport report) {
+			report.entries().forEach((entry) -> this.presence.report(entry, false, running.nowMs()));
+			return CompletableFuture.completedFuture(this.roster);
+		}
+		return CompletableFuture.failedFuture(ServiceException.of(ResultCode.FRAME_MALFORMED, "unexpected message"));
+	}
+
+	private CompletableFuture<List<Sample>> batch(Message.FetchBatch fetch) {
+		return readCurrent((state) -> {
+			try {
+				return CompletableFuture
+					.completedFuture(state.steps().batch(new StepLedger.StepId(fetch.customer(), fetch.step())));
+			}
+			catch (ServiceException ex) {
+				return CompletableFuture.<List<Sample>>failedFuture(ex);
+			}
+		}).thenCompose((batch) -> batch);
+	}
+
+	private static void respondFailure(Responder responder, Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		ServiceException known = (cause instanceof ServiceException exception) ? exception
+				: ServiceException.of(ResultCode.INTERNAL, String.valueOf(cause));
+		responder.respond(new Message.Failure(known.code(), String.valueOf(known.getMessage()), known.retryAfterMs()),
+				true);
+	}
+
+	/** What was sent to one entry; the numbers belong to the replica's thread. */
+	private static final class EntryLink {
+
+		private volatile @Nullable Peer peer;
+
+		private long sentRevision;
+
+		private long sentCrashVersion;
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlSettings.java
@@ -0,0 +1,83 @@
+package org.zinniatack.control;
+
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+import org.zinniatack.core.key.KeyDigest;
+import org.zinniatack.process.Checks;
+
+/**
+ * The settings of a control process.
+ *
+ * @param name the name of this process among the members
+ * @param dataFolder the folder for the replicated state
+ * @param listenAddress the address for other processes of the system
+ * @param httpAddress the address for operators
+ * @param members the addresses of all control processes by name, this one among them
+ * @param failureDomains the failure domains in which targets may be ordered
+ * @param clusterSecret the secret that all processes share
+ * @param operatorKeyDigests the SHA-256 digests of the operators' keys
+ * @param platformUrl the URL of the platform's interfaces, empty for none
+ * @param usageWindowMs the length of a usage window, in milliseconds
+ * @param usageGraceMs the time after which a window is closed, in milliseconds
+ * @param shrinkDelayMs the time for which load must be lower before targets are given
+ * back, in milliseconds
+ */
+public record ControlSettings(String name, String dataFolder, String listenAddress, String httpAddress,
+		Map<String, String> members, List<String> failureDomains, String clusterSecret, List<String> operatorKeyDigests,
+		String platformUrl, long usageWindowMs, long usageGraceMs, long shrinkDelayMs) {
+
+	private static final long LONGEST_WINDOW_MS = 24 * 3_600_000L;
+
+	/**
+	 * Checks the fields.
+	 */
+	@JsonCreator
+	public ControlSettings(@JsonProperty("name") String name, @JsonProperty("dataFolder") String dataFolder,
+			@JsonProperty("listenAddress") String listenAddress, @JsonProperty("httpAddress") String httpAddress,
+			@JsonProperty("members") Map<String, String> members,
+			@JsonProperty("failureDomains") List<String> failureDomains,
+			@JsonProperty("clusterSecret") String clusterSecret,
+			@JsonProperty("operatorKeyDigests") List<String> operatorKeyDigests,
+			@JsonProperty("platformUrl") String platformUrl, @JsonProperty("usageWindowMs") long usageWindowMs,
+			@JsonProperty("usageGraceMs") long usageGraceMs, @JsonProperty("shrinkDelayMs") long shrinkDelayMs) {
+		this.name = Checks.name("name", name);
+		this.dataFolder = Checks.present("dataFolder", dataFolder);
+		this.listenAddress = Checks.address("listenAddress", listenAddress);
+		this.httpAddress = Checks.address("httpAddress", httpAddress);
+		this.members = Map.copyOf(Checks.present("members", members));
+		this.members.forEach((member, address) -> Checks.address("members." + Checks.name("members", member), address));
+		this.failureDomains = List.copyOf(Checks.present("failureDomains", failureDomains));
+		this.clusterSecret = Checks.present("clusterSecret", clusterSecret);
+		this.operatorKeyDigests = List.copyOf(Checks.present("operatorKeyDigests", operatorKeyDigests));
+		this.platformUrl = Checks.present("platformUrl", platformUrl);
+		this.usageWindowMs = Checks.range("usageWindowMs", usageWindowMs, 1_000, LONGEST_WINDOW_MS);
+		this.usageGraceMs = Checks.range("usageGraceMs", usageGraceMs, 0, LONGEST_WINDOW_MS);
+		this.shrinkDelayMs = Checks.range("shrinkDelayMs", shrinkDelayMs, 0, LONGEST_WINDOW_MS);
+		requireConsistent();
+	}
+
+	private void requireConsistent() {
+		if (!this.members.containsKey(this.name)) {
+			throw new IllegalArgumentException("members must have an entry for " + this.name);
+		}
+		if (this.members.size() % 2 == 0 || this.members.size() > 7) {
+			throw new IllegalArgumentException("members must be 1, 3, 5 or 7");
+		}
+		if (this.clusterSecret.length() < 16) {
+			throw new IllegalArgumentException("clusterSecret must have at least 16 characters");
+		}
+		if (!this.operatorKeyDigests.stream().allMatch(KeyDigest::isValid)) {
+			throw new IllegalArgumentException("operatorKeyDigests must be SHA-256 digests in hexadecimal");
+		}
+	}
+
+	@Override
+	public String toString() {
+		return "ControlSettings[" + this.name + "]";
+	}
+
+}
--- /dev/null
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -0,0 +1,385 @@
+package org.zinniatack.control;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.Ticker;
+
+import org.zinniatack.core.consensus.ConsensusMessage;
+import org.zinniatack.core.consensus.Effects;
+import org.zinniatack.core.consensus.LogEntry;
+import org.zinniatack.core.consensus.Replica;
+import org.zinniatack.core.consensus.ReplicaSettings;
+import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.membership.Admission;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.state.Reply;
+import org.zinniatack.process.Service;
+import org.zinniatack.store.ReplicaStore;
+import org.zinniatack.wire.StateCodec;
+
+/**
+ * Runs one replica on one thread: takes tasks, syncs what they changed in one write,
+ * sends, applies.
+ */
+final class ReplicaDriver implements Service {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final int TASKS_A_ROUND = 1024;
+
+	private static final long TICK_MS = 20;
+
+	private static final long JOIN_MEMORY_MS = 60_000;
+
+	private static final long DISK_RETRY_MS = 500;
+
+	private static final int PENDING_LIMIT = 10_000;
+
+	private static final long SNAPSHOT_INTERVAL_ENTRIES = 4096;
+
+	private static final long STOP_TIMEOUT_MS = 5_000;
+
+	private final ReplicaStore store;
+
+	private final Ticker ticker;
+
+	private final Consumer<ConsensusMessage> transport;
+
+	private final Consumer<ControlState> changed;
+
+	private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+
+	private final Map<Long, Pending> pending = new TreeMap<>();
+
+	private final List<AppliedWaiter> appliedWaiters = new ArrayList<>();
+
+	private final Map<String, Long> joining = new HashMap<>();
+
+	private final Thread thread = new Thread(this::run, "replica");
+
+	private Replica replica;
+
+	private ControlState state = new ControlState();
+
+	private long appliedIndex;
+
+	private long snapshotIndex;
+
+	private long diskRetryAtMs;
+
+	private boolean writable = true;
+
+	private volatile boolean running = true;
+
+	private volatile ReplicaStatus status;
+
+	ReplicaDriver(ReplicaStore store, Ticker ticker, Consumer<ConsensusMessage> transport,
+			Consumer<ControlState> changed) throws ServiceException {
+		this.store = store;
+		this.ticker = ticker;
+		this.transport = transport;
+		this.changed = changed;
+		this.replica = restartReplica();
+		this.status = currentStatus();
+	}
+
+	private Replica restartReplica() throws ServiceException {
+		var persistent = this.store.load();
+		if (persistent.snapshot().index() > this.appliedIndex || this.appliedIndex == 0) {
+			load(persistent.snapshot());
+		}
+		Replica restarted = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
+				RandomGenerator.getDefault(), nowMs());
+		this.snapshotIndex = persistent.snapshot().index();
+		return restarted;
+	}
+
+	@Override
+	public void start() {
+		this.thread.start();
+	}
+
+	@Override
+	public void stop() {
+		submit(() -> {
+			if (this.replica.transferLeadership(nowMs())) {
+				LOGGER.atInfo().log("event=leadership_transferred term=%d", this.replica.term());
+			}
+		});
+		submit(() -> this.running = false);
+		try {
+			this.thread.join(STOP_TIMEOUT_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		this.store.close();
+	}
+
+	long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(this.ticker.nanoTime());
+	}
+
+	ReplicaStatus status() {
+		return this.status;
+	}
+
+	/**
+	 * Hands a command to the log; fails with NOT_LEADER if this replica does not lead.
+	 */
+	CompletableFuture<Reply> propose(Command command) {
+		CompletableFuture<Reply> reply = new CompletableFuture<>();
+		submit(() -> {
+			try {
+				if (!this.writable) {
+					throw ServiceException.retryable(ResultCode.DISK_FULL, "the disk refuses writes", DISK_RETRY_MS);
+				}
+				if (this.pending.size() >= PENDING_LIMIT) {
+					throw ServiceException.retryable(ResultCode.NOT_ACCEPTED, "too many changes wait", DISK_RETRY_MS);
+				}
+				long index = this.replica.propose(StateCodec.encode(command));
+				this.pending.put(index, new Pending(this.replica.term(), reply));
+			}
+			catch (ServiceException ex) {
+				reply.completeExceptionally(ex);
+			}
+			catch (IOException ex) {
+				reply.completeExceptionally(ServiceException.of(ResultCode.MALFORMED_BODY, ex.getMessage()));
+			}
+		});
+		return reply;
+	}
+
+	/** Reads the applied state on the replica's thread. */
+	<T> CompletableFuture<T> read(Function<ControlState, T> reader) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		submit(() -> {
+			try {
+				result.complete(reader.apply(this.state));
+			}
+			catch (RuntimeException ex) {
+				result.completeExceptionally(ex);
+			}
+		});
+		return result;
+	}
+
+	/** Completes once an index is applied. */
+	CompletableFuture<Void> awaitApplied(long index) {
+		CompletableFuture<Void> applied = new CompletableFuture<>();
+		submit(() -> {
+			this.appliedWaiters.add(new AppliedWaiter(index, applied));
+			wakeWaiters();
+		});
+		return applied;
+	}
+
+	/** Notes that a replica asks to become a member. */
+	void join(String replicaId) {
+		submit(() -> this.joining.put(replicaId, nowMs()));
+	}
+
+	void receive(ConsensusMessage message) {
+		submit(() -> this.replica.receive(message, nowMs()));
+	}
+
+	private void submit(Runnable task) {
+		this.tasks.add(task);
+	}
+
+	private void run() {
+		List<Runnable> round = new ArrayList<>();
+		while (this.running) {
+			try {
+				Runnable first = this.tasks.poll(TICK_MS, TimeUnit.MILLISECONDS);
+				if (first != null) {
+					round.add(first);
+					this.tasks.drainTo(round, TASKS_A_ROUND);
+				}
+				round.forEach(Runnable::run);
+				round.clear();
+				this.replica.advance(nowMs());
+				admit();
+				flush();
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+			catch (ServiceException ex) {
+				onDiskRefusal(ex);
+			}
+			catch (IOException | RuntimeException ex) {
+				LOGGER.atSevere().withCause(ex).log("event=replica_failed code=%d", ResultCode.INTERNAL.number());
+				Runtime.getRuntime().halt(ResultCode.INTERNAL.number() % 256);
+			}
+		}
+	}
+
+	private void admit() {
+		long nowMs = nowMs();
+		this.joining.values().removeIf((askedMs) -> nowMs - askedMs > JOIN_MEMORY_MS);
+		if (this.joining.isEmpty() || !this.replica.holdsLease(nowMs)) {
+			return;
+		}
+		Admission.next(this.replica.membership(), this.joining.keySet(), this.replica.caughtUpLearners())
+			.ifPresent((next) -> {
+				try {
+					this.replica.changeMembership(next);
+					LOGGER.atInfo()
+						.log("event=membership_changed voters=%s learners=%s", next.voters(), next.learners());
+				}
+				catch (ServiceException ex) {
+					LOGGER.atFine().log("event=membership_change_waits detail=\"%s\"", ex.getMessage());
+				}
+			});
+	}
+
+	private void flush() throws ServiceException, IOException {
+		if (!this.writable && nowMs() < this.diskRetryAtMs) {
+			return;
+		}
+		boolean more = true;
+		while (more) {
+			Effects effects = this.replica.takeEffects(nowMs());
+			this.store.persist(effects);
+			this.writable = true;
+			if (!effects.entries().isEmpty()) {
+				this.replica.persisted(effects.entries().get(effects.entries().size() - 1).index());
+			}
+			publish();
+			effects.messages().forEach(this.transport);
+			apply(effects);
+			more = effects.needsSync() || !effects.committed().isEmpty();
+		}
+	}
+
+	/**
+	 * Goes back to what the disk holds, since nothing that it refused may be acted on.
+	 */
+	private void onDiskRefusal(ServiceException refusal) {
+		LOGGER.atSevere()
+			.log("event=disk_refused code=%d detail=\"%s\"", refusal.code().number(), refusal.getMessage());
+		this.writable = false;
+		this.diskRetryAtMs = nowMs() + DISK_RETRY_MS;
+		failPending(refusal);
+		try {
+			this.replica = restartReplica();
+		}
+		catch (ServiceException ex) {
+			LOGGER.atSevere().log("event=disk_unreadable code=%d detail=\"%s\"", ex.code().number(), ex.getMessage());
+		}
+		publish();
+	}
+
+	private void publish() {
+		ReplicaStatus before = this.status;
+		this.status = currentStatus();
+		if (before != null
+				&& (before.term() != this.status.term() || !before.leaderId().equals(this.status.leaderId()))) {
+			LOGGER.atInfo().log("event=leader_changed term=%d leader=%s", this.status.term(), this.status.leaderId());
+		}
+		if (!this.replica.isLeader() && !this.pending.isEmpty()) {
+			failPending(ServiceException.retryable(ResultCode.CHANGE_UNDECIDED, "leadership was lost", TICK_MS));
+		}
+	}
+
+	private void failPending(ServiceException failure) {
+		List<Pending> failed = new ArrayList<>(this.pending.values());
+		this.pending.clear();
+		failed.forEach((waiting) -> waiting.reply().completeExceptionally(failure));
+	}
+
+	private ReplicaStatus currentStatus() {
+		long nowMs = nowMs();
+		return new ReplicaStatus(this.store.replicaId(), this.replica.term(), this.replica.leader().orElse(""),
+				this.replica.leaseEndMs(nowMs), this.replica.holdsLease(nowMs), this.replica.currentAsOfMs(nowMs),
+				this.replica.commitIndex(), this.appliedIndex, this.replica.membership(), this.writable);
+	}
+
+	private void apply(Effects effects) throws IOException, ServiceException {
+		if (effects.snapshot() != null) {
+			load(effects.snapshot());
+			this.snapshotIndex = effects.snapshot().index();
+		}
+		for (LogEntry entry : effects.committed()) {
+			if (entry.index() > this.appliedIndex) {
+				applyEntry(entry);
+			}
+		}
+		if (effects.snapshot() != null || !effects.committed().isEmpty()) {
+			publish();
+			wakeWaiters();
+			this.changed.accept(this.state);
+			compactIfDue();
+		}
+	}
+
+	private void applyEntry(LogEntry entry) throws IOException {
+		this.appliedIndex = entry.index();
+		Pending waiting = this.pending.remove(entry.index());
+		if (entry.kind() == LogEntry.Kind.COMMAND) {
+			Reply reply = this.state.apply(entry.index(), StateCodec.decodeCommand(entry.command()));
+			if (waiting != null && waiting.term() == entry.term()) {
+				waiting.reply().complete(reply);
+			}
+		}
+		if (waiting != null && waiting.term() != entry.term()) {
+			waiting.reply()
+				.completeExceptionally(ServiceException.of(ResultCode.NOT_ACCEPTED, "another change took its place"));
+		}
+	}
+
+	private void load(Snapshot snapshot) throws ServiceException {
+		try {
+			this.state = (snapshot.index() == 0) ? new ControlState()
+					: ControlState.of(StateCodec.decodeImage(snapshot.state()));
+			this.appliedIndex = snapshot.index();
+		}
+		catch (IOException ex) {
+			throw ServiceException.of(ResultCode.LOG_CORRUPT, "the snapshot cannot be read: " + ex.getMessage());
+		}
+	}
+
+	private void compactIfDue() throws IOException, ServiceException {
+		if (this.appliedIndex - this.snapshotIndex < SNAPSHOT_INTERVAL_ENTRIES) {
+			return;
+		}
+		Snapshot snapshot = this.replica.compact(this.appliedIndex, StateCodec.encode(this.state.image()));
+		this.store.saveSnapshot(snapshot, this.replica.entriesAfter(this.appliedIndex));
+		this.snapshotIndex = this.appliedIndex;
+		LOGGER.atInfo().log("event=snapshot_saved index=%d bytes=%d", this.appliedIndex, snapshot.state().length);
+	}
+
+	private void wakeWaiters() {
+		this.appliedWaiters.removeIf((waiter) -> {
+			boolean due = waiter.index() <= this.appliedIndex;
+			if (due) {
+				waiter.applied().complete(null);
+			}
+			return due;
+		});
+	}
+
+	private record Pending(long term, CompletableFuture<Reply> reply) {
+	}
+
+	private record AppliedWaiter(long index, CompletableFuture<Void> applied) {
+	}
+
+}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
@@ -57,6 +57,8 @@
 
 	private Replication replication;
 
+	private boolean commitToAnnounce;
+
 	private long commitIndex;
 
 	private long appliedIndex;
@@ -100,7 +102,8 @@
 		if (!hearsQuorum(nowMs)) {
 			becomeFollower(term(), "", nowMs);
 		}
-		else if (nowMs >= this.nextHeartbeatMs) {
+		else if (nowMs >= this.nextHeartbeatMs || this.commitToAnnounce) {
+			this.commitToAnnounce = false;
 			this.nextHeartbeatMs = nowMs + this.settings.heartbeatIntervalMs();
 			this.replication.sendAll(this.membership, this.commitIndex, true, nowMs, this.messages);
 		}
@@ -494,6 +497,7 @@
 	}
 
 	private void commitTo(long index) {
+		this.commitToAnnounce = this.role == Role.LEADER && index > this.commitIndex;
 		this.commitIndex = Math.max(this.commitIndex, index);
 		boolean removed = this.role == Role.LEADER && this.membershipIndex <= this.commitIndex && !isVoter();
 		if (removed) {
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/membership/Formation.java
@@ -0,0 +1,62 @@
+package org.zinniatack.core.membership;
+
+import java.util.Collection;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+import org.zinniatack.core.consensus.Membership;
+
+/**
+ * Decides what a control process with an empty disk does. A system is formed only when
+ * all its founding members answer that their disks are empty, so an emptied disk never
+ * founds a second system beside the first.
+ *
+ * @param step what to do
+ * @param membership the founding members, empty unless the step is FORM
+ */
+public record Formation(Step step, Membership membership) {
+
+	/**
+	 * Decides on the answers of the other founding members.
+	 * @param ownId the id of the deciding replica
+	 * @param otherCount the number of other founding members
+	 * @param answers the answers received so far, one a member
+	 * @return the decision
+	 */
+	public static Formation decide(String ownId, int otherCount, Collection<Answer> answers) {
+		if (answers.stream().anyMatch(Answer::formed)) {
+			return new Formation(Step.JOIN, Membership.empty());
+		}
+		if (answers.size() < otherCount) {
+			return new Formation(Step.WAIT, Membership.empty());
+		}
+		SortedSet<String> members = new TreeSet<>();
+		members.add(ownId);
+		answers.forEach((answer) -> members.add(answer.replicaId()));
+		return new Formation(Step.FORM, Membership.ofVoters(members));
+	}
+
+	/** What a process with an empty disk does. */
+	public enum Step {
+
+		/** Ask again later. */
+		WAIT,
+
+		/** Found the system with the membership. */
+		FORM,
+
+		/** Start empty and ask the leader for admission. */
+		JOIN
+
+	}
+
+	/**
+	 * What another founding member says.
+	 *
+	 * @param replicaId its id
+	 * @param formed true if its disk holds state
+	 */
+	public record Answer(String replicaId, boolean formed) {
+	}
+
+}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -27,7 +27,7 @@
 	KEY_UNKNOWN(1005, 401, Outcome.NOT_RUN, "The key is unknown."),
 
 	/** The key was withdrawn. */
-	KEY_WITHDRAWN(1006, 401, Outcome.UNKNOWN, "The key was withdrawn while its request was queued or running."),
+	KEY_WITHDRAWN(1006, 401, Outcome.UNKNOWN, "The key was withdrawn while its request was running."),
 
 	/** The customer may not use the route. */
 	ROUTE_FORBIDDEN(1007, 403, Outcome.NOT_RUN, "The route does not serve the customer of this key."),
@@ -42,6 +42,13 @@
 	/** The idempotency key was used with another body. */
 	IDEMPOTENCY_KEY_REUSED(1010, 422, Outcome.NOT_RUN, "The idempotency key was used before with another request."),
 
+	/** The key was withdrawn before the request ran. */
+	KEY_WITHDRAWN_QUEUED(1011, 401, Outcome.NOT_RUN, "The key was withdrawn while its request was queued."),
+
+	/** The request carries the caller's key outside the header. */
+	KEY_IN_REQUEST(1012, 400, Outcome.NOT_RUN,
+			"The path, query or body holds the caller's key, which no target may see."),
+
 	/** The customer has reached a limit of its policy. */
 	CUSTOMER_LIMIT_REACHED(2001, 429, Outcome.NOT_RUN, "The customer has reached a limit of its policy."),
 
@@ -83,6 +90,16 @@
 	/** An earlier attempt is still running. */
 	IN_PROGRESS(3004, 409, Outcome.UNKNOWN, "An earlier attempt with this idempotency key is still running."),
 
+	/** Contact to control was lost while the request ran. */
+	AUTHORITY_LOST(3005, 503, Outcome.UNKNOWN,
+			"The process lost contact to control while the request was running and no longer honours its key."),
+
+	/** The target crashed. */
+	TARGET_CRASHED(3006, 502, Outcome.UNKNOWN, "The target crashed while it ran the request."),
+
+	/** The deadline passed while the request ran. */
+	DEADLINE_EXCEEDED(3007, 504, Outcome.UNKNOWN, "The deadline passed while the request was running."),
+
 	/** The target answered with an error. */
 	TARGET_FAILED(3101, 502, Outcome.RAN, "The target answered with an error."),
 
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/routing/LeastLoadedRouter.java
@@ -0,0 +1,26 @@
+package org.zinniatack.core.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Takes the least loaded of all targets.
+ *
+ * @param <C> the type of a target
+ */
+final class LeastLoadedRouter<C extends Candidate> implements Router<C> {
+
+	private List<C> targets = List.of();
+
+	@Override
+	public void targets(List<C> all) {
+		this.targets = List.copyOf(all);
+	}
+
+	@Override
+	public Optional<C> choose(long prefixHash) {
+		return this.targets.stream().filter(Candidate::isAvailable).min(Comparator.comparingDouble(Candidate::load));
+	}
+
+}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -28,7 +28,8 @@
 		@JsonSubTypes.Type(value = Command.OrderTargets.class, name = "order"),
 		@JsonSubTypes.Type(value = Command.AnnounceWeights.class, name = "weights"),
 		@JsonSubTypes.Type(value = Command.ReportCrash.class, name = "crash"),
-		@JsonSubTypes.Type(value = Command.ClearSuspect.class, name = "clear") })
+		@JsonSubTypes.Type(value = Command.ClearSuspect.class, name = "clear"),
+		@JsonSubTypes.Type(value = Command.DrainTarget.class, name = "drain") })
 public sealed interface Command {
 
 	/**
@@ -186,4 +187,13 @@
 	record ClearSuspect(String requestDigest) implements Command {
 	}
 
+	/**
+	 * Makes a target leave, or lets it serve again.
+	 *
+	 * @param targetId the id of the target
+	 * @param leaving true if it must accept no new work
+	 */
+	record DrainTarget(String targetId, boolean leaving) implements Command {
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -1,8 +1,10 @@
 package org.zinniatack.core.state;
 
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.zinniatack.core.config.ConfigurationRecord;
@@ -18,6 +20,10 @@
  */
 public final class ControlState {
 
+	private static final int DRAINING_KEPT = 4096;
+
+	private final Set<String> draining = new LinkedHashSet<>();
+
 	private RecordTable records = new RecordTable();
 
 	private RequestHistory history = new RequestHistory();
@@ -52,6 +58,7 @@
 		state.crashes = CrashTable.of(image.crashes());
 		image.orders().forEach((order) -> state.orders.put(order.pool(), order));
 		state.weights.putAll(image.weights());
+		state.draining.addAll(image.draining());
 		state.appliedIndex = image.appliedIndex();
 		return state;
 	}
@@ -119,12 +126,25 @@
 		else if (command instanceof Command.ClearSuspect clear) {
 			this.crashes.clear(clear.requestDigest());
 		}
+		else if (command instanceof Command.DrainTarget drain) {
+			drain(drain);
+		}
 		else if (!applyUsage(command)) {
 			return applyStep(index, command);
 		}
 		return new Reply.Accepted(index);
 	}
 
+	private void drain(Command.DrainTarget command) {
+		this.draining.remove(command.targetId());
+		if (command.leaving()) {
+			this.draining.add(command.targetId());
+		}
+		if (this.draining.size() > DRAINING_KEPT) {
+			this.draining.remove(this.draining.iterator().next());
+		}
+	}
+
 	private boolean applyUsage(Command command) {
 		if (command instanceof Command.RecordUsage used) {
 			this.usage.record(used.source(), used.sequence(), used.windowStartMs(), used.figures());
@@ -176,6 +196,14 @@
 		return this.crashes.image();
 	}
 
+	/**
+	 * Returns the targets that must leave.
+	 * @return the ids
+	 */
+	public Set<String> draining() {
+		return Set.copyOf(this.draining);
+	}
+
 	/**
 	 * Returns the stored form.
 	 * @return the image
@@ -183,7 +211,7 @@
 	public Image image() {
 		return new Image(this.appliedIndex, this.records.revision(), this.records.records(), this.history.images(),
 				this.intents.images(), this.steps.images(), this.usage.image(), this.crashes.image(),
-				List.copyOf(this.orders.values()), new TreeMap<>(this.weights));
+				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining));
 	}
 
 	/**
@@ -248,10 +276,12 @@
 	 * @param crashes the suspects and the quarantined requests
 	 * @param orders the newest order of each pool
 	 * @param weights the newest weight version of each model
+	 * @param draining the ids of targets that must leave, oldest first
 	 */
 	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
 			List<RequestHistory.Answered> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
-			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights) {
+			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights,
+			List<String> draining) {
 	}
 
 }
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/ControlLink.java
@@ -0,0 +1,102 @@
+package org.zinniatack.entry;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.routing.Hashing;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.Reply;
+import org.zinniatack.process.Link;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+import org.zinniatack.wire.Wire;
+
+/**
+ * The connections of an entry to control. Calls go to the first reachable process in an
+ * order of the entry's own, and to the next one when it has no answer.
+ */
+final class ControlLink {
+
+	private static final long CALL_TIMEOUT_MS = 2_000;
+
+	private static final long RETRY_DELAY_MS = 150;
+
+	private static final int ATTEMPTS = 20;
+
+	private static final Set<ResultCode> PASSING = Set.of(ResultCode.NOT_LEADER, ResultCode.PEER_LOST,
+			ResultCode.CALL_TIMED_OUT, ResultCode.CHANGE_UNDECIDED, ResultCode.NOT_ACCEPTED);
+
+	private final Wire wire;
+
+	private final List<Link> links;
+
+	ControlLink(Wire wire, String entryName, List<String> addresses) {
+		this.wire = wire;
+		this.links = Hashing.rendezvous(entryName, addresses, addresses.size())
+			.stream()
+			.map((address) -> new Link(wire, address, (peer) -> {
+			}))
+			.toList();
+	}
+
+	void open() {
+		this.links.forEach(Link::open);
+	}
+
+	void close() {
+		this.links.forEach(Link::close);
+	}
+
+	/** Returns the process that feeds this entry. */
+	Optional<Peer> current() {
+		return peer(0);
+	}
+
+	private Optional<Peer> peer(int skipped) {
+		List<Peer> open = this.links.stream().flatMap((link) -> link.peer().stream()).toList();
+		return open.isEmpty() ? Optional.empty() : Optional.of(open.get(skipped % open.size()));
+	}
+
+	/** Carries out a command that may be sent more than once. */
+	CompletableFuture<Reply> propose(Command command) {
+		return call(new Message.Propose(command, false)).thenApply((answer) -> ((Message.Proposed) answer).reply());
+	}
+
+	/** Sends a request, again while control has no leader. */
+	CompletableFuture<Message> call(Message request) {
+		CompletableFuture<Message> result = new CompletableFuture<>();
+		attempt(request, 0, result);
+		return result;
+	}
+
+	private void attempt(Message request, int number, CompletableFuture<Message> result) {
+		CompletableFuture<Message> call = peer(number).map((peer) -> peer.call(request, CALL_TIMEOUT_MS))
+			.orElseGet(() -> CompletableFuture
+				.failedFuture(ServiceException.of(ResultCode.PEER_LOST, "control cannot be reached")));
+		call.whenComplete((answer, failure) -> {
+			if (failure == null) {
+				result.complete(answer);
+			}
+			else if (number + 1 < ATTEMPTS && mayPass(failure)) {
+				this.wire.schedule(() -> attempt(request, number + 1, result), RETRY_DELAY_MS);
+			}
+			else {
+				result.completeExceptionally(unwrap(failure));
+			}
+		});
+	}
+
+	private static boolean mayPass(Throwable failure) {
+		return unwrap(failure) instanceof ServiceException known && PASSING.contains(known.code());
+	}
+
+	static Throwable unwrap(Throwable failure) {
+		return (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause() : failure;
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
@@ -0,0 +1,528 @@
+package org.zinniatack.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+
+import org.zinniatack.core.admission.Admission;
+import org.zinniatack.core.admission.CostEstimate;
+import org.zinniatack.core.config.Specification;
+import org.zinniatack.core.queue.RequestQueue;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.retry.RetryBudget;
+import org.zinniatack.core.retry.RetryPolicy;
+import org.zinniatack.core.routing.Router;
+import org.zinniatack.wire.ExchangeListener;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+
+/**
+ * Takes requests from admission to the end of their answer: queues them, sends them to
+ * targets, tries again what may run again, and ends what may no longer run.
+ */
+final class Dispatcher {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final int MAXIMUM_ATTEMPTS = 4;
+
+	private static final double RETRY_SHARE = 0.1;
+
+	private static final double RETRY_CAPACITY = 50;
+
+	private static final int MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
+
+	private static final long NO_TARGET_RETRY_MS = 1_000;
+
+	private final LongSupplier clockMs;
+
+	private final Authority authority;
+
+	private final Fleet fleet;
+
+	private final Admission admission = new Admission();
+
+	private final CostEstimate costs = new CostEstimate();
+
+	private final RetryBudget retryBudget = new RetryBudget(RETRY_SHARE, RETRY_CAPACITY);
+
+	private final RetryPolicy retries = RetryPolicy.within(MAXIMUM_ATTEMPTS, this.retryBudget);
+
+	private final Map<String, PoolState> pools = new HashMap<>();
+
+	private final Set<CallerRequest> running = new HashSet<>();
+
+	private final List<CallerRequest> suspectsWaiting = new ArrayList<>();
+
+	private final Set<String> ownSuspects = new HashSet<>();
+
+	private final Consumer<Finished> finished;
+
+	private boolean stopping;
+
+	Dispatcher(LongSupplier clockMs, Authority authority, String failureDomain, Consumer<Finished> finished) {
+		this.clockMs = clockMs;
+		this.authority = authority;
+		this.fleet = new Fleet(() -> Router.prefixAffinity(failureDomain, RandomGenerator.getDefault()));
+		this.finished = finished;
+	}
+
+	/** Returns the expected cost of a request, in tokens. */
+	synchronized double estimate(String customer, String route, long maximumTokens) {
+		return this.costs.tokens(customer, route, maximumTokens);
+	}
+
+	/** Admits and queues a request, or refuses it at once. */
+	void submit(CallerRequest request, boolean limited) throws ServiceException {
+		Actions actions = new Actions();
+		synchronized (this) {
+			requireRunnable(request);
+			if (limited) {
+				admit(request);
+			}
+			this.retryBudget.earn();
+			enqueue(request);
+			pump(request.call().route().pool(), actions);
+		}
+		actions.run();
+	}
+
+	private void requireRunnable(CallerRequest request) throws ServiceException {
+		String digest = request.call().digest().hex();
+		if (this.stopping) {
+			throw ServiceException.retryable(ResultCode.SHUTTING_DOWN, "try another entry", NO_TARGET_RETRY_MS);
+		}
+		if (this.authority.view().quarantined().contains(digest)) {
+			throw ServiceException.of(ResultCode.QUARANTINED, "digest " + request.call().digest().abbreviated());
+		}
+		if (this.fleet.slots(request.call().route().pool()) == 0) {
+			throw ServiceException.retryable(ResultCode.NO_TARGET, "pool " + request.call().route().pool(),
+					NO_TARGET_RETRY_MS);
+		}
+	}
+
+	private void admit(CallerRequest request) throws ServiceException {
+		String pool = request.call().route().pool();
+		Specification.CustomerPolicy policy = this.authority.view()
+			.configuration()
+			.policyOf(request.access().customer());
+		long waitMs = poolState(pool).expectedWaitMs(request.flow(), this.fleet.slots(pool), this.fleet.room(pool));
+		this.admission.admit(policy, waitMs, now());
+		request.markAdmitted();
+	}
+
+	private void enqueue(CallerRequest request) {
+		String digest = request.call().digest().hex();
+		if (this.authority.view().suspects().contains(digest) || this.ownSuspects.contains(digest)) {
+			request.suspect(true);
+			this.suspectsWaiting.add(request);
+		}
+		else {
+			poolState(request.call().route().pool()).queue().add(request, request.flow(), request.costTokens());
+		}
+	}
+
+	private PoolState poolState(String pool) {
+		return this.pools.computeIfAbsent(pool, (absent) -> new PoolState(RequestQueue.weightedFair()));
+	}
+
+	private long now() {
+		return this.clockMs.getAsLong();
+	}
+
+	private void pump(String pool, Actions actions) {
+		pumpSuspects(pool, actions);
+		PoolState state = poolState(pool);
+		int room = this.fleet.room(pool);
+		while (room > 0 && !state.queue().isEmpty()) {
+			int free = room;
+			int reserved = state.reservedSlots(this.fleet.slots(pool), now());
+			Optional<CallerRequest> next = state.queue().poll((flow) -> !flow.bulk() || free > reserved);
+			if (next.isEmpty()) {
+				return;
+			}
+			Optional<TargetLink> target = this.fleet.choose(next.get());
+			if (target.isEmpty()) {
+				enqueue(next.get());
+				return;
+			}
+			start(next.get(), target.get(), actions);
+			room--;
+		}
+	}
+
+	private void pumpSuspects(String pool, Actions actions) {
+		for (CallerRequest request : List.copyOf(this.suspectsWaiting)) {
+			if (request.call().route().pool().equals(pool)) {
+				this.fleet.choose(request).ifPresent((target) -> {
+					this.suspectsWaiting.remove(request);
+					start(request, target, actions);
+				});
+			}
+		}
+	}
+
+	private void start(CallerRequest request, TargetLink target, Actions actions) {
+		long nowMs = now();
+		request.begin(target, nowMs);
+		target.started(request.isSuspect());
+		poolState(request.call().route().pool()).started(request.isBulk(), nowMs);
+		this.running.add(request);
+		CallerRequest.Call call = request.call();
+		Message.Run run = new Message.Run(request.id() + "-" + request.attempts(), call.digest().hex(),
+				request.isSuspect(), call.method(), call.path(), call.headers(), call.body().bytes(request.progress()),
+				call.isEngine(), Math.max(1, request.deadlineMs() - nowMs));
+		AttemptListener listener = new AttemptListener(request, target, request.attempts());
+		actions.add(() -> {
+			Runnable cancel = target.peer().open(run, listener);
+			synchronized (this) {
+				if (!request.isDone() && request.attempts() == listener.number && request.target() == target) {
+					request.running(cancel);
+					return;
+				}
+			}
+			cancel.run();
+		});
+	}
+
+	private boolean isCurrent(CallerRequest request, int attempt) {
+		return !request.isDone() && request.attempts() == attempt && request.target() != null;
+	}
+
+	private void onHead(CallerRequest request, int attempt, Message.AnswerHead head) {
+		synchronized (this) {
+			if (isCurrent(request, attempt)) {
+				request.progress().head(head.httpStatus(), head.contentType());
+			}
+		}
+	}
+
+	private void onChunk(CallerRequest request, int attempt, byte[] data) {
+		try {
+			EngineEvent event = request.call().isEngine() ? EngineEvent.parse(data) : null;
+			synchronized (this) {
+				if (!isCurrent(request, attempt)) {
+					return;
+				}
+				if (event != null) {
+					request.progress().event(event);
+				}
+				else {
+					request.progress().bytes(data);
+				}
+				if (request.progress().size() > MAXIMUM_ANSWER_BYTES) {
+					throw ServiceException.of(ResultCode.TARGET_FAILED, "the answer exceeds the size limit");
+				}
+			}
+			if (event != null) {
+				request.sink().event(event);
+			}
+		}
+		catch (ServiceException ex) {
+			endNow(request, ex);
+		}
+	}
+
+	private void onEnd(CallerRequest request, int attempt) {
+		Actions actions = new Actions();
+		synchronized (this) {
+			if (!isCurrent(request, attempt)) {
+				return;
+			}
+			if (request.call().isEngine() && !request.progress().isFinished()) {
+				attemptFailed(request, ServiceException.of(ResultCode.ANSWER_CUT_SHORT, "no finish reason"), actions);
+			}
+			else {
+				complete(request, actions);
+			}
+		}
+		actions.run();
+	}
+
+	private void complete(CallerRequest request, Actions actions) {
+		Answer answer = request.progress().answer();
+		boolean wasSuspect = request.isSuspect();
+		leave(request, true);
+		this.ownSuspects.remove(request.call().digest().hex());
+		finish(request, actions);
+		actions.add(() -> request.sink().end(answer));
+		actions.add(() -> this.finished.accept(new Finished(request, answer, wasSuspect)));
+		pump(request.call().route().pool(), actions);
+	}
+
+	private void onFailure(CallerRequest request, int attempt, ServiceException failure) {
+		Actions actions = new Actions();
+		synchronized (this) {
+			if (isCurrent(request, attempt)) {
+				attemptFailed(request, failure, actions);
+			}
+		}
+		actions.run();
+	}
+
+	private void attemptFailed(CallerRequest request, ServiceException failure, Actions actions) {
+		ResultCode code = failure.code();
+		TargetLink target = request.target();
+		boolean neverStarted = code == ResultCode.TARGET_BUSY || code == ResultCode.TARGET_LEAVING;
+		leave(request, neverStarted);
+		if (neverStarted && target != null) {
+			target.refusedAsBusy();
+		}
+		if (code == ResultCode.TARGET_CRASHED) {
+			onCrash(request, actions);
+			return;
+		}
+		if (neverStarted && now() < request.queuedUntilMs()) {
+			enqueue(request);
+		}
+		else if (this.retries
+			.retries(new RetryPolicy.Attempt(request.attempts(), code, request.call().repeatable(), false))) {
+			enqueue(request);
+		}
+		else {
+			failLater(request, failure, actions);
+		}
+		pump(request.call().route().pool(), actions);
+	}
+
+	/** Runs a request alone after its first crash and gives it up after its second. */
+	private void onCrash(CallerRequest request, Actions actions) {
+		if (request.isSuspect() && request.attempts() > 0) {
+			failLater(request,
+					ServiceException.of(ResultCode.QUARANTINED, "digest " + request.call().digest().abbreviated()),
+					actions);
+		}
+		else if (!request.call().repeatable()) {
+			failLater(request, ServiceException.of(ResultCode.TARGET_CRASHED, "not repeated"), actions);
+		}
+		else {
+			this.ownSuspects.add(request.call().digest().hex());
+			enqueue(request);
+		}
+		pump(request.call().route().pool(), actions);
+	}
+
+	private void leave(CallerRequest request, boolean succeeded) {
+		TargetLink target = request.target();
+		if (target != null) {
+			target.ended(succeeded);
+			poolState(request.call().route().pool()).ended(succeeded ? request.progress().tokenCount() : 0,
+					now() - request.startedMs());
+		}
+		request.leaveTarget();
+		this.running.remove(request);
+	}
+
+	private void finish(CallerRequest request, Actions actions) {
+		request.markDone();
+		long tokens = request.progress().tokenCount();
+		this.admission.charge(request.access().customer(), tokens, now());
+		if (request.isAdmitted()) {
+			this.admission.release(request.access().customer());
+		}
+		if (tokens > 0) {
+			this.costs.learn(request.access().customer(), request.call().routeName(), tokens);
+		}
+	}
+
+	private void failLater(CallerRequest request, ServiceException failure, Actions actions) {
+		finish(request, actions);
+		actions.add(() -> request.sink().fail(failure));
+		if (request.progress().tokenCount() > 0) {
+			Answer partial = request.progress().answer();
+			actions.add(() -> this.finished.accept(new Finished(request, partial, false)));
+		}
+	}
+
+	/** Ends a request that may not go on, wherever it is. */
+	void endNow(CallerRequest request, ServiceException failure) {
+		Actions actions = new Actions();
+		synchronized (this) {
+			if (!request.isDone()) {
+				Runnable cancel = request.cancelExchange();
+				String pool = request.call().route().pool();
+				poolState(pool).queue().removeIf((waiting) -> waiting == request);
+				this.suspectsWaiting.remove(request);
+				leave(request, true);
+				failLater(request, failure, actions);
+				actions.add(cancel);
+				pump(pool, actions);
+			}
+		}
+		actions.run();
+	}
+
+	/** Ends what the newest word of control, or the lack of it, no longer lets run. */
+	void enforce() {
+		boolean valid = this.authority.isValid(now());
+		endAll((request) -> request.access().key() != null && !valid,
+				ServiceException.retryable(ResultCode.AUTHORITY_EXPIRED, "no word from control",
+						this.authority.retryMs()),
+				ServiceException.retryable(ResultCode.AUTHORITY_LOST, "no word from control",
+						this.authority.retryMs()));
+		endAll(this::isWithdrawn, ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn"),
+				ServiceException.of(ResultCode.KEY_WITHDRAWN, "withdrawn"));
+		long nowMs = now();
+		endAll((request) -> request.target() == null && nowMs >= request.queuedUntilMs(),
+				ServiceException.retryable(ResultCode.DEADLINE_UNREACHABLE, "queue time passed", NO_TARGET_RETRY_MS),
+				ServiceException.of(ResultCode.DEADLINE_EXCEEDED, "queue time passed"));
+		endAll((request) -> nowMs >= request.deadlineMs(),
+				ServiceException.retryable(ResultCode.DEADLINE_UNREACHABLE, "deadline passed", NO_TARGET_RETRY_MS),
+				ServiceException.of(ResultCode.DEADLINE_EXCEEDED, "deadline passed"));
+		pumpAll();
+	}
+
+	private boolean isWithdrawn(CallerRequest request) {
+		var key = request.access().key();
+		return key != null && !this.authority.view()
+			.configuration()
+			.customerOf(key)
+			.filter(request.access().customer()::equals)
+			.isPresent();
+	}
+
+	private void endAll(Predicate<CallerRequest> condition, ServiceException queued, ServiceException started) {
+		List<CallerRequest> ended = new ArrayList<>();
+		synchronized (this) {
+			this.pools.values().forEach((pool) -> ended.addAll(pool.queue().removeIf(condition)));
+			this.suspectsWaiting.stream().filter(condition).forEach(ended::add);
+			this.running.stream().filter(condition).forEach(ended::add);
+		}
+		for (CallerRequest request : ended) {
+			boolean neverRan = request.attempts() == 0;
+			endNow(request, neverRan ? queued : started);
+		}
+	}
+
+	private void pumpAll() {
+		Actions actions = new Actions();
+		synchronized (this) {
+			List.copyOf(this.pools.keySet()).forEach((pool) -> pump(pool, actions));
+		}
+		actions.run();
+	}
+
+	synchronized void announced(Peer peer, Message.Announce announce) {
+		this.fleet.add(new TargetLink(peer, announce, this.clockMs));
+	}
+
+	void reported(Peer peer, Message.Load load) {
+		Actions actions = new Actions();
+		synchronized (this) {
+			this.fleet.of(peer).ifPresent((target) -> {
+				target.report(load);
+				pump(target.announce().pool(), actions);
+			});
+		}
+		actions.run();
+	}
+
+	synchronized void lost(Peer peer) {
+		this.fleet.of(peer).ifPresent(this.fleet::remove);
+	}
+
+	synchronized List<TargetLink> targets() {
+		return new ArrayList<>(this.fleet.all());
+	}
+
+	synchronized List<Message.PoolLoad> loads() {
+		List<Message.PoolLoad> loads = new ArrayList<>();
+		this.pools
+			.forEach((pool, state) -> loads.add(new Message.PoolLoad(pool, state.queue().size(), state.running())));
+		return loads;
+	}
+
+	/** Refuses new requests; those that were admitted go on. */
+	synchronized void stopAdmitting() {
+		this.stopping = true;
+	}
+
+	synchronized int openRequests() {
+		return this.running.size() + this.suspectsWaiting.size()
+				+ this.pools.values().stream().mapToInt((pool) -> pool.queue().size()).sum();
+	}
+
+	/**
+	 * A request that used a target.
+	 *
+	 * @param request the request
+	 * @param answer the answer, whole or what arrived of it
+	 * @param clearedSuspect true if a suspect ran alone to its end
+	 */
+	record Finished(CallerRequest request, Answer answer, boolean clearedSuspect) {
+	}
+
+	/** What is done after the lock is given back. */
+	private static final class Actions {
+
+		private final List<Runnable> actions = new ArrayList<>();
+
+		void add(Runnable action) {
+			this.actions.add(action);
+		}
+
+		void run() {
+			for (Runnable action : this.actions) {
+				try {
+					action.run();
+				}
+				catch (RuntimeException ex) {
+					LOGGER.atSevere().withCause(ex).log("event=action_failed code=%d", ResultCode.INTERNAL.number());
+				}
+			}
+		}
+
+	}
+
+	private final class AttemptListener implements ExchangeListener {
+
+		private final CallerRequest request;
+
+		private final TargetLink target;
+
+		private final int number;
+
+		AttemptListener(CallerRequest request, TargetLink target, int number) {
+			this.request = request;
+			this.target = target;
+			this.number = number;
+		}
+
+		@Override
+		public void onMessage(Message message, boolean last) {
+			if (message instanceof Message.AnswerHead head) {
+				onHead(this.request, this.number, head);
+			}
+			else if (message instanceof Message.AnswerChunk chunk) {
+				onChunk(this.request, this.number, chunk.data());
+			}
+			else if (message instanceof Message.AnswerEnd) {
+				onEnd(this.request, this.number);
+			}
+			else if (message instanceof Message.Failure failure) {
+				onFailure(this.request, this.number,
+						ServiceException.retryable(failure.code(), failure.detail(), failure.retryAfterMs()));
+			}
+		}
+
+		@Override
+		public void onLost(ResultCode code) {
+			LOGGER.atInfo().log("event=attempt_lost request=%s target=%s", this.request.id(), this.target.targetId());
+			onFailure(this.request, this.number,
+					ServiceException.of(ResultCode.OUTCOME_UNKNOWN, "the agent of the target was lost"));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EngineEvent.java
@@ -0,0 +1,37 @@
+package org.zinniatack.entry;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
+/**
+ * One event of an engine's stream.
+ *
+ * @param data the event as the engine sent it
+ * @param text the text that it adds
+ * @param finishReason why the engine stops, empty if it goes on
+ * @param weightVersion the weight version that produced the text, 0 if not stated
+ * @param tokenCount the number of tokens
+ */
+record EngineEvent(byte[] data, String text, String finishReason, long weightVersion, int tokenCount) {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	static EngineEvent parse(byte[] data) throws ServiceException {
+		try {
+			JsonNode event = MAPPER.readTree(data);
+			JsonNode choice = event.path("choices").path(0);
+			String text = choice.path("text").asText(choice.path("delta").path("content").asText(""));
+			return new EngineEvent(data, text, choice.path("finish_reason").asText(""),
+					event.path("weight_version").asLong(0), event.path("token_count").asInt(text.isEmpty() ? 0 : 1));
+		}
+		catch (IOException ex) {
+			throw ServiceException.of(ResultCode.TARGET_FAILED, "the engine sent an event that is not JSON");
+		}
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -0,0 +1,284 @@
+package org.zinniatack.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.util.concurrent.Ticker;
+
+import org.zinniatack.core.config.Configuration;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.routing.Hashing;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.process.ProcessView;
+import org.zinniatack.process.Service;
+import org.zinniatack.wire.ClusterSecret;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+import org.zinniatack.wire.PeerHandler;
+import org.zinniatack.wire.PeerIdentity;
+import org.zinniatack.wire.Wire;
+
+/**
+ * One entry process: its connections to control and to agents, and the requests that it
+ * holds.
+ */
+public final class EntryService implements Service, ProcessView, PeerHandler {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long REPORT_INTERVAL_MS = 500;
+
+	private static final long ENFORCE_INTERVAL_MS = 50;
+
+	private static final long USAGE_INTERVAL_MS = 1_000;
+
+	private static final long STOP_CHECK_MS = 20;
+
+	private static final int WIRE_THREADS = 2;
+
+	private final EntrySettings settings;
+
+	private final Ticker ticker = Ticker.systemTicker();
+
+	private final Authority authority;
+
+	private final Dispatcher dispatcher;
+
+	private final Wire wire;
+
+	private final ControlLink control;
+
+	private final UsageMeter usage;
+
+	private final Map<String, StepRunner> steps = new ConcurrentHashMap<>();
+
+	private final MeterRegistry metrics;
+
+	private final ScheduledExecutorService timer = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "entry-timer"));
+
+	private volatile boolean stopping;
+
+	/**
+	 * Returns a process that is not started.
+	 * @param settings the settings
+	 * @param metrics where to count
+	 */
+	public EntryService(EntrySettings settings, MeterRegistry metrics) {
+		this.settings = settings;
+		this.metrics = metrics;
+		this.authority = new Authority(settings.authorityLeaseMs());
+		this.dispatcher = new Dispatcher(this::nowMs, this.authority, settings.failureDomain(), this::onFinished);
+		this.wire = new Wire(new PeerIdentity("entry", settings.name()), ClusterSecret.of(settings.clusterSecret()),
+				this, WIRE_THREADS);
+		this.control = new ControlLink(this.wire, settings.name(), settings.controlAddresses());
+		this.usage = new UsageMeter(settings.usageWindowMs(), System::currentTimeMillis, this.control);
+	}
+
+	@Override
+	public void start() throws ServiceException {
+		this.wire.listen(this.settings.listenAddress());
+		this.control.open();
+		every(REPORT_INTERVAL_MS, this::report);
+		every(ENFORCE_INTERVAL_MS, this.dispatcher::enforce);
+		every(ENFORCE_INTERVAL_MS, this::tendSteps);
+		every(USAGE_INTERVAL_MS, this.usage::flush);
+		this.metrics.gauge("zinniatack.requests.open", this.dispatcher, Dispatcher::openRequests);
+		LOGGER.atInfo().log("event=entry_started name=%s", this.settings.name());
+	}
+
+	private void every(long intervalMs, Runnable action) {
+		this.timer.scheduleWithFixedDelay(() -> {
+			try {
+				action.run();
+			}
+			catch (RuntimeException ex) {
+				LOGGER.atSevere().withCause(ex).log("event=timer_failed code=%d", ResultCode.INTERNAL.number());
+			}
+		}, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Waits for the balancer, then for the last answer, then for the last usage report.
+	 */
+	@Override
+	public void stop() {
+		this.stopping = true;
+		sleep(this.settings.balancerDelayMs());
+		this.dispatcher.stopAdmitting();
+		long deadlineMs = nowMs() + this.settings.requestTimeoutMs();
+		while (this.dispatcher.openRequests() > 0 && nowMs() < deadlineMs) {
+			sleep(STOP_CHECK_MS);
+		}
+		this.usage.flush();
+		long usageDeadlineMs = nowMs() + USAGE_INTERVAL_MS;
+		while (!this.usage.isEmpty() && nowMs() < usageDeadlineMs) {
+			sleep(STOP_CHECK_MS);
+		}
+		this.timer.shutdownNow();
+		this.control.close();
+		this.wire.stop();
+		LOGGER.atInfo().log("event=entry_stopped name=%s", this.settings.name());
+	}
+
+	private static void sleep(long durationMs) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(durationMs);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(this.ticker.nanoTime());
+	}
+
+	EntrySettings settings() {
+		return this.settings;
+	}
+
+	Dispatcher dispatcher() {
+		return this.dispatcher;
+	}
+
+	ControlLink control() {
+		return this.control;
+	}
+
+	/** Returns the records in force, while this process may act on them. */
+	Configuration configuration() throws ServiceException {
+		if (!this.authority.isValid(nowMs())) {
+			throw ServiceException.retryable(ResultCode.AUTHORITY_EXPIRED, "no word from control",
+					this.authority.retryMs());
+		}
+		return this.authority.view().configuration();
+	}
+
+	/** Returns the runner of a step, made by the first call. */
+	StepRunner stepRunner(String customer, String step, Supplier<StepRunner> maker) {
+		return this.steps.computeIfAbsent(customer + '\0' + step, (absent) -> maker.get());
+	}
+
+	private void tendSteps() {
+		this.steps.values().removeIf(StepRunner::isCommitted);
+		this.steps.values().forEach(StepRunner::tend);
+	}
+
+	private void onFinished(Dispatcher.Finished finished) {
+		CallerRequest request = finished.request();
+		this.usage.count(request.access().customer(), request.call().routeName(), finished.answer().tokenCount());
+		this.metrics.counter("zinniatack.requests.finished", "route", request.call().routeName()).increment();
+		if (finished.clearedSuspect()) {
+			this.control.propose(new Command.ClearSuspect(request.call().digest().hex()));
+		}
+	}
+
+	@Override
+	public boolean isReady() {
+		return !this.stopping && this.authority.isValid(nowMs());
+	}
+
+	@Override
+	public Map<String, Object> dump() {
+		Authority.View view = this.authority.view();
+		Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("role", "entry");
+		dump.put("name", this.settings.name());
+		dump.put("revision", view.configuration().revision());
+		dump.put("epoch", view.epoch());
+		dump.put("authorityLeftMs", Math.max(0, view.leaseEndMs() - nowMs()));
+		dump.put("entries", view.entries());
+		dump.put("weights", view.weights());
+		dump.put("suspects", view.suspects());
+		dump.put("quarantined", view.quarantined());
+		dump.put("targets", this.dispatcher.targets().stream().map(EntryService::stateOf).toList());
+		dump.put("pools", this.dispatcher.loads());
+		dump.put("usageHeld", this.usage.held().size());
+		return dump;
+	}
+
+	private static Message.TargetState stateOf(TargetLink target) {
+		return new Message.TargetState(target.targetId(), target.announce().pool(), target.failureDomain(),
+				target.lastLoad().weightVersion(), target.lastLoad().leaving(), target.lastLoad().runningCount());
+	}
+
+	private void report() {
+		Authority.View view = this.authority.view();
+		Map<String, Long> agentRevisions = new HashMap<>();
+		List<Message.TargetState> targets = new ArrayList<>();
+		for (TargetLink target : this.dispatcher.targets()) {
+			if (isFirstOf(target.targetId(), view)) {
+				agentRevisions.put(target.targetId(), target.lastLoad().revision());
+				targets.add(stateOf(target));
+			}
+		}
+		Message.EntryReport report = new Message.EntryReport(this.settings.name(), this.settings.listenAddress(),
+				view.configuration().revision(), view.crashVersion(), agentRevisions, this.dispatcher.loads(), targets);
+		this.control.current().ifPresent((peer) -> peer.send(report));
+	}
+
+	private boolean isFirstOf(String targetId, Authority.View view) {
+		return view.entries().isEmpty()
+				|| Hashing.rendezvous(targetId, view.entries().keySet(), 1).contains(this.settings.name());
+	}
+
+	@Override
+	public void onNotice(Peer peer, Message message) {
+		if (message instanceof Message.Feed feed) {
+			onFeed(feed);
+		}
+		else if (message instanceof Message.Announce announce) {
+			this.dispatcher.announced(peer, announce);
+			peer.send(directory());
+		}
+		else if (message instanceof Message.Load load) {
+			this.dispatcher.reported(peer, load);
+		}
+		else if (message instanceof Message.TargetCrash crash) {
+			this.control.propose(new Command.ReportCrash(crash.crashId(), crash.requestDigests()));
+		}
+	}
+
+	private void onFeed(Message.Feed feed) {
+		Authority.View before = this.authority.view();
+		this.authority.accept(feed, nowMs());
+		Authority.View after = this.authority.view();
+		if (after.configuration().revision() > before.configuration().revision()) {
+			this.dispatcher.enforce();
+		}
+		boolean news = after.configuration().revision() != before.configuration().revision()
+				|| after.epoch() != before.epoch() || !after.entries().equals(before.entries());
+		for (TargetLink target : this.dispatcher.targets()) {
+			if (news) {
+				target.peer().send(directory());
+			}
+			Message.TargetDirective directive = feed.directives().get(target.targetId());
+			if (directive != null) {
+				target.peer().send(directive);
+			}
+		}
+	}
+
+	private Message.Directory directory() {
+		Authority.View view = this.authority.view();
+		return new Message.Directory(view.configuration().revision(), view.epoch(), view.entries());
+	}
+
+	@Override
+	public void onClosed(Peer peer) {
+		this.dispatcher.lost(peer);
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntrySettings.java
@@ -0,0 +1,80 @@
+package org.zinniatack.entry;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+import org.zinniatack.core.key.KeyDigest;
+import org.zinniatack.process.Checks;
+
+/**
+ * The settings of an entry process.
+ *
+ * @param name the name of this process
+ * @param failureDomain the failure domain of its VM
+ * @param listenAddress the address for agents, as they reach it
+ * @param httpAddress the address for callers
+ * @param controlAddresses the addresses of the control processes
+ * @param clusterSecret the secret that all processes share
+ * @param operatorKeyDigests the SHA-256 digests of the operators' keys
+ * @param authorityLeaseMs the time without word from control after which no key is
+ * honoured, in milliseconds
+ * @param requestTimeoutMs the longest run of a request, in milliseconds
+ * @param maximumBodyBytes the largest body, in bytes
+ * @param balancerDelayMs the time that the balancer takes to send callers elsewhere, in
+ * milliseconds
+ * @param usageWindowMs the length of a usage window, in milliseconds
+ */
+public record EntrySettings(String name, String failureDomain, String listenAddress, String httpAddress,
+		List<String> controlAddresses, String clusterSecret, List<String> operatorKeyDigests, long authorityLeaseMs,
+		long requestTimeoutMs, int maximumBodyBytes, long balancerDelayMs, long usageWindowMs) {
+
+	private static final int SHORTEST_SECRET = 16;
+
+	private static final long LONGEST_LEASE_MS = 60_000;
+
+	private static final long HOUR_MS = 3_600_000;
+
+	private static final int LARGEST_BODY_BYTES = 32 * 1024 * 1024;
+
+	/**
+	 * Checks the fields.
+	 */
+	@JsonCreator
+	public EntrySettings(@JsonProperty("name") String name, @JsonProperty("failureDomain") String failureDomain,
+			@JsonProperty("listenAddress") String listenAddress, @JsonProperty("httpAddress") String httpAddress,
+			@JsonProperty("controlAddresses") List<String> controlAddresses,
+			@JsonProperty("clusterSecret") String clusterSecret,
+			@JsonProperty("operatorKeyDigests") List<String> operatorKeyDigests,
+			@JsonProperty("authorityLeaseMs") long authorityLeaseMs,
+			@JsonProperty("requestTimeoutMs") long requestTimeoutMs,
+			@JsonProperty("maximumBodyBytes") int maximumBodyBytes,
+			@JsonProperty("balancerDelayMs") long balancerDelayMs, @JsonProperty("usageWindowMs") long usageWindowMs) {
+		this.name = Checks.name("name", name);
+		this.failureDomain = Checks.name("failureDomain", failureDomain);
+		this.listenAddress = Checks.address("listenAddress", listenAddress);
+		this.httpAddress = Checks.address("httpAddress", httpAddress);
+		this.controlAddresses = List.copyOf(Checks.present("controlAddresses", controlAddresses));
+		this.controlAddresses.forEach((address) -> Checks.address("controlAddresses", address));
+		this.clusterSecret = Checks.present("clusterSecret", clusterSecret);
+		this.operatorKeyDigests = List.copyOf(Checks.present("operatorKeyDigests", operatorKeyDigests));
+		this.authorityLeaseMs = Checks.range("authorityLeaseMs", authorityLeaseMs, 1_000, LONGEST_LEASE_MS);
+		this.requestTimeoutMs = Checks.range("requestTimeoutMs", requestTimeoutMs, 1_000, HOUR_MS);
+		this.maximumBodyBytes = (int) Checks.range("maximumBodyBytes", maximumBodyBytes, 1024, LARGEST_BODY_BYTES);
+		this.balancerDelayMs = Checks.range("balancerDelayMs", balancerDelayMs, 0, LONGEST_LEASE_MS);
+		this.usageWindowMs = Checks.range("usageWindowMs", usageWindowMs, 1_000, 24 * HOUR_MS);
+		if (clusterSecret.length() < SHORTEST_SECRET) {
+			throw new IllegalArgumentException("clusterSecret must have at least 16 characters");
+		}
+		if (!this.operatorKeyDigests.stream().allMatch(KeyDigest::isValid)) {
+			throw new IllegalArgumentException("operatorKeyDigests must be SHA-256 digests in hexadecimal");
+		}
+	}
+
+	@Override
+	public String toString() {
+		return "EntrySettings[" + this.name + "]";
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/OnceSink.java
@@ -0,0 +1,60 @@
+package org.zinniatack.entry;
+
+import com.google.common.flogger.FluentLogger;
+
+import org.zinniatack.core.result.Outcome;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.IntentAnswer;
+
+/**
+ * Commits what became of a request that may not be repeated before its caller hears of
+ * it, so that a repeat through any entry gets the same answer.
+ */
+final class OnceSink implements AnswerSink {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final int LARGEST_KEPT_BYTES = 256 * 1024;
+
+	private final AnswerSink next;
+
+	private final Command.BeginIntent intent;
+
+	private final ControlLink control;
+
+	OnceSink(AnswerSink next, Command.BeginIntent intent, ControlLink control) {
+		this.next = next;
+		this.intent = intent;
+		this.control = control;
+	}
+
+	@Override
+	public void end(Answer answer) {
+		boolean kept = answer.body().length <= LARGEST_KEPT_BYTES;
+		IntentAnswer outcome = kept
+				? new IntentAnswer(IntentAnswer.State.RAN, answer.httpStatus(), answer.contentType(), answer.body())
+				: IntentAnswer.of(IntentAnswer.State.UNKNOWN);
+		commit(outcome, () -> this.next.end(answer));
+	}
+
+	@Override
+	public void fail(ServiceException failure) {
+		boolean notRun = failure.code().outcome() == Outcome.NOT_RUN;
+		commit(IntentAnswer.of(notRun ? IntentAnswer.State.NOT_RUN : IntentAnswer.State.UNKNOWN),
+				() -> this.next.fail(failure));
+	}
+
+	private void commit(IntentAnswer outcome, Runnable then) {
+		this.control
+			.propose(new Command.FinishIntent(this.intent.customer(), this.intent.idempotencyKey(),
+					this.intent.attempt(), outcome))
+			.whenComplete((reply, failure) -> {
+				if (failure != null) {
+					LOGGER.atWarning().log("event=outcome_uncommitted attempt=%s", this.intent.attempt());
+				}
+				then.run();
+			});
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/ServiceController.java
@@ -0,0 +1,188 @@
+package org.zinniatack.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Delete;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Patch;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Put;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.config.Configuration;
+import org.zinniatack.core.config.Specification;
+import org.zinniatack.core.key.KeyDigest;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.IntentAnswer;
+import org.zinniatack.core.state.Reply;
+import org.zinniatack.process.ErrorAnswers;
+
+/**
+ * Calls of plain services, under the name of their route.
+ */
+@Controller("/services/{route}")
+@Requires(beans = EntryService.class)
+@Consumes("*/*")
+final class ServiceController {
+
+	private static final List<String> FORWARDED_HEADERS = List.of("Content-Type", "Accept", "Accept-Language",
+			"Idempotency-Key");
+
+	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+
+	private static final String IDEMPOTENCY_HEADER = "Idempotency-Key";
+
+	private static final long IN_PROGRESS_RETRY_MS = 1_000;
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	private final EntryService entry;
+
+	ServiceController(EntryService entry) {
+		this.entry = entry;
+	}
+
+	@Get("/{+path}")
+	CompletableFuture<HttpResponse<?>> get(HttpRequest<?> http, String route, String path) throws ServiceException {
+		return run(http, route, path, NO_BODY);
+	}
+
+	@Post("/{+path}")
+	CompletableFuture<HttpResponse<?>> post(HttpRequest<?> http, String route, String path,
+			@Body byte @Nullable [] body) throws ServiceException {
+		return run(http, route, path, (body != null) ? body : NO_BODY);
+	}
+
+	@Put("/{+path}")
+	CompletableFuture<HttpResponse<?>> put(HttpRequest<?> http, String route, String path, @Body byte @Nullable [] body)
+			throws ServiceException {
+		return run(http, route, path, (body != null) ? body : NO_BODY);
+	}
+
+	@Patch("/{+path}")
+	CompletableFuture<HttpResponse<?>> patch(HttpRequest<?> http, String route, String path,
+			@Body byte @Nullable [] body) throws ServiceException {
+		return run(http, route, path, (body != null) ? body : NO_BODY);
+	}
+
+	@Delete("/{+path}")
+	CompletableFuture<HttpResponse<?>> delete(HttpRequest<?> http, String route, String path) throws ServiceException {
+		return run(http, route, path, NO_BODY);
+	}
+
+	private CompletableFuture<HttpResponse<?>> run(HttpRequest<?> http, String name, String path, byte[] body)
+			throws ServiceException {
+		Configuration configuration = this.entry.configuration();
+		Optional<String> key = Caller.keyOf(http);
+		Specification.Route route = configuration.route(name)
+			.filter((found) -> found.protocol() == Specification.Protocol.SERVICE)
+			.orElseThrow(() -> ServiceException.of(ResultCode.UNKNOWN_ROUTE, "service " + name));
+		CallerRequest.Access access = Caller.access(configuration, route, key);
+		String query = http.getUri().getRawQuery();
+		String target = "/" + path + ((query != null) ? "?" + query : "");
+		Caller.requireKeyOutside(key, target, body);
+		boolean repeatable = route.repeatable() || SAFE_METHODS.contains(http.getMethodName());
+		CallerRequest.Call call = new CallerRequest.Call(name, route, http.getMethodName(), target, forwarded(http),
+				RequestBody.fixed(body), digest(access, name, http.getMethodName(), target, body), 0, repeatable);
+		return repeatable ? submit(access, call, new WholeSink(ServiceController::form)) : once(http, access, call);
+	}
+
+	private CompletableFuture<HttpResponse<?>> submit(CallerRequest.Access access, CallerRequest.Call call,
+			WholeSink sink) throws ServiceException {
+		this.entry.dispatcher().submit(Submission.of(this.entry, access, call, 0, false, sink), true);
+		return sink.response();
+	}
+
+	/** Commits the intent to run a request before it is sent to a target. */
+	private CompletableFuture<HttpResponse<?>> once(HttpRequest<?> http, CallerRequest.Access access,
+			CallerRequest.Call call) throws ServiceException {
+		String key = Optional.ofNullable(http.getHeaders().get(IDEMPOTENCY_HEADER))
+			.filter((value) -> !value.isBlank())
+			.orElseThrow(() -> ServiceException.of(ResultCode.IDEMPOTENCY_KEY_MISSING, "route " + call.routeName()));
+		Command.BeginIntent intent = new Command.BeginIntent(access.customer(), key, call.digest().hex(),
+				UUID.randomUUID().toString(), System.currentTimeMillis());
+		return this.entry.control()
+			.propose(intent)
+			.thenCompose((reply) -> afterIntent(reply, access, call, intent))
+			.exceptionally((failure) -> answerOf(ControlLink.unwrap(failure)));
+	}
+
+	private CompletableFuture<HttpResponse<?>> afterIntent(Reply reply, CallerRequest.Access access,
+			CallerRequest.Call call, Command.BeginIntent intent) {
+		try {
+			Reply.Intent known = (Reply.Intent) reply.orThrow();
+			return switch (known.answer().state()) {
+				case NOT_RUN -> runOnce(access, call, intent);
+				case RAN -> CompletableFuture.completedFuture(form(known.answer()));
+				case RUNNING -> CompletableFuture.failedFuture(ServiceException.retryable(ResultCode.IN_PROGRESS,
+						"ask again with the same key", IN_PROGRESS_RETRY_MS));
+				case UNKNOWN -> CompletableFuture
+					.failedFuture(ServiceException.of(ResultCode.NOT_REPEATED, "find out from the service"));
+			};
+		}
+		catch (ServiceException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	private CompletableFuture<HttpResponse<?>> runOnce(CallerRequest.Access access, CallerRequest.Call call,
+			Command.BeginIntent intent) {
+		WholeSink sink = new WholeSink(ServiceController::form);
+		OnceSink once = new OnceSink(sink, intent, this.entry.control());
+		try {
+			this.entry.dispatcher().submit(Submission.of(this.entry, access, call, 0, false, once), true);
+		}
+		catch (ServiceException ex) {
+			once.fail(ex);
+		}
+		return sink.response();
+	}
+
+	private static HttpResponse<?> answerOf(Throwable failure) {
+		return ErrorAnswers.of((failure instanceof ServiceException known) ? known
+				: ServiceException.of(ResultCode.INTERNAL, String.valueOf(failure)));
+	}
+
+	private static HttpResponse<?> form(Answer answer) {
+		return form(answer.httpStatus(), answer.contentType(), answer.body());
+	}
+
+	private static HttpResponse<?> form(IntentAnswer answer) {
+		return form(answer.httpStatus(), answer.contentType(), answer.body());
+	}
+
+	private static HttpResponse<?> form(int status, String contentType, byte[] body) {
+		return HttpResponse.<byte[]>status(HttpStatus.valueOf(status))
+			.header("Content-Type", contentType.isEmpty() ? "application/octet-stream" : contentType)
+			.body(body);
+	}
+
+	private static Map<String, String> forwarded(HttpRequest<?> http) {
+		Map<String, String> headers = new HashMap<>();
+		FORWARDED_HEADERS.forEach((name) -> Optional.ofNullable(http.getHeaders().get(name))
+			.ifPresent((value) -> headers.put(name, value)));
+		return headers;
+	}
+
+	private static KeyDigest digest(CallerRequest.Access access, String route, String method, String path,
+			byte[] body) {
+		return KeyDigest
+			.of(access.customer() + '\0' + route + '\0' + method + '\0' + path + '\0' + KeyDigest.of(body).hex());
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
@@ -0,0 +1,210 @@
+package org.zinniatack.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Delete;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Post;
+
+import org.zinniatack.core.config.Configuration;
+import org.zinniatack.core.config.Specification;
+import org.zinniatack.core.key.KeyDigest;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.sample.Sample;
+import org.zinniatack.core.sample.StragglerPolicy;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.Reply;
+import org.zinniatack.process.ErrorAnswers;
+import org.zinniatack.wire.Message;
+
+/**
+ * Steps of trainers: groups of samples are submitted, the batch is fetched once it is
+ * whole and is the same at each fetch, and it is released when the trainer has it. A
+ * trainer may submit a step again, through any entry, until its batch is there.
+ */
+@Controller("/v1/steps")
+@Requires(beans = EntryService.class)
+@Consumes("*/*")
+final class StepController {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final int LARGEST_STEP = 65_536;
+
+	private static final double STRAGGLER_MULTIPLE = 3;
+
+	private static final double STRAGGLER_SHARE = 0.02;
+
+	private static final long BATCH_RETRY_MS = 200;
+
+	private final EntryService entry;
+
+	StepController(EntryService entry) {
+		this.entry = entry;
+	}
+
+	@Post
+	CompletableFuture<HttpResponse<?>> open(HttpRequest<?> http, @Body byte[] body) throws ServiceException {
+		Configuration configuration = this.entry.configuration();
+		CallerRequest.Access access = Caller.require(configuration, Caller.keyOf(http));
+		Caller.requireKeyOutside(Caller.keyOf(http), "", body);
+		JsonNode document = Generation.readTree(body);
+		String step = text(document, "step");
+		String model = text(document, "model");
+		Specification.Route route = CompletionController.engineRoute(configuration, model);
+		Caller.access(configuration, route, Caller.keyOf(http));
+		List<Generation> slots = slots(document, model);
+		Command.OpenStep command = new Command.OpenStep(access.customer(), step, route.pool(),
+				KeyDigest.of(document.toString()).hex(), slots.size(),
+				configuration.policyOf(access.customer()).sampleAgeBoundVersions());
+		return this.entry.control()
+			.propose(command)
+			.<HttpResponse<?>>thenApply((reply) -> started(reply, access, route, step, slots))
+			.exceptionally((failure) -> answerOf(ControlLink.unwrap(failure)));
+	}
+
+	private HttpResponse<?> started(Reply reply, CallerRequest.Access access, Specification.Route route, String step,
+			List<Generation> slots) {
+		try {
+			List<Integer> missing = ((Reply.Slots) reply.orThrow()).missing();
+			StragglerPolicy stragglers = StragglerPolicy.medianMultiple(slots.size(), STRAGGLER_MULTIPLE,
+					STRAGGLER_SHARE);
+			this.entry
+				.stepRunner(access.customer(), step,
+						() -> new StepRunner(access.customer(), step, new SlotSubmitter(access, route, slots),
+								this.entry.control(), stragglers, this.entry::nowMs))
+				.generate(missing);
+			return HttpResponse.accepted().body(Map.of("step", step, "slots", slots.size(), "missing", missing.size()));
+		}
+		catch (ServiceException ex) {
+			return ErrorAnswers.of(ex);
+		}
+	}
+
+	@Get("/{step}/batch")
+	CompletableFuture<HttpResponse<?>> batch(HttpRequest<?> http, String step) throws ServiceException {
+		CallerRequest.Access access = Caller.require(this.entry.configuration(), Caller.keyOf(http));
+		return this.entry.control()
+			.call(new Message.FetchBatch(access.customer(), step))
+			.<HttpResponse<?>>thenApply(
+					(answer) -> HttpResponse.ok(new BatchBody(step, ((Message.Batch) answer).samples())))
+			.exceptionally((failure) -> answerOf(ControlLink.unwrap(failure)));
+	}
+
+	@Delete("/{step}")
+	CompletableFuture<HttpResponse<?>> release(HttpRequest<?> http, String step) throws ServiceException {
+		CallerRequest.Access access = Caller.require(this.entry.configuration(), Caller.keyOf(http));
+		return this.entry.control()
+			.propose(new Command.ReleaseStep(access.customer(), step))
+			.<HttpResponse<?>>thenApply((reply) -> {
+				try {
+					reply.orThrow();
+					return HttpResponse.noContent();
+				}
+				catch (ServiceException ex) {
+					return ErrorAnswers.of(ex);
+				}
+			})
+			.exceptionally((failure) -> answerOf(ControlLink.unwrap(failure)));
+	}
+
+	private static HttpResponse<?> answerOf(Throwable failure) {
+		if (failure instanceof ServiceException known) {
+			boolean early = known.code() == ResultCode.STEP_INCOMPLETE;
+			return ErrorAnswers
+				.of(early ? ServiceException.retryable(known.code(), String.valueOf(known.getMessage()), BATCH_RETRY_MS)
+						: known);
+		}
+		return ErrorAnswers.of(ServiceException.of(ResultCode.INTERNAL, String.valueOf(failure)));
+	}
+
+	private static String text(JsonNode document, String field) throws ServiceException {
+		if (!document.path(field).isTextual() || document.path(field).asText().isBlank()) {
+			throw ServiceException.of(ResultCode.FIELD_INVALID, field + " must be a text that is not blank");
+		}
+		return document.path(field).asText();
+	}
+
+	private static List<Generation> slots(JsonNode document, String model) throws ServiceException {
+		if (!document.path("groups").isArray() || document.path("groups").isEmpty()) {
+			throw ServiceException.of(ResultCode.FIELD_INVALID, "groups must be a list that is not empty");
+		}
+		List<Generation> slots = new ArrayList<>();
+		for (JsonNode group : document.path("groups")) {
+			int samples = group.path("samples").asInt(0);
+			if (samples < 1 || slots.size() + samples > LARGEST_STEP) {
+				throw ServiceException.of(ResultCode.FIELD_INVALID,
+						"samples must be at least 1, and at most " + LARGEST_STEP + " in a step");
+			}
+			for (int sample = 0; sample < samples; sample++) {
+				slots.add(slot(group, model, sample));
+			}
+		}
+		return slots;
+	}
+
+	private static Generation slot(JsonNode group, String model, int sample) throws ServiceException {
+		ObjectNode body = MAPPER.createObjectNode();
+		body.put("model", model);
+		body.put("prompt", text(group, "prompt"));
+		body.put("seed", sample);
+		if (group.has("max_tokens")) {
+			body.set("max_tokens", group.get("max_tokens"));
+		}
+		return Generation.parse(Generation.bytes(body), false);
+	}
+
+	/**
+	 * The batch of a step.
+	 *
+	 * @param step the step
+	 * @param samples the samples in the order of their slots
+	 */
+	record BatchBody(String step, List<Sample> samples) {
+	}
+
+	private final class SlotSubmitter implements StepRunner.Submitter {
+
+		private final CallerRequest.Access access;
+
+		private final Specification.Route route;
+
+		private final List<Generation> slots;
+
+		SlotSubmitter(CallerRequest.Access access, Specification.Route route, List<Generation> slots) {
+			this.access = access;
+			this.route = route;
+			this.slots = slots;
+		}
+
+		@Override
+		public CallerRequest submit(int slot, AnswerSink sink) throws ServiceException {
+			Generation generation = this.slots.get(slot);
+			CallerRequest request = Submission.of(StepController.this.entry, this.access,
+					generation.call(this.access.customer(), this.route, true), generation.maximumTokens(), true, sink);
+			StepController.this.entry.dispatcher().submit(request, false);
+			return request;
+		}
+
+		@Override
+		public void cancel(CallerRequest request) {
+			StepController.this.entry.dispatcher()
+				.endNow(request, ServiceException.of(ResultCode.ANSWER_CUT_SHORT, "another attempt was first"));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
@@ -0,0 +1,222 @@
+package org.zinniatack.entry;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import com.google.common.flogger.FluentLogger;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.sample.Sample;
+import org.zinniatack.core.sample.StragglerPolicy;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.Reply;
+
+/**
+ * Generates the samples of one step: submits its empty slots, hands whole samples to
+ * control, issues stragglers again, and commits the batch once every slot is filled.
+ */
+final class StepRunner {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private final String customer;
+
+	private final String step;
+
+	private final Submitter submitter;
+
+	private final ControlLink control;
+
+	private final StragglerPolicy stragglers;
+
+	private final LongSupplier clockMs;
+
+	private final Set<Integer> open = new HashSet<>();
+
+	private final Map<Integer, List<CallerRequest>> attempts = new HashMap<>();
+
+	private final List<Sample> unsent = new ArrayList<>();
+
+	private boolean sending;
+
+	private boolean committed;
+
+	StepRunner(String customer, String step, Submitter submitter, ControlLink control, StragglerPolicy stragglers,
+			LongSupplier clockMs) {
+		this.customer = customer;
+		this.step = step;
+		this.submitter = submitter;
+		this.control = control;
+		this.stragglers = stragglers;
+		this.clockMs = clockMs;
+	}
+
+	/** Generates slots that are empty. */
+	void generate(Collection<Integer> slots) {
+		List<Integer> starting = new ArrayList<>();
+		synchronized (this) {
+			slots.stream().filter(this.open::add).forEach(starting::add);
+		}
+		starting.forEach(this::issue);
+		if (slots.isEmpty()) {
+			commit();
+		}
+	}
+
+	private void issue(int slot) {
+		try {
+			CallerRequest request = this.submitter.submit(slot, new SlotSink(slot));
+			synchronized (this) {
+				this.attempts.computeIfAbsent(slot, (absent) -> new ArrayList<>()).add(request);
+			}
+		}
+		catch (ServiceException ex) {
+			LOGGER.atFine().log("event=slot_waits step=%s slot=%d code=%d", this.step, slot, ex.code().number());
+		}
+	}
+
+	/** Issues slots again that have no attempt left, or whose attempt is a straggler. */
+	void tend() {
+		long nowMs = this.clockMs.getAsLong();
+		List<Integer> again = new ArrayList<>();
+		synchronized (this) {
+			for (int slot : this.open) {
+				List<CallerRequest> live = this.attempts.getOrDefault(slot, new ArrayList<>());
+				live.removeIf(CallerRequest::isDone);
+				boolean slow = live.size() == 1 && live.get(0).target() != null
+						&& this.stragglers.isStraggler(nowMs - live.get(0).startedMs());
+				if (live.isEmpty() || slow) {
+					again.add(slot);
+				}
+			}
+		}
+		again.forEach(this::issue);
+		send();
+	}
+
+	synchronized boolean isCommitted() {
+		return this.committed;
+	}
+
+	synchronized int openSlots() {
+		return this.open.size();
+	}
+
+	private void arrived(Sample sample, long durationMs) {
+		List<CallerRequest> others = new ArrayList<>();
+		synchronized (this) {
+			if (!this.open.remove(sample.slot())) {
+				return;
+			}
+			this.stragglers.finished(durationMs);
+			this.unsent.add(sample);
+			others.addAll(this.attempts.getOrDefault(sample.slot(), List.of()));
+			this.attempts.remove(sample.slot());
+		}
+		others.stream().filter((request) -> !request.isDone()).forEach(this.submitter::cancel);
+		send();
+	}
+
+	private void send() {
+		List<Sample> sent;
+		synchronized (this) {
+			if (this.sending || this.unsent.isEmpty()) {
+				return;
+			}
+			this.sending = true;
+			sent = List.copyOf(this.unsent);
+		}
+		this.control.propose(new Command.FillSlots(this.customer, this.step, sent))
+			.whenComplete((reply, failure) -> filled(sent, reply, failure));
+	}
+
+	private void filled(List<Sample> sent, @Nullable Reply reply, @Nullable Throwable failure) {
+		synchronized (this) {
+			this.sending = false;
+			if (failure == null) {
+				this.unsent.removeAll(sent);
+			}
+		}
+		if (failure != null) {
+			return;
+		}
+		if (reply instanceof Reply.Slots slots && slots.missing().isEmpty()) {
+			commit();
+		}
+		else if (reply instanceof Reply.Slots slots) {
+			reopen(sent, slots.missing());
+		}
+		send();
+	}
+
+	/** Generates again what control found too old. */
+	private void reopen(List<Sample> sent, Collection<Integer> missing) {
+		generate(sent.stream().map(Sample::slot).filter(Set.copyOf(missing)::contains).toList());
+	}
+
+	private void commit() {
+		this.control.propose(new Command.CommitStep(this.customer, this.step)).thenAccept((reply) -> {
+			if (reply instanceof Reply.Slots slots && !slots.missing().isEmpty()) {
+				generate(slots.missing());
+			}
+			else if (reply instanceof Reply.Slots) {
+				synchronized (this) {
+					this.committed = true;
+				}
+				LOGGER.atInfo().log("event=step_committed customer=%s step=%s", this.customer, this.step);
+			}
+		});
+	}
+
+	/** Submits the generation of a slot and cancels it. */
+	interface Submitter {
+
+		CallerRequest submit(int slot, AnswerSink sink) throws ServiceException;
+
+		void cancel(CallerRequest request);
+
+	}
+
+	private final class SlotSink implements AnswerSink {
+
+		private final int slot;
+
+		private final long submittedMs = StepRunner.this.clockMs.getAsLong();
+
+		SlotSink(int slot) {
+			this.slot = slot;
+		}
+
+		@Override
+		public void end(Answer answer) {
+			boolean attributed = !answer.spans().isEmpty()
+					&& answer.spans().stream().allMatch((span) -> span.weightVersion() > 0);
+			if (attributed) {
+				arrived(new Sample(this.slot, answer.text(), answer.finishReason(), answer.spans()),
+						StepRunner.this.clockMs.getAsLong() - this.submittedMs);
+			}
+			else {
+				LOGGER.atWarning()
+					.log("event=sample_refused step=%s slot=%d code=%d", StepRunner.this.step, this.slot,
+							ResultCode.SAMPLE_UNATTRIBUTED.number());
+			}
+		}
+
+		@Override
+		public void fail(ServiceException failure) {
+			LOGGER.atFine()
+				.log("event=slot_failed step=%s slot=%d code=%d", StepRunner.this.step, this.slot,
+						failure.code().number());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/TargetLink.java
@@ -0,0 +1,136 @@
+package org.zinniatack.entry;
+
+import java.util.function.LongSupplier;
+
+import org.zinniatack.core.routing.Candidate;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+
+/**
+ * One target as this entry sees it. Its changing fields belong to the {@link Dispatcher}.
+ */
+final class TargetLink implements Candidate {
+
+	private static final int EJECTION_FAILURES = 3;
+
+	private static final long EJECTION_MS = 5_000;
+
+	private static final long SLOW_START_MS = 3_000;
+
+	private static final long ALONE_ROOM = 1;
+
+	private final Peer peer;
+
+	private final Message.Announce announce;
+
+	private final LongSupplier clockMs;
+
+	private Message.Load load = new Message.Load(0, 0, false, false, 0, 0);
+
+	private int ownRunning;
+
+	private int othersRunning;
+
+	private int consecutiveFailures;
+
+	private long ejectedUntilMs = Long.MIN_VALUE;
+
+	private long slowStartSinceMs = Long.MIN_VALUE / 2;
+
+	private boolean runsAlone;
+
+	TargetLink(Peer peer, Message.Announce announce, LongSupplier clockMs) {
+		this.peer = peer;
+		this.announce = announce;
+		this.clockMs = clockMs;
+	}
+
+	Peer peer() {
+		return this.peer;
+	}
+
+	Message.Announce announce() {
+		return this.announce;
+	}
+
+	Message.Load lastLoad() {
+		return this.load;
+	}
+
+	int ownRunning() {
+		return this.ownRunning;
+	}
+
+	void report(Message.Load reported) {
+		if (reported.weightVersion() != this.load.weightVersion()) {
+			this.slowStartSinceMs = this.clockMs.getAsLong();
+		}
+		this.load = reported;
+		this.othersRunning = Math.max(0, reported.runningCount() - this.ownRunning);
+	}
+
+	void started(boolean alone) {
+		this.ownRunning++;
+		this.runsAlone = alone;
+	}
+
+	void ended(boolean succeeded) {
+		this.ownRunning--;
+		this.runsAlone = this.runsAlone && this.ownRunning > 0;
+		this.consecutiveFailures = succeeded ? 0 : this.consecutiveFailures + 1;
+		if (this.consecutiveFailures >= EJECTION_FAILURES) {
+			this.ejectedUntilMs = this.clockMs.getAsLong() + EJECTION_MS;
+			this.consecutiveFailures = 0;
+		}
+	}
+
+	/** Notes that the target had no room although it seemed to. */
+	void refusedAsBusy() {
+		this.othersRunning = Math.max(this.othersRunning, this.announce.slotCount() - this.ownRunning);
+	}
+
+	boolean isUsable() {
+		return this.peer.isOpen() && this.load.healthy() && !this.load.leaving()
+				&& this.clockMs.getAsLong() >= this.ejectedUntilMs;
+	}
+
+	boolean isIdle() {
+		return isUsable() && this.ownRunning + this.othersRunning == 0;
+	}
+
+	@Override
+	public String failureDomain() {
+		return this.announce.failureDomain();
+	}
+
+	@Override
+	public boolean isAvailable() {
+		return isUsable() && room() > 0;
+	}
+
+	/** Returns the number of requests that may start now. */
+	int room() {
+		return (this.runsAlone || !isUsable()) ? 0 : Math.max(0, slots() - this.ownRunning - this.othersRunning);
+	}
+
+	/** Returns the slots, fewer for a while after new weights have emptied the caches. */
+	private int slots() {
+		long sinceMs = this.clockMs.getAsLong() - this.slowStartSinceMs;
+		if (sinceMs >= SLOW_START_MS) {
+			return this.announce.slotCount();
+		}
+		return (int) Math.max(ALONE_ROOM,
+				(long) this.announce.slotCount() * (SLOW_START_MS + sinceMs) / (2 * SLOW_START_MS));
+	}
+
+	@Override
+	public double load() {
+		return (double) (this.ownRunning + this.othersRunning) / this.announce.slotCount();
+	}
+
+	@Override
+	public String targetId() {
+		return this.announce.targetId();
+	}
+
+}
--- /dev/null
+++ b/zinniatack-standin/src/main/java/org/zinniatack/standin/EngineController.java
@@ -0,0 +1,109 @@
+package org.zinniatack.standin;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Produces;
+import io.micronaut.http.annotation.Put;
+import io.micronaut.scheduling.TaskExecutors;
+import io.micronaut.scheduling.annotation.ExecuteOn;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+
+/**
+ * The HTTP interface of the stand-in engine. Each event states the weight version that
+ * produced it.
+ */
+@Controller
+@Requires(beans = StandInEngine.class)
+@Consumes("*/*")
+final class EngineController {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final int DEFAULT_TOKENS = 16;
+
+	private static final int EXIT_CODE = 86;
+
+	private final StandInEngine engine;
+
+	EngineController(StandInEngine engine) {
+		this.engine = engine;
+	}
+
+	@Post("/v1/completions")
+	@Produces("text/event-stream")
+	Publisher<byte[]> complete(@Body byte[] body) throws IOException {
+		return generate(MAPPER.readTree(body), false);
+	}
+
+	@Post("/v1/chat/completions")
+	@Produces("text/event-stream")
+	Publisher<byte[]> chat(@Body byte[] body) throws IOException {
+		return generate(MAPPER.readTree(body), true);
+	}
+
+	private Publisher<byte[]> generate(JsonNode request, boolean chat) {
+		String prompt = chat ? request.path("messages").toString() : request.path("prompt").asText();
+		String crashPrompt = this.engine.options().crashPrompt();
+		if (!crashPrompt.isEmpty() && prompt.contains(crashPrompt)) {
+			Runtime.getRuntime().halt(EXIT_CODE);
+		}
+		int count = request.path("max_tokens").asInt(DEFAULT_TOKENS);
+		int first = request.path("resume").path("token_count").asInt(0);
+		long seed = request.path("seed").asLong(0);
+		Flux<byte[]> events = Flux.range(first, Math.max(0, count - first))
+			.map((position) -> event(StandInEngine.token(prompt, seed, position), position + 1 == count, chat));
+		if (this.engine.options().tokenIntervalMs() > 0) {
+			events = events.delayElements(Duration.ofMillis(this.engine.options().tokenIntervalMs()));
+		}
+		return events.concatWithValues("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8))
+			.doOnSubscribe((subscription) -> this.engine.running().incrementAndGet())
+			.doFinally((signal) -> this.engine.running().decrementAndGet());
+	}
+
+	private byte[] event(String token, boolean last, boolean chat) {
+		ObjectNode event = MAPPER.createObjectNode();
+		event.put("object", chat ? "chat.completion.chunk" : "text_completion");
+		ObjectNode choice = event.putArray("choices").addObject();
+		choice.put("index", 0);
+		if (chat) {
+			choice.putObject("delta").put("content", token);
+		}
+		else {
+			choice.put("text", token);
+		}
+		choice.put("finish_reason", last ? "length" : null);
+		event.put("weight_version", this.engine.weightVersion());
+		event.put("token_count", 1);
+		return ("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8);
+	}
+
+	@Get("/admin/state")
+	Map<String, Object> state() {
+		return Map.of("weight_version", this.engine.weightVersion(), "running", this.engine.running().get());
+	}
+
+	@Put("/admin/weights")
+	@ExecuteOn(TaskExecutors.BLOCKING)
+	HttpResponse<Map<String, Object>> load(@Body byte[] body) throws IOException, InterruptedException {
+		JsonNode order = MAPPER.readTree(body);
+		boolean loaded = this.engine.load(order.path("version").asLong(), order.path("fencing_number").asLong());
+		return loaded ? HttpResponse.ok(state())
+				: HttpResponse.<Map<String, Object>>status(HttpStatus.CONFLICT).body(state());
+	}
+
+}
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -34,6 +34,7 @@
 		@JsonSubTypes.Type(value = Message.ReadIndex.class, name = "ri"),
 		@JsonSubTypes.Type(value = Message.ReadIndexAt.class, name = "ra"),
 		@JsonSubTypes.Type(value = Message.Roster.class, name = "ro"),
+		@JsonSubTypes.Type(value = Message.PresenceRequest.class, name = "pq"),
 		@JsonSubTypes.Type(value = Message.FetchBatch.class, name = "fb"),
 		@JsonSubTypes.Type(value = Message.Batch.class, name = "ba"),
 		@JsonSubTypes.Type(value = Message.EntryReport.class, name = "er"),
@@ -46,7 +47,8 @@
 		@JsonSubTypes.Type(value = Message.AnswerHead.class, name = "ah"),
 		@JsonSubTypes.Type(value = Message.AnswerChunk.class, name = "ac"),
 		@JsonSubTypes.Type(value = Message.AnswerEnd.class, name = "ae"),
-		@JsonSubTypes.Type(value = Message.TargetDirective.class, name = "td") })
+		@JsonSubTypes.Type(value = Message.TargetDirective.class, name = "td"),
+		@JsonSubTypes.Type(value = Message.TargetCrash.class, name = "tc") })
 public sealed interface Message {
 
 	/**
@@ -155,6 +157,10 @@
 	record ReadIndex() implements Message {
 	}
 
+	/** Asks the leader for the reports of all entries. */
+	record PresenceRequest() implements Message {
+	}
+
 	/**
 	 * Answers a request for a read index.
 	 *
@@ -347,4 +353,13 @@
 	record TargetDirective(long epoch, long weightVersion, boolean leaving) implements Message {
 	}
 
+	/**
+	 * Tells an entry that a target crashed.
+	 *
+	 * @param crashId the id of the crash
+	 * @param requestDigests the digests of the requests that were running
+	 */
+	record TargetCrash(String crashId, List<String> requestDigests) implements Message {
+	}
+
 }
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
@@ -8,7 +8,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -97,21 +96,19 @@
 	 * @throws ServiceException if the address cannot be bound
 	 */
 	public int listen(String address) throws ServiceException {
-		try {
-			Channel channel = new ServerBootstrap().group(this.group)
-				.channel(NioServerSocketChannel.class)
-				.option(ChannelOption.SO_REUSEADDR, true)
-				.childOption(ChannelOption.TCP_NODELAY, true)
-				.childHandler(initializer(false, (peer) -> {
-				}))
-				.bind(parse(address))
-				.syncUninterruptibly()
-				.channel();
-			return ((InetSocketAddress) channel.localAddress()).getPort();
-		}
-		catch (RuntimeException ex) {
-			throw ServiceException.of(ResultCode.SETTINGS_INVALID, "cannot listen on " + address + ": " + ex);
+		ChannelFuture bound = new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(initializer(false, (peer) -> {
+			}))
+			.bind(parse(address))
+			.awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw ServiceException.of(ResultCode.SETTINGS_INVALID,
+					"cannot listen on " + address + ": " + bound.cause().getMessage());
 		}
+		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
 	/**
