Probe a follower one message at a time after it refuses entries

The leader told old refusals from new ones by time, so a second, deeper hint that arrived within the same round trip was always dropped, and each dropped refusal was answered by a heartbeat that was refused again. Ruled out: the hint itself (it was right) and lost messages (none were lost by then).

--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ConsensusMessage.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ConsensusMessage.java
@@ -87,9 +87,10 @@
 	 * @param term the follower's term
 	 * @param success true if the follower's log holds the leader's up to the match index
 	 * @param matchIndex the last matching index, or a hint where to try next
+	 * @param rejectedIndex the previous index of a rejected request, 0 on success
 	 * @param sentAtMs the time that the request carried, in milliseconds
 	 */
-	record AppendResponse(String from, String to, long term, boolean success, long matchIndex,
+	record AppendResponse(String from, String to, long term, boolean success, long matchIndex, long rejectedIndex,
 			long sentAtMs) implements ConsensusMessage {
 	}
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
@@ -156,7 +156,7 @@
 
 	@Override
 	public List<LogEntry> entriesAfter(long index) {
-		return this.log.slice(index + 1, Integer.MAX_VALUE);
+		return this.log.slice(index + 1, (int) (this.writtenIndex - index));
 	}
 
 	@Override
@@ -390,16 +390,17 @@
 
 	private void onAppendRequest(ConsensusMessage.AppendRequest request, long nowMs) {
 		if (!followLeader(request, nowMs)) {
-			respond(request.from(), false, 0, request.sentAtMs());
+			respond(request.from(), false, 0, 0, request.sentAtMs());
 			return;
 		}
 		if (request.previousIndex() > this.log.lastIndex()) {
-			respond(request.from(), false, this.log.lastIndex(), request.sentAtMs());
+			respond(request.from(), false, this.log.lastIndex(), request.previousIndex(), request.sentAtMs());
 			return;
 		}
 		if (request.previousIndex() >= this.log.snapshot().index()
 				&& this.log.termAt(request.previousIndex()) != request.previousTerm()) {
-			respond(request.from(), false, lastIndexBeforeTermAt(request.previousIndex()), request.sentAtMs());
+			respond(request.from(), false, lastIndexBeforeTermAt(request.previousIndex()), request.previousIndex(),
+					request.sentAtMs());
 			return;
 		}
 		request.entries().forEach(this::store);
@@ -408,7 +409,7 @@
 		if (request.commitIndex() <= matchIndex) {
 			this.currentAsOfMs = nowMs;
 		}
-		respond(request.from(), true, matchIndex, request.sentAtMs());
+		respond(request.from(), true, matchIndex, 0, request.sentAtMs());
 	}
 
 	private long lastIndexBeforeTermAt(long index) {
@@ -451,7 +452,7 @@
 
 	private void onSnapshotRequest(ConsensusMessage.SnapshotRequest request, long nowMs) {
 		if (!followLeader(request, nowMs)) {
-			respond(request.from(), false, 0, request.sentAtMs());
+			respond(request.from(), false, 0, 0, request.sentAtMs());
 			return;
 		}
 		Snapshot received = request.snapshot();
@@ -463,7 +464,7 @@
 				install(received);
 			}
 		}
-		respond(request.from(), true, received.index(), request.sentAtMs());
+		respond(request.from(), true, received.index(), 0, request.sentAtMs());
 	}
 
 	private void install(Snapshot received) {
@@ -481,9 +482,11 @@
 		if (this.role != Role.LEADER) {
 			return;
 		}
-		this.replication.onResponse(response, nowMs);
+		boolean sendsNow = this.replication.onResponse(response);
 		advanceCommit();
-		this.replication.sendTo(response.from(), this.commitIndex, !response.success(), nowMs, this.messages);
+		if (sendsNow) {
+			this.replication.sendTo(response.from(), this.commitIndex, false, nowMs, this.messages);
+		}
 	}
 
 	private void advanceCommit() {
@@ -507,9 +510,9 @@
 		}
 	}
 
-	private void respond(String to, boolean success, long matchIndex, long sentAtMs) {
-		this.messages
-			.add(new ConsensusMessage.AppendResponse(this.settings.id(), to, term(), success, matchIndex, sentAtMs));
+	private void respond(String to, boolean success, long matchIndex, long rejectedIndex, long sentAtMs) {
+		this.messages.add(new ConsensusMessage.AppendResponse(this.settings.id(), to, term(), success, matchIndex,
+				rejectedIndex, sentAtMs));
 	}
 
 	@Override
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
@@ -14,7 +14,9 @@
 
 	private long acknowledgedSentAtMs = NEVER_MS;
 
-	private long rewoundAtMs = NEVER_MS;
+	private long probeSentAtMs = NEVER_MS;
+
+	private boolean probing = true;
 
 	private long snapshotSentAtMs = NEVER_MS;
 
@@ -38,19 +40,43 @@
 		return this.nextIndex;
 	}
 
+	boolean isProbing() {
+		return this.probing;
+	}
+
+	/**
+	 * Takes over what the follower holds; from now on entries are sent without waiting.
+	 */
 	void matched(long index) {
 		this.matchIndex = Math.max(this.matchIndex, index);
 		this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
+		this.probing = false;
 		this.snapshotSentAtMs = NEVER_MS;
 	}
 
-	/** Rewinds to the hint, unless the refused message left before the last rewind. */
-	void rejected(long hintIndex, long sentAtMs, long nowMs) {
-		if (sentAtMs <= this.rewoundAtMs) {
-			return;
+	/**
+	 * Goes back to where the follower's log may match, and probes from there one message
+	 * at a time. A rejection that does not answer the newest probe changes nothing.
+	 * @return true if a probe should be sent now
+	 */
+	boolean rejected(long hintIndex, long rejectedIndex) {
+		boolean stale = rejectedIndex <= this.matchIndex || (this.probing && rejectedIndex != this.nextIndex - 1);
+		if (stale) {
+			return false;
+		}
+		this.nextIndex = Math.max(this.matchIndex + 1, Math.min(rejectedIndex, hintIndex + 1));
+		this.probing = true;
+		this.probeSentAtMs = NEVER_MS;
+		return true;
+	}
+
+	/** Returns whether a probe is due, and notes that it is sent. */
+	boolean startProbe(long nowMs, long retryMs) {
+		if (nowMs - this.probeSentAtMs < retryMs) {
+			return false;
 		}
-		this.rewoundAtMs = nowMs;
-		this.nextIndex = Math.max(this.matchIndex + 1, Math.min(this.nextIndex, hintIndex + 1));
+		this.probeSentAtMs = nowMs;
+		return true;
 	}
 
 	void sent(int entryCount) {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -65,9 +65,9 @@
 	long currentAsOfMs(long nowMs);
 
 	/**
-	 * Returns the entries after an index.
+	 * Returns the entries after an index that earlier effects have named.
 	 * @param index an index that is not compacted
-	 * @return the entries in memory
+	 * @return the entries that a stored snapshot of the index must be followed by
 	 */
 	List<LogEntry> entriesAfter(long index);
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -64,18 +64,18 @@
 			.max(Comparator.comparingLong(this::matchIndex));
 	}
 
-	void onResponse(ConsensusMessage.AppendResponse response, long nowMs) {
+	/** Takes an answer over and returns whether to send to the follower at once. */
+	boolean onResponse(ConsensusMessage.AppendResponse response) {
 		Progress progress = this.followers.get(response.from());
 		if (progress == null) {
-			return;
+			return false;
 		}
 		progress.acknowledge(response.sentAtMs());
 		if (response.success()) {
 			progress.matched(Math.min(response.matchIndex(), this.log.lastIndex()));
+			return true;
 		}
-		else {
-			progress.rejected(response.matchIndex(), response.sentAtMs(), nowMs);
-		}
+		return progress.rejected(response.matchIndex(), response.rejectedIndex());
 	}
 
 	/** Returns the sending time of the newest message that a quorum has answered. */
@@ -110,9 +110,13 @@
 		}
 		if (progress.nextIndex() < this.log.firstIndex()) {
 			sendSnapshot(id, progress, nowMs, messages);
-			return;
 		}
-		sendEntries(id, progress, commitIndex, heartbeat, nowMs, messages);
+		else if (!progress.isProbing()) {
+			progress.sent(sendEntries(id, progress, commitIndex, heartbeat, nowMs, messages));
+		}
+		else if (progress.startProbe(nowMs, this.settings.heartbeatIntervalMs())) {
+			sendEntries(id, progress, commitIndex, true, nowMs, messages);
+		}
 	}
 
 	private void sendSnapshot(String id, Progress progress, long nowMs, List<ConsensusMessage> messages) {
@@ -122,16 +126,15 @@
 		}
 	}
 
-	private void sendEntries(String id, Progress progress, long commitIndex, boolean heartbeat, long nowMs,
+	private int sendEntries(String id, Progress progress, long commitIndex, boolean heartbeat, long nowMs,
 			List<ConsensusMessage> messages) {
 		long previousIndex = progress.nextIndex() - 1;
 		List<LogEntry> entries = this.log.slice(progress.nextIndex(), this.settings.maximumBatchEntries());
-		if (entries.isEmpty() && !heartbeat) {
-			return;
+		if (!entries.isEmpty() || heartbeat) {
+			messages.add(new ConsensusMessage.AppendRequest(this.settings.id(), id, this.term, previousIndex,
+					this.log.termAt(previousIndex), entries, commitIndex, nowMs));
 		}
-		messages.add(new ConsensusMessage.AppendRequest(this.settings.id(), id, this.term, previousIndex,
-				this.log.termAt(previousIndex), entries, commitIndex, nowMs));
-		progress.sent(entries.size());
+		return entries.size();
 	}
 
 	/** Follows the given members; new ones count as never heard of. */
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedNode.java
@@ -0,0 +1,146 @@
+package org.zinniatack.core.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * One replica with its disk, its clock and the state of its process.
+ */
+final class SimulatedNode {
+
+	private final String name;
+
+	private final SplittableRandom random;
+
+	private final double clockRate;
+
+	private int incarnation;
+
+	private HardState diskHardState = HardState.initial();
+
+	private Snapshot diskSnapshot = Snapshot.empty();
+
+	private final List<LogEntry> diskEntries = new ArrayList<>();
+
+	private Replica replica;
+
+	private long applied;
+
+	private long restartAtMs = -1;
+
+	private long frozenUntilMs;
+
+	private boolean slowDisk;
+
+	SimulatedNode(String name, SplittableRandom random, double clockRate) {
+		this.name = name;
+		this.random = random;
+		this.clockRate = clockRate;
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	String id() {
+		return this.name + "." + this.incarnation;
+	}
+
+	long clockMs(long trueMs) {
+		return (long) (trueMs * this.clockRate);
+	}
+
+	Replica replica() {
+		return this.replica;
+	}
+
+	boolean isUp(long nowMs) {
+		return this.replica != null && nowMs >= this.frozenUntilMs;
+	}
+
+	boolean isRunning() {
+		return this.replica != null;
+	}
+
+	long applied() {
+		return this.applied;
+	}
+
+	void applied(long index) {
+		this.applied = index;
+	}
+
+	long restartAtMs() {
+		return this.restartAtMs;
+	}
+
+	void freezeUntil(long atMs) {
+		this.frozenUntilMs = atMs;
+	}
+
+	boolean isSlowDisk() {
+		return this.slowDisk;
+	}
+
+	void slowDisk(boolean slow) {
+		this.slowDisk = slow;
+	}
+
+	void found(Membership membership) {
+		this.diskEntries.add(LogEntry.membership(1, 0, membership));
+	}
+
+	void start(long nowMs) {
+		this.restartAtMs = -1;
+		this.replica = Replica.start(ReplicaSettings.defaults(id()),
+				new PersistentState(this.diskHardState, this.diskSnapshot, List.copyOf(this.diskEntries)), this.random,
+				clockMs(nowMs));
+		this.applied = this.diskSnapshot.index();
+	}
+
+	void crash(long restartAt) {
+		this.replica = null;
+		this.restartAtMs = restartAt;
+		this.frozenUntilMs = 0;
+	}
+
+	/** Empties the disk; the identity lives on it, so it is another one from now on. */
+	void loseDisk(boolean keepIdentity) {
+		this.diskHardState = HardState.initial();
+		this.diskSnapshot = Snapshot.empty();
+		this.diskEntries.clear();
+		this.incarnation += keepIdentity ? 0 : 1;
+	}
+
+	void forgetVote() {
+		this.diskHardState = new HardState(this.diskHardState.term(), "");
+	}
+
+	void persist(Effects effects) {
+		if (effects.hardState() != null) {
+			this.diskHardState = effects.hardState();
+		}
+		if (effects.snapshot() != null) {
+			this.diskSnapshot = effects.snapshot();
+			this.diskEntries.clear();
+		}
+		if (effects.truncateFrom() > 0) {
+			this.diskEntries.removeIf((entry) -> entry.index() >= effects.truncateFrom());
+		}
+		this.diskEntries.addAll(effects.entries());
+	}
+
+	void compact() {
+		if (this.applied > this.diskSnapshot.index()) {
+			this.diskSnapshot = this.replica.compact(this.applied, new byte[] { 1 });
+			this.diskEntries.clear();
+			this.diskEntries.addAll(this.replica.entriesAfter(this.applied));
+		}
+	}
+
+	Snapshot diskSnapshot() {
+		return this.diskSnapshot;
+	}
+
+}
