Test the whole path over real sockets, with and without faults

Cause: the path had no test. They found that the metrics endpoint was empty: the framework's composite registry was injected in place of the one that was filled; each process now has one registry. A test that expected a change of weights within one answer failed once: the third target was the one that ran it and is loaded last, so the answer was too short; it is longer now and the check is the same.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -110,6 +110,15 @@
 		LOGGER.atInfo().log("event=agent_stopped target=%s", this.settings.targetId());
 	}
 
+	/**
+	 * Closes all connections at once, as a crash would.
+	 */
+	public synchronized void abort() {
+		this.timer.shutdownNow();
+		this.links.values().forEach(Link::close);
+		this.wire.stop();
+	}
+
 	private static void sleep() {
 		try {
 			TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MS);
--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
+import com.google.common.flogger.FluentLogger;
 import io.micronaut.core.io.buffer.ByteBuffer;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
@@ -19,6 +21,7 @@
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.util.context.Context;
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -29,6 +32,10 @@
  */
 final class HttpTarget implements Target {
 
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final String DROPPED_ERROR_KEY = "reactor.onErrorDropped.local";
+
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
 	private static final Duration STATE_TIMEOUT = Duration.ofSeconds(1);
@@ -71,6 +78,9 @@
 		AtomicBoolean headSent = new AtomicBoolean();
 		Disposable subscription = Flux.from(this.client.exchangeStream(request))
 			.timeout(Mono.delay(Duration.ofMillis(run.deadlineInMs())), (next) -> Mono.never())
+			.contextWrite(Context.of(DROPPED_ERROR_KEY,
+					(Consumer<Throwable>) (dropped) -> LOGGER.atFine()
+						.log("event=error_after_cancel detail=\"%s\"", dropped.getMessage())))
 			.subscribe((response) -> onPart(response, headSent, events, receiver),
 					(failure) -> receiver.failed(failure, !isConnectFailure(failure)),
 					() -> onComplete(events, receiver));
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/Daemon.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/Daemon.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 
 import com.google.common.flogger.FluentLogger;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.micronaut.context.ApplicationContext;
 import io.micronaut.runtime.server.EmbeddedServer;
 
@@ -34,19 +35,22 @@
 	 * Returns a daemon that is not started.
 	 * @param httpAddress the address of the HTTP server, as host and port
 	 * @param maximumBodyBytes the largest body that the server takes, in bytes
+	 * @param metrics what the metrics endpoint shows
 	 * @param services the services, in the order of their start
 	 * @param beans what controllers may use
 	 * @return the daemon
 	 */
-	public static Daemon of(String httpAddress, int maximumBodyBytes, List<Service> services, Object... beans) {
+	public static Daemon of(String httpAddress, int maximumBodyBytes, PrometheusMeterRegistry metrics,
+			List<Service> services, Object... beans) {
 		int colon = httpAddress.lastIndexOf(':');
 		Map<String, Object> properties = new HashMap<>();
 		properties.put("micronaut.server.host", httpAddress.substring(0, colon));
 		properties.put("micronaut.server.port", httpAddress.substring(colon + 1));
 		properties.put("micronaut.server.max-request-size", maximumBodyBytes);
 		properties.put("micronaut.server.netty.max-header-size", "16KB");
-		properties.put("micronaut.http.services.default.read-timeout", "60s");
+		properties.put("micronaut.metrics.enabled", false);
 		List<Object> singletons = new ArrayList<>(List.of(beans));
+		singletons.add(metrics);
 		ApplicationContext context = ApplicationContext.builder()
 			.properties(properties)
 			.banner(false)
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/DaemonCommands.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/DaemonCommands.java
@@ -4,8 +4,6 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 
-import io.micrometer.core.instrument.MeterRegistry;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import picocli.CommandLine;
 
@@ -15,6 +13,7 @@
 import org.zinniatack.control.ControlSettings;
 import org.zinniatack.entry.EntryService;
 import org.zinniatack.entry.EntrySettings;
+import org.zinniatack.process.Metrics;
 import org.zinniatack.process.OperatorKeys;
 import org.zinniatack.process.Settings;
 
@@ -57,7 +56,7 @@
 		Daemon daemon() throws Exception {
 			ControlSettings settings = Settings.read(settings(), ControlSettings.class);
 			ControlService service = new ControlService(settings);
-			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, List.of(service), service,
+			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, Metrics.registry(), List.of(service), service,
 					OperatorKeys.of(settings.operatorKeyDigests()));
 		}
 
@@ -70,9 +69,9 @@
 		@Override
 		Daemon daemon() throws Exception {
 			EntrySettings settings = Settings.read(settings(), EntrySettings.class);
-			MeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+			PrometheusMeterRegistry metrics = Metrics.registry();
 			EntryService service = new EntryService(settings, metrics);
-			return Daemon.of(settings.httpAddress(), settings.maximumBodyBytes(), List.of(service), service, metrics,
+			return Daemon.of(settings.httpAddress(), settings.maximumBodyBytes(), metrics, List.of(service), service,
 					OperatorKeys.of(settings.operatorKeyDigests()));
 		}
 
@@ -87,7 +86,7 @@
 		Daemon daemon() throws Exception {
 			AgentSettings settings = Settings.read(settings(), AgentSettings.class);
 			AgentService service = new AgentService(settings);
-			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, List.of(service), service,
+			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, Metrics.registry(), List.of(service), service,
 					OperatorKeys.of(settings.operatorKeyDigests()));
 		}
 
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/StandInCommand.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/StandInCommand.java
@@ -5,6 +5,7 @@
 
 import picocli.CommandLine;
 
+import org.zinniatack.process.Metrics;
 import org.zinniatack.standin.StandInEngine;
 import org.zinniatack.standin.StandInPlatform;
 import org.zinniatack.standin.StandInService;
@@ -17,6 +18,8 @@
 		subcommands = { StandInCommand.Engine.class, StandInCommand.Service.class, StandInCommand.Platform.class })
 final class StandInCommand {
 
+	private static final int CRASH_EXIT_CODE = 86;
+
 	private static final int BODY_BYTES = 64 * 1024 * 1024;
 
 	/** Runs a stand-in engine. */
@@ -47,9 +50,11 @@
 		@Override
 		public Integer call() throws Exception {
 			Daemon
-				.of(this.http, BODY_BYTES, List.of(),
-						new StandInEngine(new StandInEngine.EngineOptions(this.weightVersion, this.tokenIntervalMs,
-								this.loadMs, !this.ignoresFencing, this.failedLoads, this.crashPrompt)))
+				.of(this.http, BODY_BYTES, Metrics.registry(), List.of(),
+						new StandInEngine(
+								new StandInEngine.EngineOptions(this.weightVersion, this.tokenIntervalMs, this.loadMs,
+										!this.ignoresFencing, this.failedLoads, this.crashPrompt),
+								() -> Runtime.getRuntime().halt(CRASH_EXIT_CODE)))
 				.run();
 			return 0;
 		}
@@ -65,7 +70,7 @@
 
 		@Override
 		public Integer call() throws Exception {
-			Daemon.of(this.http, BODY_BYTES, List.of(), new StandInService()).run();
+			Daemon.of(this.http, BODY_BYTES, Metrics.registry(), List.of(), new StandInService()).run();
 			return 0;
 		}
 
@@ -81,7 +86,7 @@
 
 		@Override
 		public Integer call() throws Exception {
-			Daemon.of(this.http, BODY_BYTES, List.of(), new StandInPlatform()).run();
+			Daemon.of(this.http, BODY_BYTES, Metrics.registry(), List.of(), new StandInPlatform()).run();
 			return 0;
 		}
 
--- /dev/null
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
@@ -0,0 +1,290 @@
+package org.zinniatack.cli;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.zinniatack.standin.StandInEngine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Requests and samples of a whole system while something fails.
+ */
+class FaultTests {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final long SLOW_TOKEN_MS = 25;
+
+	private static final int LONG_ANSWER = 120;
+
+	private static final int WEIGHT_CHANGE_ANSWER = 400;
+
+	@TempDir
+	private Path folder;
+
+	private LocalSystem system;
+
+	@BeforeEach
+	void startSystem() throws Exception {
+		this.system = new LocalSystem(this.folder, 60_000);
+		this.system.start(3);
+	}
+
+	@AfterEach
+	void stopSystem() {
+		this.system.close();
+	}
+
+	private void startEngines() throws Exception {
+		this.system.startEngine("engine-1", "a", LocalSystem.engine(SLOW_TOKEN_MS));
+		this.system.startEngine("engine-2", "b", LocalSystem.engine(SLOW_TOKEN_MS));
+	}
+
+	private static int codeOf(HttpResponse<String> answer) throws IOException {
+		return MAPPER.readTree(answer.body()).path("error").path("code").asInt();
+	}
+
+	private CompletableFuture<HttpResponse<String>> longCall(String entry, boolean stream) {
+		return this.system.sendAsync(entry, "POST", "/v1/completions",
+				LocalSystem.completion("a long answer", LONG_ANSWER, stream), LocalSystem.CALLER_KEY);
+	}
+
+	private String busyEngine() throws Exception {
+		String[] busy = new String[1];
+		LocalSystem.await("an engine runs the request", () -> {
+			for (String engine : this.system.running("engine-")
+				.stream()
+				.filter((name) -> !name.contains("of"))
+				.toList()) {
+				if (this.system.dump(engine).path("load").path("runningCount").asInt() > 0) {
+					busy[0] = engine;
+				}
+			}
+			return busy[0] != null;
+		});
+		return busy[0];
+	}
+
+	private static String textOf(String events) throws IOException {
+		StringBuilder text = new StringBuilder();
+		for (String event : events.split("\n\n")) {
+			if (!event.contains("[DONE]")) {
+				text.append(MAPPER.readTree(event.substring("data:".length()))
+					.path("choices")
+					.path(0)
+					.path("text")
+					.asText());
+			}
+		}
+		return text.toString();
+	}
+
+	@Test
+	void aStreamContinuesWithoutGapOrRepeatWhenItsEngineDies() throws Exception {
+		startEngines();
+		String whole = textOf(longCall("entry-1", true).get(20, TimeUnit.SECONDS).body());
+		CompletableFuture<HttpResponse<String>> call = longCall("entry-1", true);
+		String busy = busyEngine();
+		TimeUnit.MILLISECONDS.sleep(500);
+		this.system.stop("engine-of-" + busy);
+		String events = call.get(20, TimeUnit.SECONDS).body();
+		assertThat(events, endsWith("data: [DONE]\n\n"));
+		assertThat(textOf(events), equalTo(whole));
+	}
+
+	@Test
+	void aStreamContinuesWhenItsAgentIsLost() throws Exception {
+		startEngines();
+		String whole = textOf(longCall("entry-1", true).get(20, TimeUnit.SECONDS).body());
+		CompletableFuture<HttpResponse<String>> call = longCall("entry-1", true);
+		String busy = busyEngine();
+		TimeUnit.MILLISECONDS.sleep(300);
+		this.system.drop(busy);
+		assertThat(textOf(call.get(20, TimeUnit.SECONDS).body()), equalTo(whole));
+	}
+
+	@Test
+	void aStreamThatCannotContinueDoesNotLookComplete() throws Exception {
+		this.system.startEngine("engine-1", "a", LocalSystem.engine(SLOW_TOKEN_MS));
+		CompletableFuture<HttpResponse<String>> call = longCall("entry-1", true);
+		busyEngineOne();
+		TimeUnit.MILLISECONDS.sleep(300);
+		this.system.stop("engine-of-engine-1");
+		String events = call.get(40, TimeUnit.SECONDS).body();
+		assertThat(events, not(containsString("[DONE]")));
+		assertThat(events, containsString("event: error"));
+	}
+
+	private void busyEngineOne() throws Exception {
+		LocalSystem.await("the engine runs the request",
+				() -> this.system.dump("engine-1").path("load").path("runningCount").asInt() > 0);
+	}
+
+	@Test
+	void aWithdrawnKeyEndsItsRunningStreamWithinSeconds() throws Exception {
+		startEngines();
+		CompletableFuture<HttpResponse<String>> call = longCall("entry-2", true);
+		busyEngine();
+		long revision = this.system.revisionOf("key", "caller");
+		long withdrawnNs = System.nanoTime();
+		this.system.operator("DELETE", "/v1/records/key/caller?expectedRevision=" + revision, "");
+		String events = call.get(20, TimeUnit.SECONDS).body();
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - withdrawnNs), lessThan(2_000L));
+		assertThat(events, containsString("\"code\":1006"));
+		assertThat(codeOf(this.system.complete("entry-1", "after", 1, false)), is(1005));
+		LocalSystem.await("no engine runs it any more",
+				() -> this.system.dump("engine-1").path("load").path("runningCount").asInt() == 0
+						&& this.system.dump("engine-2").path("load").path("runningCount").asInt() == 0);
+	}
+
+	@Test
+	void anEntryCutOffFromControlHonoursNoKeyAfterItsLease() throws Exception {
+		startEngines();
+		for (String control : this.system.running("control")) {
+			this.system.stop(control);
+		}
+		long stoppedNs = System.nanoTime();
+		LocalSystem.await("the entry refuses", () -> codeOf(this.system.complete("entry-1", "p", 1, false)) == 2006);
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedNs), lessThan(5_000L));
+		assertThat(this.system.isReady("entry-1"), is(false));
+	}
+
+	@Test
+	void changesAreAcceptedAgainSoonAfterTheLeaderIsLost() throws Exception {
+		String leader = this.system.leader();
+		this.system.record("customer", "before", 2, Map.of("weight", 1));
+		this.system.stop(leader);
+		long stoppedNs = System.nanoTime();
+		LocalSystem.await("a change is accepted", () -> {
+			this.system.record("customer", "after", 2, Map.of("weight", 1));
+			return true;
+		});
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedNs), lessThan(3_000L));
+		assertThat(this.system.revisionOf("customer", "before"), greaterThanOrEqualTo(1L));
+	}
+
+	@Test
+	void theThirdCrashOfARequestIsPreventedAndTheInnocentAreServed() throws Exception {
+		startEngines();
+		this.system.startEngine("engine-3", "c", LocalSystem.engine(SLOW_TOKEN_MS));
+		CompletableFuture<HttpResponse<String>> innocent = longCall("entry-1", false);
+		HttpResponse<String> poison = this.system.complete("entry-1", "crash-this-target", 4, false);
+		assertThat(codeOf(poison), is(2008));
+		assertThat(innocent.get(30, TimeUnit.SECONDS).statusCode(), is(200));
+		LocalSystem.await("the quarantine has reached the other entry",
+				() -> this.system.dump("entry-2").path("quarantined").size() == 1);
+		assertThat(codeOf(this.system.complete("entry-2", "crash-this-target", 4, false)), is(2008));
+		assertThat(this.system.running("engine-of").size(), is(1));
+	}
+
+	@Test
+	void aDrainedTargetGetsNoNewWorkAndFinishesWhatItRuns() throws Exception {
+		startEngines();
+		CompletableFuture<HttpResponse<String>> call = longCall("entry-1", false);
+		String busy = busyEngine();
+		this.system.operator("POST", "/v1/targets/" + busy + "/drain", "");
+		LocalSystem.await("the agent refuses new work",
+				() -> this.system.dump(busy).path("load").path("leaving").asBoolean());
+		for (int number = 0; number < 20; number++) {
+			assertThat(this.system.complete("entry-" + (1 + number % 2), "p" + number, 1, false).statusCode(), is(200));
+			assertThat(this.system.dump(busy).path("load").path("runningCount").asInt(), lessThan(2));
+		}
+		assertThat(call.get(20, TimeUnit.SECONDS).statusCode(), is(200));
+	}
+
+	@Test
+	void aGracefulStopOfAnEntryOrAnAgentCutsNoRequest() throws Exception {
+		startEngines();
+		CompletableFuture<HttpResponse<String>> first = longCall("entry-1", true);
+		String busy = busyEngine();
+		CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> this.system.stop(busy));
+		assertThat(first.get(20, TimeUnit.SECONDS).body(), endsWith("data: [DONE]\n\n"));
+		stopped.get(20, TimeUnit.SECONDS);
+		CompletableFuture<HttpResponse<String>> second = longCall("entry-1", true);
+		TimeUnit.MILLISECONDS.sleep(500);
+		this.system.stop("entry-1");
+		assertThat(second.get(1, TimeUnit.SECONDS).body(), endsWith("data: [DONE]\n\n"));
+	}
+
+	@Test
+	void newWeightsReachEveryTargetAndSamplesNameTheVersionsThatMadeThem() throws Exception {
+		startEngines();
+		this.system.startEngine("engine-3", "c", new StandInEngine.EngineOptions(1, SLOW_TOKEN_MS, 50, false, 2, ""));
+		CompletableFuture<HttpResponse<String>> call = this.system.sendAsync("entry-1", "POST", "/v1/completions",
+				LocalSystem.completion("over the change of weights", WEIGHT_CHANGE_ANSWER, false),
+				LocalSystem.CALLER_KEY);
+		busyEngine();
+		this.system.announceWeights(2);
+		JsonNode spans = MAPPER.readTree(call.get(40, TimeUnit.SECONDS).body()).path("weight_versions");
+		assertThat(spans.size(), is(2));
+		assertThat(spans.path(0).path("tokenCount").asInt() + spans.path(1).path("tokenCount").asInt(),
+				is(WEIGHT_CHANGE_ANSWER));
+		LocalSystem.await("all three targets have version 2", () -> {
+			int reached = 0;
+			for (JsonNode target : this.system.dump("entry-1").path("targets")) {
+				reached += (target.path("weightVersion").asInt() == 2) ? 1 : 0;
+			}
+			return reached == 3;
+		});
+	}
+
+	@Test
+	void aStepIsFinishedThroughAnotherEntryWhenItsEntryIsLost() throws Exception {
+		startEngines();
+		String step = "{\"step\":\"s\",\"model\":\"draft\",\"groups\":[{\"prompt\":\"p\",\"samples\":24,\"max_tokens\":20}]}";
+		this.system.send("entry-1", "POST", "/v1/steps", step, LocalSystem.CALLER_KEY, Map.of());
+		TimeUnit.MILLISECONDS.sleep(700);
+		this.system.drop("entry-1");
+		this.system.send("entry-2", "POST", "/v1/steps", step, LocalSystem.CALLER_KEY, Map.of());
+		LocalSystem.await("the batch is whole",
+				() -> this.system.send("entry-2", "GET", "/v1/steps/s/batch", "", LocalSystem.CALLER_KEY, Map.of())
+					.statusCode() == 200);
+		String batch = this.system.send("entry-2", "GET", "/v1/steps/s/batch", "", LocalSystem.CALLER_KEY, Map.of())
+			.body();
+		for (int slot = 0; slot < 24; slot++) {
+			assertThat(MAPPER.readTree(batch).path("samples").path(slot).path("slot").asInt(), is(slot));
+		}
+	}
+
+	@Test
+	void aRequestThatMayNotBeRepeatedIsNotRunAgainAfterItsAgentIsLost() throws Exception {
+		this.system.startService("rota-1");
+		this.system.send("entry-1", "POST", "/services/rota/swaps", "{}", LocalSystem.CALLER_KEY,
+				Map.of("Idempotency-Key", "k0"));
+		CompletableFuture<HttpResponse<String>> call = CompletableFuture.supplyAsync(() -> {
+			try {
+				return this.system.send("entry-1", "POST", "/services/rota/slow", "{}", LocalSystem.CALLER_KEY,
+						Map.of("Idempotency-Key", "k1"));
+			}
+			catch (IOException | InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		LocalSystem.await("the service runs it",
+				() -> this.system.dump("rota-1").path("load").path("runningCount").asInt() > 0);
+		this.system.drop("rota-1");
+		assertThat(codeOf(call.get(20, TimeUnit.SECONDS)), is(3001));
+		assertThat(codeOf(this.system.send("entry-2", "POST", "/services/rota/slow", "{}", LocalSystem.CALLER_KEY,
+				Map.of("Idempotency-Key", "k1"))), is(3003));
+	}
+
+}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -309,7 +309,8 @@
 		if (this.cuts.contains(route) || (this.lossy && this.random.nextInt(50) == 0)) {
 			return;
 		}
-		long delayMs = 1 + this.random.nextInt(this.lossy && this.random.nextInt(20) == 0 ? 400 : 15);
+		boolean late = this.lossy && this.random.nextInt(20) == 0;
+		long delayMs = 1 + this.random.nextInt(late ? 400 : 15);
 		this.network.add(new Delivery(this.nowMs + delayMs, this.sequence++, message));
 		if (this.lossy && this.random.nextInt(50) == 0) {
 			this.network.add(new Delivery(this.nowMs + delayMs + 100, this.sequence++, message));
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -132,6 +132,16 @@
 		LOGGER.atInfo().log("event=entry_stopped name=%s", this.settings.name());
 	}
 
+	/**
+	 * Closes all connections at once, as a crash would.
+	 */
+	public void abort() {
+		this.stopping = true;
+		this.timer.shutdownNow();
+		this.control.close();
+		this.wire.stop();
+	}
+
 	private static void sleep(long durationMs) {
 		try {
 			TimeUnit.MILLISECONDS.sleep(durationMs);
--- /dev/null
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Metrics.java
@@ -0,0 +1,30 @@
+package org.zinniatack.process;
+
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/**
+ * Makes the registry that the metrics endpoint shows.
+ */
+public final class Metrics {
+
+	private Metrics() {
+	}
+
+	/**
+	 * Returns a registry that counts the process's memory, collections and processor
+	 * time.
+	 * @return the registry
+	 */
+	public static PrometheusMeterRegistry registry() {
+		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		new JvmMemoryMetrics().bindTo(registry);
+		new JvmThreadMetrics().bindTo(registry);
+		new ProcessorMetrics().bindTo(registry);
+		return registry;
+	}
+
+}
--- a/zinniatack-process/src/main/java/org/zinniatack/process/ProcessController.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/ProcessController.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.micronaut.context.annotation.Requires;
 import io.micronaut.http.HttpResponse;
@@ -27,9 +26,9 @@
 
 	private final OperatorKeys operatorKeys;
 
-	private final MeterRegistry metrics;
+	private final PrometheusMeterRegistry metrics;
 
-	ProcessController(ProcessView view, OperatorKeys operatorKeys, MeterRegistry metrics) {
+	ProcessController(ProcessView view, OperatorKeys operatorKeys, PrometheusMeterRegistry metrics) {
 		this.view = view;
 		this.operatorKeys = operatorKeys;
 		this.metrics = metrics;
@@ -50,7 +49,7 @@
 	@Get("/metrics")
 	@Produces(MediaType.TEXT_PLAIN)
 	String metrics() {
-		return (this.metrics instanceof PrometheusMeterRegistry prometheus) ? prometheus.scrape() : "";
+		return this.metrics.scrape();
 	}
 
 	@Get("/dump")
--- a/zinniatack-standin/src/main/java/org/zinniatack/standin/EngineController.java
+++ b/zinniatack-standin/src/main/java/org/zinniatack/standin/EngineController.java
@@ -36,8 +36,6 @@
 
 	private static final int DEFAULT_TOKENS = 16;
 
-	private static final int EXIT_CODE = 86;
-
 	private final StandInEngine engine;
 
 	EngineController(StandInEngine engine) {
@@ -60,7 +58,7 @@
 		String prompt = chat ? request.path("messages").toString() : request.path("prompt").asText();
 		String crashPrompt = this.engine.options().crashPrompt();
 		if (!crashPrompt.isEmpty() && prompt.contains(crashPrompt)) {
-			Runtime.getRuntime().halt(EXIT_CODE);
+			this.engine.crash();
 		}
 		int count = request.path("max_tokens").asInt(DEFAULT_TOKENS);
 		int first = request.path("resume").path("token_count").asInt(0);
--- a/zinniatack-standin/src/main/java/org/zinniatack/standin/StandInEngine.java
+++ b/zinniatack-standin/src/main/java/org/zinniatack/standin/StandInEngine.java
@@ -16,6 +16,8 @@
 
 	private final AtomicInteger running = new AtomicInteger();
 
+	private final Runnable crash;
+
 	private long weightVersion;
 
 	private long newestFencingNumber;
@@ -25,9 +27,11 @@
 	/**
 	 * Returns an engine.
 	 * @param options how it behaves
+	 * @param crash what happens when it crashes
 	 */
-	public StandInEngine(EngineOptions options) {
+	public StandInEngine(EngineOptions options, Runnable crash) {
 		this.options = options;
+		this.crash = crash;
 		this.weightVersion = options.weightVersion();
 		this.remainingFailures = options.failedLoads();
 	}
@@ -44,6 +48,10 @@
 		return this.running;
 	}
 
+	void crash() {
+		this.crash.run();
+	}
+
 	/** Loads weights, or returns false if the order is fenced off or the load fails. */
 	boolean load(long version, long fencingNumber) throws InterruptedException {
 		synchronized (this) {
--- a/zinniatack-standin/src/main/java/org/zinniatack/standin/StandInService.java
+++ b/zinniatack-standin/src/main/java/org/zinniatack/standin/StandInService.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.micronaut.context.annotation.Requires;
@@ -15,6 +16,8 @@
 import io.micronaut.http.annotation.Header;
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.Produces;
+import io.micronaut.scheduling.TaskExecutors;
+import io.micronaut.scheduling.annotation.ExecuteOn;
 
 /**
  * A plain service: a rota that can be read, and swaps of shifts that must not be done
@@ -44,6 +47,8 @@
 	@Consumes("*/*")
 	static final class ServiceController {
 
+		private static final long SLOW_MS = 1_000;
+
 		private final StandInService service;
 
 		ServiceController(StandInService service) {
@@ -73,6 +78,13 @@
 			return Map.of("swap", key, "count", this.service.swap(key), "bytes", body.length);
 		}
 
+		@Post("/slow")
+		@ExecuteOn(TaskExecutors.BLOCKING)
+		Map<String, Object> slow(@Header("Idempotency-Key") String key) throws InterruptedException {
+			TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+			return Map.of("slow", key, "count", this.service.swap(key));
+		}
+
 		@Get("/swaps")
 		Map<String, Integer> swaps() {
 			return this.service.swapCounts();
