Kill, freeze and empty real control processes

Cause: control had been tested under virtual time only. Change: five tests with processes: kill -9 of the leader while a writer writes, SIGSTOP of the leader past its lease and SIGCONT, an emptied data folder followed by a second loss, a restart of all after 300 changes, reports over a change of leader.

--- /dev/null
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcessTests.java
@@ -0,0 +1,177 @@
+package org.zinniatack.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Control as real processes that are killed, frozen and bereft of their disks.
+ */
+class ControlProcessTests {
+
+	private static final long LEADERLESS_LIMIT_MS = 2_000;
+
+	private static final long FREEZE_MS = 3_000;
+
+	@TempDir
+	private Path folder;
+
+	private ControlProcesses control;
+
+	@BeforeEach
+	void startProcesses() throws Exception {
+		this.control = new ControlProcesses(this.folder);
+		this.control.put("first");
+	}
+
+	@AfterEach
+	void killProcesses() throws Exception {
+		this.control.close();
+	}
+
+	private void assertAllHold(List<String> customers) throws Exception {
+		for (String process : this.control.running()) {
+			for (String customer : customers) {
+				assertThat(customer + " at " + process, this.control.has(process, customer), is(true));
+			}
+		}
+	}
+
+	@Test
+	void noAcceptedChangeIsLostWhenTheLeaderIsKilledInMidCommit() throws Exception {
+		AtomicBoolean stop = new AtomicBoolean();
+		List<String> accepted = new ArrayList<>();
+		List<Long> gapsMs = new ArrayList<>();
+		CompletableFuture<Void> writer = CompletableFuture.runAsync(() -> {
+			try {
+				for (int number = 0; !stop.get(); number++) {
+					long beganNs = System.nanoTime();
+					this.control.put("customer-" + number);
+					gapsMs.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNs));
+					accepted.add("customer-" + number);
+				}
+			}
+			catch (Exception ex) {
+				throw new AssertionError(ex);
+			}
+		});
+		TimeUnit.MILLISECONDS.sleep(1_000);
+		this.control.kill(this.control.leader());
+		TimeUnit.MILLISECONDS.sleep(2_500);
+		stop.set(true);
+		writer.get(20, TimeUnit.SECONDS);
+		long longestMs = gapsMs.stream().mapToLong(Long::longValue).max().orElseThrow();
+		System.out.println("longest wait for a change over a leader's death, ms: " + longestMs);
+		assertThat(longestMs, lessThan(LEADERLESS_LIMIT_MS));
+		assertThat(accepted.size(), greaterThan(10));
+		assertAllHold(accepted);
+	}
+
+	@Test
+	void aFrozenLeaderThatWakesGivesNoOrderAndLosesNothing() throws Exception {
+		String frozen = this.control.leader();
+		long frozenTerm = this.control.status().path("term").asLong();
+		this.control.call(frozen, "PUT", "/v1/records/policy/pool",
+				"{\"schemaVersion\":2,\"expectedRevision\":0,\"document\":{\"pool\":\"draft\",\"minimumTargets\":2}}");
+		LocalSystem.await("an order is sent", () -> this.control.platform("/orders").size() > 0);
+		this.control.signal(frozen, "STOP");
+		TimeUnit.MILLISECONDS.sleep(FREEZE_MS);
+		this.control.put("while-frozen");
+		this.control.signal(frozen, "CONT");
+		LocalSystem.await("the old leader follows",
+				() -> this.control.has(frozen, "while-frozen") && !this.control.leader().equals(frozen));
+		LocalSystem.await("the new leader orders", () -> {
+			JsonNode orders = this.control.platform("/orders");
+			return orders.get(orders.size() - 1).path("fencingNumber").asLong() > frozenTerm;
+		});
+		long newest = 0;
+		for (JsonNode order : this.control.platform("/orders")) {
+			assertThat(order.path("fencingNumber").asLong(), greaterThanOrEqualTo(newest));
+			newest = order.path("fencingNumber").asLong();
+		}
+		assertAllHold(List.of("first", "while-frozen"));
+	}
+
+	@Test
+	void anEmptiedDiskJoinsAgainAndASecondLossRightAfterTheRepairIsBorne() throws Exception {
+		String victim = this.control.running().stream().filter((name) -> !name.equals(leaderName())).findFirst().get();
+		String before = this.control.status().path("voters").toString();
+		this.control.kill(victim);
+		this.control.loseDisk(victim);
+		this.control.put("while-away");
+		this.control.start(victim);
+		LocalSystem.await("the replica votes under its new identity", () -> {
+			JsonNode status = this.control.status();
+			return status.path("voters").size() == 3 && status.path("learners").isEmpty()
+					&& !status.path("voters").toString().equals(before);
+		});
+		assertThat(this.control.status().path("voters").toString(), not(equalTo(before)));
+		this.control.kill(this.control.leader());
+		this.control.put("after-second-loss");
+		assertAllHold(List.of("first", "while-away", "after-second-loss"));
+	}
+
+	private String leaderName() {
+		try {
+			return this.control.leader();
+		}
+		catch (Exception ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
+	@Test
+	void everythingIsThereAfterARestartOfAllAfterHundredsOfChanges() throws Exception {
+		List<String> customers = new ArrayList<>();
+		for (int number = 0; number < 300; number++) {
+			customers.add("customer-" + number);
+			this.control.put("customer-" + number);
+		}
+		long revision = this.control.status().path("revision").asLong();
+		List<String> names = this.control.running();
+		for (String name : names) {
+			this.control.kill(name);
+		}
+		for (String name : names) {
+			this.control.start(name);
+		}
+		this.control.put("after-restart");
+		assertThat(this.control.status().path("revision").asLong(), greaterThan(revision));
+		assertAllHold(customers.subList(290, 300));
+		assertThat(
+				this.control.call(names.get(0), "GET", "/v1/records?kind=customer", "").body().split("\"name\"").length
+						- 1,
+				is(302));
+	}
+
+	@Test
+	void noWindowIsReportedTwiceWithDifferentFigures() throws Exception {
+		this.control.kill(this.control.leader());
+		this.control.put("next");
+		LocalSystem.await("windows are reported", () -> this.control.platform("/usage").size() >= 3);
+		for (JsonNode reports : this.control.platform("/usage")) {
+			for (JsonNode report : reports) {
+				assertThat(report.path("figures"), equalTo(reports.get(0).path("figures")));
+				assertThat(report.path("endMs"), equalTo(reports.get(0).path("endMs")));
+			}
+		}
+	}
+
+}
