Test the state, the store, the wire, the settings and the small decisions

Cause: only the consensus and the whole path were tested. Found and mended: the fair queue charged a flow for requests that had left it (the first that stayed kept its late start; it now takes the place of the first that left); a misspelt field in a settings file was reported as another one that is missing (fields are now compared before they are read).

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -21,7 +21,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.consensus.ConsensusMessage;
-import org.zinniatack.core.membership.Admission;
+import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.sample.Sample;
@@ -221,7 +221,7 @@
 	private Optional<Peer> leaderLink() {
 		String leaderId = requireDriver().status().leaderId();
 		return leaderId.isEmpty() ? Optional.empty()
-				: Optional.ofNullable(this.others.get(Admission.nameOf(leaderId))).flatMap(Link::peer);
+				: Optional.ofNullable(this.others.get(MemberChange.nameOf(leaderId))).flatMap(Link::peer);
 	}
 
 	private static ServiceException noLeader() {
@@ -272,7 +272,7 @@
 	}
 
 	private void transport(ConsensusMessage message) {
-		Optional.ofNullable(this.others.get(Admission.nameOf(message.to())))
+		Optional.ofNullable(this.others.get(MemberChange.nameOf(message.to())))
 			.flatMap(Link::peer)
 			.ifPresent((peer) -> peer.send(new Message.Consensus(message)));
 	}
@@ -305,7 +305,7 @@
 		return status.membership()
 			.voters()
 			.stream()
-			.filter((id) -> Admission.nameOf(id).equals(this.settings.name()))
+			.filter((id) -> MemberChange.nameOf(id).equals(this.settings.name()))
 			.toList()
 			.equals(List.of(this.store.replicaId()));
 	}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -23,7 +23,7 @@
 import org.zinniatack.core.consensus.Replica;
 import org.zinniatack.core.consensus.ReplicaSettings;
 import org.zinniatack.core.consensus.Snapshot;
-import org.zinniatack.core.membership.Admission;
+import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
@@ -237,7 +237,7 @@
 		if (this.joining.isEmpty() || !this.replica.holdsLease(nowMs)) {
 			return;
 		}
-		Admission.next(this.replica.membership(), this.joining.keySet(), this.replica.caughtUpLearners())
+		MemberChange.next(this.replica.membership(), this.joining.keySet(), this.replica.caughtUpLearners())
 			.ifPresent((next) -> {
 				try {
 					this.replica.changeMembership(next);
--- a/zinniatack-core/src/main/java/org/zinniatack/core/membership/Admission.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/membership/MemberChange.java
@@ -11,11 +11,11 @@
  * a learner that has caught up becomes a voter, and a voter whose disk was emptied leaves
  * once its successor votes.
  */
-public final class Admission {
+public final class MemberChange {
 
 	private static final char SEPARATOR = '.';
 
-	private Admission() {
+	private MemberChange() {
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/queue/WeightedFairQueue.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/queue/WeightedFairQueue.java
@@ -85,8 +85,9 @@
 		for (FlowState<T> state : this.flows.values()) {
 			if (state.waiting.stream().anyMatch((next) -> condition.test(next.request()))) {
 				this.byStart.remove(state);
+				double start = state.waiting.peekFirst().start();
 				removeFrom(state, condition, removed);
-				restoreStart(state);
+				restoreStart(state, start);
 			}
 		}
 		this.size -= removed.size();
@@ -105,8 +106,8 @@
 	}
 
 	/** Gives a flow back the share that its removed requests had claimed. */
-	private void restoreStart(FlowState<T> state) {
-		double start = state.waiting.isEmpty() ? this.virtualTime : state.waiting.peekFirst().start();
+	private void restoreStart(FlowState<T> state, double firstStart) {
+		double start = firstStart;
 		Deque<Waiting<T>> moved = new ArrayDeque<>();
 		for (Waiting<T> next : state.waiting) {
 			moved.add(new Waiting<>(next.request(), start, next.costTokens(), next.sequence()));
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/PolicyTests.java
@@ -0,0 +1,175 @@
+package org.zinniatack.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.admission.Admission;
+import org.zinniatack.core.config.Specification;
+import org.zinniatack.core.consensus.Membership;
+import org.zinniatack.core.membership.Formation;
+import org.zinniatack.core.membership.MemberChange;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.retry.RetryBudget;
+import org.zinniatack.core.retry.RetryPolicy;
+import org.zinniatack.core.sample.StragglerPolicy;
+import org.zinniatack.core.target.DemandPolicy;
+import org.zinniatack.core.target.Placement;
+import org.zinniatack.core.weight.Rollout;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * The small decisions, each with its limits.
+ */
+class PolicyTests {
+
+	private static final Specification.PoolPolicy POOL = new Specification.PoolPolicy("p", 1, 10, 4);
+
+	private static ResultCode refusal(Admission admission, Specification.CustomerPolicy policy, long waitMs,
+			long nowMs) {
+		try {
+			admission.admit(policy, waitMs, nowMs);
+			return ResultCode.OK;
+		}
+		catch (ServiceException ex) {
+			assertThat(ex.retryAfterMs(), greaterThan(0L));
+			return ex.code();
+		}
+	}
+
+	@Test
+	void aRequestThatCannotStartInTimeIsRefusedAtOnceWithATimeToComeBack() {
+		Specification.CustomerPolicy policy = new Specification.CustomerPolicy("a", 0, 0, 1_000, 1, 0);
+		assertThat(refusal(new Admission(), policy, 1_001, 0), is(ResultCode.DEADLINE_UNREACHABLE));
+		assertThat(refusal(new Admission(), policy, 1_000, 0), is(ResultCode.OK));
+	}
+
+	@Test
+	void rateConcurrencyAndSpendingAreBounded() {
+		Admission admission = new Admission();
+		Specification.CustomerPolicy rate = new Specification.CustomerPolicy("a", 1, 0, 1_000, 1, 0);
+		assertThat(refusal(admission, rate, 0, 0), is(ResultCode.OK));
+		assertThat(refusal(admission, rate, 0, 0), is(ResultCode.OK));
+		assertThat(refusal(admission, rate, 0, 0), is(ResultCode.CUSTOMER_LIMIT_REACHED));
+		assertThat(refusal(admission, rate, 0, 1_000), is(ResultCode.OK));
+		Specification.CustomerPolicy concurrency = new Specification.CustomerPolicy("b", 0, 1, 1_000, 1, 0);
+		assertThat(refusal(admission, concurrency, 0, 0), is(ResultCode.OK));
+		assertThat(refusal(admission, concurrency, 0, 0), is(ResultCode.CUSTOMER_LIMIT_REACHED));
+		admission.release("b");
+		assertThat(refusal(admission, concurrency, 0, 0), is(ResultCode.OK));
+		Specification.CustomerPolicy spending = new Specification.CustomerPolicy("c", 0, 0, 1_000, 1, 3_600);
+		assertThat(refusal(admission, spending, 0, 0), is(ResultCode.OK));
+		admission.charge("c", 700, 0);
+		assertThat(refusal(admission, spending, 0, 0), is(ResultCode.SPENDING_CEILING_REACHED));
+		assertThat(refusal(admission, spending, 0, 100_000), is(ResultCode.OK));
+	}
+
+	@Test
+	void onlyWhatMayRunAgainIsTriedAgainAndOnlyWithinTheBudget() {
+		RetryPolicy policy = RetryPolicy.within(3, new RetryBudget(0.1, 2));
+		assertThat(policy.retries(new RetryPolicy.Attempt(1, ResultCode.OUTCOME_UNKNOWN, false, false)), is(false));
+		assertThat(policy.retries(new RetryPolicy.Attempt(1, ResultCode.OUTCOME_UNKNOWN, true, true)), is(false));
+		assertThat(policy.retries(new RetryPolicy.Attempt(1, ResultCode.QUARANTINED, true, false)), is(false));
+		assertThat(policy.retries(new RetryPolicy.Attempt(3, ResultCode.TARGET_BUSY, true, false)), is(false));
+		assertThat(policy.retries(new RetryPolicy.Attempt(1, ResultCode.TARGET_BUSY, false, false)), is(true));
+		assertThat(policy.retries(new RetryPolicy.Attempt(1, ResultCode.OUTCOME_UNKNOWN, true, false)), is(true));
+		assertThat("spent", policy.retries(new RetryPolicy.Attempt(1, ResultCode.TARGET_BUSY, true, false)), is(false));
+	}
+
+	@Test
+	void demandGrowsAtOnceAndShrinksOnlyAfterItsDelay() {
+		DemandPolicy demand = DemandPolicy.hysteresis(1_000);
+		assertThat(demand.targets(POOL, new DemandPolicy.Load(8, 12), 1, 0), is(5));
+		assertThat(demand.targets(POOL, new DemandPolicy.Load(0, 4), 5, 100), is(5));
+		assertThat(demand.targets(POOL, new DemandPolicy.Load(0, 8), 5, 600), is(5));
+		assertThat(demand.targets(POOL, new DemandPolicy.Load(0, 4), 5, 1_100), is(2));
+		assertThat(demand.targets(POOL, new DemandPolicy.Load(900, 0), 5, 1_200), is(10));
+	}
+
+	@Test
+	void placementSpreadsEvenly() {
+		assertThat(Placement.spread(7, List.of("c", "a", "b")).toString(), is("{a=3, b=2, c=2}"));
+	}
+
+	@Test
+	void weightsRollWithoutTakingMoreThanTheAllowedShareAndGiveUpOnATargetThatFails() {
+		Rollout rollout = new Rollout(0.5, 100);
+		List<Rollout.Holder> holders = new ArrayList<>();
+		for (int number = 0; number < 4; number++) {
+			holders.add(new Rollout.Holder("t" + number, 1));
+		}
+		assertThat(rollout.loading(2, holders, 0), containsInAnyOrder("t0", "t1"));
+		holders.set(0, new Rollout.Holder("t0", 2));
+		assertThat(rollout.loading(2, holders, 10), containsInAnyOrder("t1", "t2"));
+		rollout.loading(2, holders, 110);
+		rollout.loading(2, holders, 210);
+		Set<String> loading = rollout.loading(2, holders, 310);
+		assertThat(rollout.failed(), containsInAnyOrder("t1", "t2"));
+		assertThat(loading, contains("t3"));
+		assertThat("a newer version is a new chance", rollout.loading(3, holders, 320), hasSize(2));
+		assertThat(rollout.failed(), empty());
+	}
+
+	@Test
+	void stragglersAreIssuedAgainOnceMostIsDoneAndWithinTheirShare() {
+		StragglerPolicy policy = StragglerPolicy.medianMultiple(100, 3, 0.02);
+		for (int number = 0; number < 49; number++) {
+			policy.finished(10);
+		}
+		assertThat(policy.isStraggler(1_000), is(false));
+		policy.finished(10);
+		assertThat(policy.isStraggler(29), is(false));
+		assertThat(policy.isStraggler(30), is(true));
+		assertThat(policy.isStraggler(30), is(true));
+		assertThat(policy.isStraggler(1_000), is(false));
+		assertThat(StragglerPolicy.never().isStraggler(Long.MAX_VALUE), is(false));
+	}
+
+	@Test
+	void anEmptiedDiskFormsNoSecondSystem() {
+		Formation.Answer empty = new Formation.Answer("b.1", false);
+		Formation.Answer formed = new Formation.Answer("c.1", true);
+		assertThat(Formation.decide("a.1", 2, List.of(empty)).step(), is(Formation.Step.WAIT));
+		assertThat(Formation.decide("a.1", 2, List.of(formed)).step(), is(Formation.Step.JOIN));
+		assertThat(Formation.decide("a.1", 2, List.of(empty, formed)).step(), is(Formation.Step.JOIN));
+		assertThat(Formation.decide("a.1", 2, List.of(empty, new Formation.Answer("c.1", false))).membership().voters(),
+				contains("a.1", "b.1", "c.1"));
+	}
+
+	@Test
+	void aReplacedReplicaLeavesOnlyAfterItsSuccessorVotes() {
+		Membership current = Membership.ofVoters(List.of("a.1", "b.1", "c.1"));
+		List<String> joining = List.of("c.2");
+		Membership learning = MemberChange.next(current, joining, List.of()).orElseThrow();
+		assertThat(learning.voters(), is(current.voters()));
+		assertThat(learning.learners(), contains("c.2"));
+		assertThat(MemberChange.next(learning, joining, List.of()).isPresent(), is(false));
+		Membership voting = MemberChange.next(learning, joining, List.of("c.2")).orElseThrow();
+		assertThat(voting.voters(), contains("a.1", "b.1", "c.1", "c.2"));
+		assertThat(MemberChange.next(voting, joining, List.of()).orElseThrow().voters(), contains("a.1", "b.1", "c.2"));
+	}
+
+	@Test
+	void resultCodesHaveDifferentNumbersAndOnlyTrueRefusalsSayNotRun() {
+		Set<Integer> numbers = new TreeSet<>();
+		for (ResultCode code : ResultCode.values()) {
+			numbers.add(code.number());
+			assertThat(ResultCode.ofNumber(code.number()).orElseThrow(), is(code));
+		}
+		assertThat(numbers.size(), is(ResultCode.values().length));
+		assertThat(numbers.size(), lessThanOrEqualTo(100));
+	}
+
+}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -13,7 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
-import org.zinniatack.core.membership.Admission;
+import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ServiceException;
 
 /**
@@ -225,7 +225,7 @@
 
 	private void deliver(Delivery delivery) {
 		Optional<SimulatedNode> to = this.nodes.stream()
-			.filter((node) -> node.name().equals(Admission.nameOf(delivery.message().to())))
+			.filter((node) -> node.name().equals(MemberChange.nameOf(delivery.message().to())))
 			.findFirst();
 		to.ifPresent((node) -> {
 			if (!node.isRunning()) {
@@ -246,7 +246,7 @@
 		}
 		this.joining.values().removeIf((askedMs) -> this.nowMs - askedMs > 60_000);
 		if (node.replica().holdsLease(node.clockMs(this.nowMs))) {
-			Admission.next(node.replica().membership(), current(), node.replica().caughtUpLearners())
+			MemberChange.next(node.replica().membership(), current(), node.replica().caughtUpLearners())
 				.ifPresent((next) -> {
 					try {
 						node.replica().changeMembership(next);
@@ -305,7 +305,7 @@
 
 	private void send(ConsensusMessage original) {
 		ConsensusMessage message = (this.deliberateBreak == Break.SECOND_VOTE) ? granted(original) : original;
-		String route = Admission.nameOf(message.from()) + ">" + Admission.nameOf(message.to());
+		String route = MemberChange.nameOf(message.from()) + ">" + MemberChange.nameOf(message.to());
 		if (this.cuts.contains(route) || (this.lossy && this.random.nextInt(50) == 0)) {
 			return;
 		}
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/usage/UsageLedgerTests.java
@@ -0,0 +1,62 @@
+package org.zinniatack.core.usage;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Usage over windows, repeats and late reports.
+ */
+class UsageLedgerTests {
+
+	private static final UsageFigure FIGURE = new UsageFigure("a", "r", 1, 10, false);
+
+	private final UsageLedger ledger = new UsageLedger();
+
+	@Test
+	void aReportThatIsSentAgainCountsOnce() {
+		this.ledger.record("entry", 1, 0, List.of(FIGURE));
+		this.ledger.record("entry", 1, 0, List.of(FIGURE));
+		this.ledger.record("entry", 2, 0, List.of(FIGURE));
+		this.ledger.close(0, 100);
+		assertThat(this.ledger.closedWindows().get(0).figures(), contains(new UsageFigure("a", "r", 2, 20, false)));
+	}
+
+	@Test
+	void lateUsageGoesIntoTheNextWindowAndIsMarked() {
+		this.ledger.close(0, 100);
+		this.ledger.record("entry", 1, 50, List.of(FIGURE));
+		this.ledger.record("entry", 2, 150, List.of(FIGURE));
+		this.ledger.close(100, 200);
+		assertThat(this.ledger.closedWindows().get(0).figures().size(), is(0));
+		assertThat(this.ledger.closedWindows().get(1).figures(), contains(FIGURE, FIGURE.markedLate()));
+	}
+
+	@Test
+	void aWindowIsClosedOnce() {
+		this.ledger.record("entry", 1, 0, List.of(FIGURE));
+		this.ledger.close(0, 100);
+		UsageWindow closed = this.ledger.oldestUnacknowledged().orElseThrow();
+		this.ledger.record("entry", 2, 0, List.of(FIGURE));
+		this.ledger.close(0, 100);
+		assertThat(this.ledger.oldestUnacknowledged().orElseThrow(), equalTo(closed));
+		this.ledger.acknowledge(0);
+		assertThat(this.ledger.oldestUnacknowledged().isPresent(), is(false));
+	}
+
+	@Test
+	void usageOfALaterWindowStaysOpen() {
+		this.ledger.record("entry", 1, 100, List.of(FIGURE));
+		this.ledger.close(0, 100);
+		assertThat(this.ledger.closedWindows().get(0).figures().size(), is(0));
+		UsageLedger copy = UsageLedger.of(this.ledger.image());
+		copy.close(100, 200);
+		assertThat(copy.closedWindows().get(1).figures(), contains(FIGURE));
+	}
+
+}
--- a/zinniatack-process/src/main/java/org/zinniatack/process/Settings.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Settings.java
@@ -2,15 +2,21 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.TreeSet;
 
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -43,25 +49,47 @@
 	 */
 	public static <T> T read(Path file, Class<T> type) throws ServiceException {
 		try {
+			requireKnownFields(file, type);
 			return MAPPER.readValue(file.toFile(), type);
 		}
-		catch (UnrecognizedPropertyException ex) {
-			throw invalid(file, ex,
-					"unknown field " + ex.getPropertyName() + "; known are " + ex.getKnownPropertyIds());
-		}
 		catch (JsonProcessingException ex) {
-			throw invalid(file, ex, causeOf(ex));
+			throw invalid(file, ex.getLocation(), causeOf(ex));
 		}
 		catch (IOException ex) {
 			throw ServiceException.of(ResultCode.SETTINGS_INVALID, file + ": cannot be read: " + ex.getMessage());
 		}
 	}
 
+	/**
+	 * Refuses a field that the settings do not have, before one that it stands for is
+	 * missed.
+	 */
+	private static void requireKnownFields(Path file, Class<?> type) throws IOException, ServiceException {
+		Set<String> known = new TreeSet<>();
+		Arrays.stream(type.getRecordComponents()).forEach((component) -> known.add(component.getName()));
+		try (JsonParser parser = MAPPER.getFactory().createParser(file.toFile())) {
+			parser.nextToken();
+			while (parser.nextToken() == JsonToken.FIELD_NAME) {
+				if (!known.contains(parser.currentName())) {
+					throw invalid(file, parser.currentLocation(),
+							"unknown field " + parser.currentName() + "; known are " + known);
+				}
+				parser.nextToken();
+				parser.skipChildren();
+			}
+		}
+	}
+
 	private static String causeOf(JsonProcessingException failure) {
 		String path = (failure instanceof JsonMappingException mapping) ? pathOf(mapping) : "";
 		Throwable cause = failure.getCause();
-		String text = (cause instanceof IllegalArgumentException) ? cause.getMessage() : failure.getOriginalMessage();
-		return path.isEmpty() ? text : path + ": " + text;
+		if (cause instanceof IllegalArgumentException) {
+			return cause.getMessage();
+		}
+		if (failure.getOriginalMessage().startsWith("Missing required creator property")) {
+			return path + " is missing";
+		}
+		return path.isEmpty() ? failure.getOriginalMessage() : path + ": " + failure.getOriginalMessage();
 	}
 
 	private static String pathOf(JsonMappingException failure) {
@@ -74,8 +102,8 @@
 		return path.toString();
 	}
 
-	private static ServiceException invalid(Path file, JsonProcessingException failure, String detail) {
-		String line = (failure.getLocation() != null) ? ":" + failure.getLocation().getLineNr() : "";
+	private static ServiceException invalid(Path file, @Nullable JsonLocation location, String detail) {
+		String line = (location != null) ? ":" + location.getLineNr() : "";
 		return ServiceException.of(ResultCode.SETTINGS_INVALID, file + line + ": " + detail);
 	}
 
--- /dev/null
+++ b/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
@@ -0,0 +1,268 @@
+package org.zinniatack.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.zinniatack.core.consensus.Effects;
+import org.zinniatack.core.consensus.HardState;
+import org.zinniatack.core.consensus.LogEntry;
+import org.zinniatack.core.consensus.Membership;
+import org.zinniatack.core.consensus.PersistentState;
+import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * What a data folder holds after crashes, torn writes, corruption and a full disk.
+ */
+class ReplicaStoreTests {
+
+	@TempDir
+	private Path folder;
+
+	private static Effects write(long term, long... indexes) {
+		List<LogEntry> entries = Arrays.stream(indexes)
+			.mapToObj((index) -> LogEntry.command(index, term, new byte[] { (byte) index }))
+			.toList();
+		return new Effects(new HardState(term, "a"), null, 0, entries, List.of(), List.of());
+	}
+
+	private ReplicaStore formed() throws ServiceException {
+		ReplicaStore store = ReplicaStore.open(this.folder, "a");
+		store.form(PersistentState.founding(Membership.ofVoters(List.of(store.replicaId()))));
+		return store;
+	}
+
+	private PersistentState reload() throws ServiceException {
+		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
+			return store.load();
+		}
+	}
+
+	private static List<Long> indexes(PersistentState state) {
+		return state.entries().stream().map(LogEntry::index).toList();
+	}
+
+	private Path journal() throws IOException {
+		try (var files = Files.list(this.folder)) {
+			return files.filter((file) -> file.getFileName().toString().startsWith("journal-"))
+				.findFirst()
+				.orElseThrow();
+		}
+	}
+
+	private ResultCode refusal() {
+		try {
+			reload();
+			return ResultCode.OK;
+		}
+		catch (ServiceException ex) {
+			return ex.code();
+		}
+	}
+
+	@Test
+	void whatWasPersistedIsThereAfterARestart() throws ServiceException {
+		try (ReplicaStore store = formed()) {
+			store.persist(write(1, 2, 3));
+			store.persist(new Effects(new HardState(2, ""), null, 3, List.of(LogEntry.command(3, 2, new byte[] { 9 })),
+					List.of(), List.of()));
+		}
+		PersistentState state = reload();
+		assertThat(indexes(state), is(List.of(1L, 2L, 3L)));
+		assertThat(state.entries().get(2).term(), is(2L));
+		assertThat(state.hardState(), equalTo(new HardState(2, "")));
+	}
+
+	@Test
+	void theIdentityLivesOnTheDisk() throws ServiceException, IOException {
+		String id;
+		try (ReplicaStore store = formed()) {
+			id = store.replicaId();
+		}
+		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
+			assertThat(store.replicaId(), is(id));
+			assertThat(store.isFormed(), is(true));
+		}
+		try (var files = Files.list(this.folder)) {
+			for (Path file : files.toList()) {
+				Files.delete(file);
+			}
+		}
+		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
+			assertThat(store.replicaId(), not(id));
+			assertThat(store.isFormed(), is(false));
+		}
+	}
+
+	@Test
+	void aTornTailIsCutAtEveryLengthAndWritingGoesOn() throws Exception {
+		try (ReplicaStore store = formed()) {
+			store.persist(write(1, 2));
+		}
+		byte[] whole = Files.readAllBytes(journal());
+		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
+			store.persist(write(1, 3));
+		}
+		byte[] longer = Files.readAllBytes(journal());
+		for (int length = whole.length; length < longer.length; length++) {
+			Files.write(journal(), Arrays.copyOf(longer, length));
+			try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
+				assertThat(indexes(store.load()), is(List.of(1L, 2L)));
+				store.persist(write(1, 3));
+			}
+			assertThat(indexes(reload()), is(List.of(1L, 2L, 3L)));
+		}
+	}
+
+	@Test
+	void corruptionBeforeTheEndIsRefusedAtEveryByte() throws Exception {
+		try (ReplicaStore store = formed()) {
+			store.persist(write(1, 2));
+			store.persist(write(1, 3));
+		}
+		byte[] bytes = Files.readAllBytes(journal());
+		int lastRecord = Records.encode(new Batch(new HardState(1, "a"), -1, 0, 0, write(1, 3).entries()).encode())
+			.remaining();
+		for (int at = 0; at < bytes.length - lastRecord; at++) {
+			byte[] corrupt = bytes.clone();
+			corrupt[at] ^= 0x20;
+			Files.write(journal(), corrupt);
+			assertThat("byte " + at, refusal(), is(ResultCode.LOG_CORRUPT));
+		}
+	}
+
+	@Test
+	void aSnapshotReplacesTheEntriesThatItCovers() throws ServiceException {
+		Membership members = Membership.ofVoters(List.of("a"));
+		Snapshot snapshot = new Snapshot(3, 1, members, new byte[] { 7 });
+		try (ReplicaStore store = formed()) {
+			store.persist(write(1, 2, 3, 4));
+			store.saveSnapshot(snapshot, List.of(LogEntry.command(4, 1, new byte[] { 4 })));
+			store.persist(write(1, 5));
+		}
+		PersistentState state = reload();
+		assertThat(state.snapshot().index(), is(3L));
+		assertThat(state.snapshot().state(), is(new byte[] { 7 }));
+		assertThat(indexes(state), is(List.of(4L, 5L)));
+	}
+
+	@Test
+	void aCrashBetweenSnapshotAndJournalLosesNothing() throws Exception {
+		Membership members = Membership.ofVoters(List.of("a"));
+		byte[] oldJournal;
+		Path oldName;
+		try (ReplicaStore store = formed()) {
+			store.persist(write(1, 2, 3, 4));
+			oldName = journal();
+			oldJournal = Files.readAllBytes(oldName);
+			store.saveSnapshot(new Snapshot(3, 1, members, new byte[0]),
+					List.of(LogEntry.command(4, 1, new byte[] { 4 })));
+		}
+		Files.delete(journal());
+		Files.write(oldName, oldJournal);
+		assertThat(indexes(reload()), is(List.of(4L)));
+	}
+
+	@Test
+	void entriesThatDoNotContinueAReceivedSnapshotAreDropped() throws Exception {
+		byte[] oldJournal;
+		Path oldName;
+		try (ReplicaStore store = formed()) {
+			store.persist(write(1, 2, 3, 4));
+			oldName = journal();
+			oldJournal = Files.readAllBytes(oldName);
+			Snapshot received = new Snapshot(3, 2, Membership.ofVoters(List.of("a")), new byte[0]);
+			store.persist(new Effects(new HardState(2, ""), received, 0, List.of(), List.of(), List.of()));
+		}
+		Files.delete(journal());
+		Files.write(oldName, oldJournal);
+		assertThat(indexes(reload()), is(List.of()));
+	}
+
+	@Test
+	void aFolderInUseIsRefused() throws ServiceException {
+		try (ReplicaStore store = formed()) {
+			assertThat(refusal(), is(ResultCode.FOLDER_LOCKED));
+		}
+		assertThat(refusal(), is(ResultCode.OK));
+	}
+
+	@Test
+	void anUnknownFormatIsRefused() throws Exception {
+		formed().close();
+		Files.writeString(this.folder.resolve("identity"), "99\na.1\n", StandardOpenOption.TRUNCATE_EXISTING);
+		assertThat(refusal(), is(ResultCode.FORMAT_UNKNOWN));
+	}
+
+	@Test
+	void aFullDiskRefusesWritesAndKeepsWhatIsThere() throws Exception {
+		FullDisk disk = new FullDisk();
+		try (FolderStore store = FolderStore.open(this.folder, "a", disk::open)) {
+			store.form(PersistentState.founding(Membership.ofVoters(List.of(store.replicaId()))));
+			store.persist(write(1, 2));
+			disk.full = true;
+			try {
+				store.persist(write(1, 3));
+				throw new AssertionError("the write was accepted");
+			}
+			catch (ServiceException ex) {
+				assertThat(ex.code(), is(ResultCode.DISK_FULL));
+			}
+			assertThat(indexes(store.load()), is(List.of(1L, 2L)));
+			disk.full = false;
+			store.persist(write(1, 3));
+		}
+		assertThat(indexes(reload()), is(List.of(1L, 2L, 3L)));
+	}
+
+	/** A disk that writes half of a record and then refuses. */
+	private static final class FullDisk {
+
+		private boolean full;
+
+		Journal open(Path file) throws IOException {
+			Journal journal = JournalFile.open(file);
+			return new Journal() {
+				@Override
+				public void append(ByteBuffer bytes) throws IOException {
+					if (FullDisk.this.full) {
+						journal.append(bytes.slice(0, bytes.remaining() / 2));
+						throw new IOException("no space left");
+					}
+					journal.append(bytes);
+				}
+
+				@Override
+				public void close() throws IOException {
+					journal.close();
+				}
+
+				@Override
+				public void sync() throws IOException {
+					journal.sync();
+				}
+
+				@Override
+				public void truncate(long length) throws IOException {
+					journal.truncate(length);
+				}
+			};
+		}
+
+	}
+
+}
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
@@ -77,7 +77,8 @@
 			.connect(parse(address))
 			.addListener((connecting) -> {
 				if (!connecting.isSuccess()) {
-					opened.completeExceptionally(ServiceException.of(ResultCode.PEER_LOST, "cannot reach " + address));
+					opened.completeExceptionally(ServiceException.of(ResultCode.PEER_LOST,
+							"cannot reach " + address + ": " + connecting.cause()));
 				}
 				else {
 					((ChannelFuture) connecting).channel()
--- /dev/null
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
@@ -0,0 +1,122 @@
+package org.zinniatack.wire;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.Command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Connections, their handshake and their exchanges.
+ */
+class WireTests {
+
+	private static final long WAIT_MS = 5_000;
+
+	private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
+
+	private Wire server;
+
+	private String address;
+
+	@BeforeEach
+	void listen() throws ServiceException {
+		this.server = wire("a secret of the cluster", new PeerHandler() {
+			@Override
+			public void onRequest(Peer peer, Message message, Responder responder) {
+				responder.onCancel(() -> WireTests.this.cancelled.complete(null));
+				if (message instanceof Message.ReadIndex) {
+					responder.respond(new Message.ReadIndexAt(7), true);
+				}
+				else if (message instanceof Message.JoinRequest) {
+					responder.respond(new Message.Failure(ResultCode.NOT_LEADER, "elsewhere", 9), true);
+				}
+			}
+		});
+		this.address = "127.0.0.1:" + this.server.listen("127.0.0.1:0");
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.stop();
+	}
+
+	private static Wire wire(String secret, PeerHandler handler) {
+		return new Wire(new PeerIdentity("test", "node"), ClusterSecret.of(secret), handler, 1);
+	}
+
+	private static ServiceException failureOf(CompletableFuture<?> future) throws Exception {
+		try {
+			future.get(WAIT_MS, TimeUnit.MILLISECONDS);
+			throw new AssertionError("it did not fail");
+		}
+		catch (ExecutionException ex) {
+			return (ServiceException) ex.getCause();
+		}
+	}
+
+	@Test
+	void aPeerWithTheSecretIsAnswered() throws Exception {
+		Wire client = wire("a secret of the cluster", new PeerHandler() {
+		});
+		Peer peer = client.connect(this.address).get(WAIT_MS, TimeUnit.MILLISECONDS);
+		assertThat(peer.call(new Message.ReadIndex(), WAIT_MS).get(), equalTo(new Message.ReadIndexAt(7)));
+		ServiceException failure = failureOf(peer.call(new Message.JoinRequest("x"), WAIT_MS));
+		assertThat(failure.code(), is(ResultCode.NOT_LEADER));
+		assertThat(failure.retryAfterMs(), is(9L));
+		client.stop();
+	}
+
+	@Test
+	void aPeerWithAnotherSecretIsRefused() throws Exception {
+		Wire stranger = wire("another secret altogether", new PeerHandler() {
+		});
+		assertThat(failureOf(stranger.connect(this.address)).code(), is(ResultCode.HANDSHAKE_REFUSED));
+		stranger.stop();
+	}
+
+	@Test
+	void aCallWithoutAnAnswerTimesOutAndIsCancelledAtThePeer() throws Exception {
+		Wire client = wire("a secret of the cluster", new PeerHandler() {
+		});
+		Peer peer = client.connect(this.address).get(WAIT_MS, TimeUnit.MILLISECONDS);
+		assertThat(failureOf(peer.call(new Message.PresenceRequest(), 50)).code(), is(ResultCode.CALL_TIMED_OUT));
+		this.cancelled.get(WAIT_MS, TimeUnit.MILLISECONDS);
+		client.stop();
+	}
+
+	@Test
+	void aLostConnectionEndsItsExchanges() throws Exception {
+		Wire client = wire("a secret of the cluster", new PeerHandler() {
+		});
+		Peer peer = client.connect(this.address).get(WAIT_MS, TimeUnit.MILLISECONDS);
+		CompletableFuture<Message> call = peer.call(new Message.PresenceRequest(), WAIT_MS);
+		TimeUnit.MILLISECONDS.sleep(50);
+		peer.close();
+		assertThat(failureOf(call).code(), is(ResultCode.PEER_LOST));
+		this.cancelled.get(WAIT_MS, TimeUnit.MILLISECONDS);
+		client.stop();
+	}
+
+	@Test
+	void commandsKeepTheirFieldsThroughTheCodec() throws Exception {
+		Command command = new Command.OrderTargets("pool", Map.of("a", 2, "b", 1));
+		assertThat(StateCodec.decodeCommand(StateCodec.encode(command)), equalTo(command));
+		Command crash = new Command.ReportCrash("c", List.of("d"));
+		assertThat(StateCodec.decodeCommand(StateCodec.encode(crash)), instanceOf(Command.ReportCrash.class));
+	}
+
+}
