--- /dev/null
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/ControlBench.java
@@ -0,0 +1,218 @@
+package org.zinniatack.bench;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Stream;
+
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.SynchronizedHistogram;
+import picocli.CommandLine;
+
+import org.zinniatack.control.ControlService;
+import org.zinniatack.control.ControlSettings;
+import org.zinniatack.core.config.RecordKind;
+import org.zinniatack.core.state.Command;
+
+/**
+ * Measures control: the latency of a commit beside a bare sync of the same disk, changes
+ * a second with several operators, and the time of a restart.
+ */
+@CommandLine.Command(name = "control", description = "Measures commits, group commit and restarts of control.")
+final class ControlBench implements Callable<Integer> {
+
+	private static final int SYNCS = 300;
+
+	private static final long ROUND_MS = 3_000;
+
+	@CommandLine.Option(names = "--folder", required = true, description = "a folder on the disk to measure")
+	private Path folder;
+
+	@CommandLine.Option(names = "--changes", defaultValue = "50000", description = "changes before the long restart")
+	private int changes;
+
+	private int nextName;
+
+	@Override
+	public Integer call() throws Exception {
+		Files.createDirectories(this.folder);
+		Histogram bare = bareSyncs();
+		Table syncs = new Table("what", "p50, us", "p99, us");
+		syncs.row("bare sync of 256 bytes", bare.getValueAtPercentile(50), bare.getValueAtPercentile(99));
+		List<ControlService> members = startMembers();
+		Table writes = new Table("operators", "changes a second", "p50, us", "p99, us");
+		for (int operators : new int[] { 1, 16, 256 }) {
+			writeRound(members, operators, 500);
+			Histogram latency = writeRound(members, operators, ROUND_MS);
+			if (operators == 1) {
+				syncs.row("commit over three processes, one operator", latency.getValueAtPercentile(50),
+						latency.getValueAtPercentile(99));
+			}
+			writes.row(operators, latency.getTotalCount() * 1000 / ROUND_MS, latency.getValueAtPercentile(50),
+					latency.getValueAtPercentile(99));
+		}
+		members.forEach(ControlService::stop);
+		syncs.print();
+		writes.print();
+		restarts();
+		return 0;
+	}
+
+	private Histogram bareSyncs() throws IOException {
+		Histogram latency = new Histogram(3);
+		try (FileChannel channel = FileChannel.open(this.folder.resolve("bare"), StandardOpenOption.CREATE,
+				StandardOpenOption.WRITE, StandardOpenOption.APPEND)) {
+			for (int number = 0; number < SYNCS; number++) {
+				long beganNs = System.nanoTime();
+				channel.write(ByteBuffer.allocate(256));
+				channel.force(false);
+				latency.recordValue((System.nanoTime() - beganNs) / 1000);
+			}
+		}
+		return latency;
+	}
+
+	private static String freeAddress() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return "127.0.0.1:" + socket.getLocalPort();
+		}
+	}
+
+	private List<ControlService> startMembers() throws Exception {
+		Map<String, String> addresses = new LinkedHashMap<>();
+		for (String name : List.of("c1", "c2", "c3")) {
+			addresses.put(name, freeAddress());
+		}
+		List<ControlService> members = new ArrayList<>();
+		List<CompletableFuture<Void>> starting = new ArrayList<>();
+		for (String name : addresses.keySet()) {
+			ControlService service = new ControlService(settings(name, this.folder.resolve(name), addresses));
+			members.add(service);
+			starting.add(start(service));
+		}
+		for (CompletableFuture<Void> each : starting) {
+			each.get();
+		}
+		awaitLeader(members);
+		return members;
+	}
+
+	private static CompletableFuture<Void> start(ControlService service) {
+		return CompletableFuture.runAsync(() -> {
+			try {
+				service.start();
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException(ex);
+			}
+		}, (task) -> new Thread(task).start());
+	}
+
+	private static ControlSettings settings(String name, Path data, Map<String, String> addresses) throws IOException {
+		return new ControlSettings(name, data.toString(), addresses.get(name), freeAddress(), addresses, List.of("a"),
+				"a secret of the bench", List.of(), "", 3_600_000, 0, 1_000);
+	}
+
+	private static void awaitLeader(List<ControlService> members) throws InterruptedException {
+		while (members.stream().noneMatch(ControlService::isReady) || !propose(members, "probe" + System.nanoTime())) {
+			Thread.sleep(10);
+		}
+	}
+
+	private static boolean propose(List<ControlService> members, String name) {
+		for (ControlService member : members) {
+			try {
+				member.propose(put(name)).get();
+				return true;
+			}
+			catch (InterruptedException | ExecutionException ex) {
+				// The next member may lead.
+			}
+		}
+		return false;
+	}
+
+	private static Command put(String name) {
+		return new Command.PutRecord(name, RecordKind.CUSTOMER, name, 2, "{\"weight\":1}", 0);
+	}
+
+	private Histogram writeRound(List<ControlService> members, int operators, long durationMs) throws Exception {
+		ControlService leader = members.get(0);
+		for (ControlService member : members) {
+			if (String.valueOf(member.status().get().get("leader"))
+				.startsWith(String.valueOf(member.dump().get("name")))) {
+				leader = member;
+			}
+		}
+		ControlService chosen = leader;
+		Histogram latency = new SynchronizedHistogram(3);
+		ExecutorService executor = Executors.newFixedThreadPool(operators);
+		long endNs = System.nanoTime() + durationMs * 1_000_000;
+		List<CompletableFuture<Void>> running = new ArrayList<>();
+		for (int operator = 0; operator < operators; operator++) {
+			String prefix = "w" + this.nextName++ + "-";
+			running.add(CompletableFuture.runAsync(() -> {
+				for (int number = 0; System.nanoTime() < endNs; number++) {
+					long beganNs = System.nanoTime();
+					chosen.propose(put(prefix + number)).join();
+					latency.recordValue((System.nanoTime() - beganNs) / 1000);
+				}
+			}, executor));
+		}
+		for (CompletableFuture<Void> each : running) {
+			each.get();
+		}
+		executor.shutdown();
+		return latency;
+	}
+
+	private void restarts() throws Exception {
+		Table table = new Table("changes", "restart until it leads and is current, ms", "folder, KB");
+		for (int count : new int[] { 500, this.changes }) {
+			Path data = this.folder.resolve("single-" + count);
+			Map<String, String> addresses = Map.of("c1", freeAddress());
+			ControlService writer = new ControlService(settings("c1", data, addresses));
+			writer.start();
+			awaitLeader(List.of(writer));
+			List<CompletableFuture<?>> waiting = new ArrayList<>();
+			for (int number = 0; number < count; number++) {
+				waiting.add(writer.propose(put("n" + number)));
+				if (waiting.size() == 1_000) {
+					CompletableFuture.allOf(waiting.toArray(new CompletableFuture<?>[0])).join();
+					waiting.clear();
+				}
+			}
+			CompletableFuture.allOf(waiting.toArray(new CompletableFuture<?>[0])).join();
+			writer.stop();
+			long beganNs = System.nanoTime();
+			ControlService again = new ControlService(settings("c1", data, addresses));
+			again.start();
+			awaitLeader(List.of(again));
+			long tookMs = (System.nanoTime() - beganNs) / 1_000_000;
+			again.stop();
+			table.row(count, tookMs, sizeOf(data) / 1024);
+		}
+		table.print();
+	}
+
+	private static long sizeOf(Path data) throws IOException {
+		try (Stream<Path> files = Files.walk(data)) {
+			return files.sorted(Comparator.naturalOrder()).mapToLong((file) -> file.toFile().length()).sum();
+		}
+	}
+
+}
--- /dev/null
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/LatencyBench.java
@@ -0,0 +1,95 @@
+package org.zinniatack.bench;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.SynchronizedHistogram;
+import picocli.CommandLine;
+
+/**
+ * Sends the same calls at a fixed rate to an entry and directly to its target, in turns,
+ * and shows what the way through entry and agent adds.
+ */
+@CommandLine.Command(name = "latency", description = "Measures what entry and agent add to a call.")
+final class LatencyBench implements Callable<Integer> {
+
+	private static final String BODY = "{\"model\":\"draft\",\"prompt\":\"latency\",\"max_tokens\":1,\"stream\":true}";
+
+	private static final int TURNS = 3;
+
+	@CommandLine.Option(names = "--entry", required = true, description = "the URL of an entry")
+	private URI entry;
+
+	@CommandLine.Option(names = "--target", required = true, description = "the URL of its engine")
+	private URI target;
+
+	@CommandLine.Option(names = "--key", required = true, description = "a caller's key")
+	private String key;
+
+	@CommandLine.Option(names = "--rate", defaultValue = "500", description = "calls a second")
+	private int rate;
+
+	@CommandLine.Option(names = "--seconds", defaultValue = "6", description = "the length of a turn")
+	private int seconds;
+
+	private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	@Override
+	public Integer call() throws Exception {
+		Histogram direct = new SynchronizedHistogram(3);
+		Histogram through = new SynchronizedHistogram(3);
+		AtomicInteger failed = new AtomicInteger();
+		turn(this.target, new SynchronizedHistogram(3), failed);
+		turn(this.entry, new SynchronizedHistogram(3), failed);
+		for (int number = 0; number < TURNS; number++) {
+			turn(this.target, direct, failed);
+			turn(this.entry, through, failed);
+		}
+		Table table = new Table("way", "calls", "p50, us", "p99, us");
+		table.row("direct", direct.getTotalCount(), direct.getValueAtPercentile(50), direct.getValueAtPercentile(99));
+		table.row("through entry and agent", through.getTotalCount(), through.getValueAtPercentile(50),
+				through.getValueAtPercentile(99));
+		table.row("added", "", through.getValueAtPercentile(50) - direct.getValueAtPercentile(50),
+				through.getValueAtPercentile(99) - direct.getValueAtPercentile(99));
+		table.print();
+		System.out.println("failed calls: " + failed.get());
+		return 0;
+	}
+
+	private void turn(URI url, Histogram latency, AtomicInteger failed) throws InterruptedException {
+		HttpRequest request = HttpRequest.newBuilder(url.resolve("/v1/completions"))
+			.header("Content-Type", "application/json")
+			.header("Authorization", "Bearer " + this.key)
+			.POST(HttpRequest.BodyPublishers.ofString(BODY))
+			.build();
+		long intervalNs = 1_000_000_000L / this.rate;
+		long beganNs = System.nanoTime();
+		AtomicInteger running = new AtomicInteger();
+		for (int number = 0; number < this.rate * this.seconds; number++) {
+			long dueNs = beganNs + number * intervalNs;
+			while (System.nanoTime() < dueNs) {
+				LockSupport.parkNanos(dueNs - System.nanoTime());
+			}
+			running.incrementAndGet();
+			this.http.sendAsync(request, HttpResponse.BodyHandlers.ofString()).whenComplete((answer, failure) -> {
+				running.decrementAndGet();
+				if (failure != null || answer.statusCode() != 200 || !answer.body().contains("[DONE]")) {
+					failed.incrementAndGet();
+				}
+				else {
+					latency.recordValue((System.nanoTime() - dueNs) / 1000);
+				}
+			});
+		}
+		while (running.get() > 0) {
+			Thread.sleep(5);
+		}
+	}
+
+}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -53,6 +53,10 @@
 
 	private static final long SNAPSHOT_INTERVAL_ENTRIES = 4096;
 
+	private static final long TYPICAL_ENTRY_BYTES = 256;
+
+	private static final long STALL_MS = 200;
+
 	private static final long STOP_TIMEOUT_MS = 5_000;
 
 	private final ReplicaStore store;
@@ -73,6 +77,8 @@
 
 	private final Thread thread = new Thread(this::run, "replica");
 
+	private final SnapshotWriter snapshots;
+
 	private Replica replica;
 
 	private ControlState state = new ControlState();
@@ -81,6 +87,8 @@
 
 	private long snapshotIndex;
 
+	private long snapshotBytes;
+
 	private long diskRetryAtMs;
 
 	private boolean writable = true;
@@ -95,6 +103,7 @@
 		this.ticker = ticker;
 		this.transport = transport;
 		this.changed = changed;
+		this.snapshots = new SnapshotWriter(store);
 		this.replica = restartReplica();
 		this.status = currentStatus();
 	}
@@ -129,6 +138,7 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		this.snapshots.stop();
 		this.store.close();
 	}
 
@@ -212,11 +222,14 @@
 					round.add(first);
 					this.tasks.drainTo(round, TASKS_A_ROUND);
 				}
+				long beganMs = nowMs();
+				int taskCount = round.size();
 				round.forEach(Runnable::run);
 				round.clear();
 				this.replica.advance(nowMs());
 				admit();
 				flush();
+				noteStall(nowMs() - beganMs, taskCount);
 			}
 			catch (InterruptedException ex) {
 				return;
@@ -231,6 +244,12 @@
 		}
 	}
 
+	private static void noteStall(long durationMs, int taskCount) {
+		if (durationMs > STALL_MS) {
+			LOGGER.atWarning().log("event=replica_stalled duration_ms=%d tasks=%d", durationMs, taskCount);
+		}
+	}
+
 	private void admit() {
 		long nowMs = nowMs();
 		this.joining.values().removeIf((askedMs) -> nowMs - askedMs > JOIN_MEMORY_MS);
@@ -257,13 +276,14 @@
 		boolean more = true;
 		while (more) {
 			Effects effects = this.replica.takeEffects(nowMs());
+			effects.earlyMessages().forEach(this.transport);
 			this.store.persist(effects);
 			this.writable = true;
 			if (!effects.entries().isEmpty()) {
 				this.replica.persisted(effects.entries().get(effects.entries().size() - 1).index());
 			}
 			publish();
-			effects.messages().forEach(this.transport);
+			effects.lateMessages().forEach(this.transport);
 			apply(effects);
 			more = effects.needsSync() || !effects.committed().isEmpty();
 		}
@@ -356,14 +376,30 @@
 		}
 	}
 
-	private void compactIfDue() throws IOException, ServiceException {
-		if (this.appliedIndex - this.snapshotIndex < SNAPSHOT_INTERVAL_ENTRIES) {
+	/** Starts a snapshot in the background; only its image is made on this thread. */
+	private void compactIfDue() {
+		long intervalEntries = Math.max(SNAPSHOT_INTERVAL_ENTRIES, this.snapshotBytes / TYPICAL_ENTRY_BYTES);
+		if (this.appliedIndex - this.snapshotIndex < intervalEntries || this.snapshots.isRunning()) {
 			return;
 		}
-		Snapshot snapshot = this.replica.compact(this.appliedIndex, StateCodec.encode(this.state.image()));
-		this.store.saveSnapshot(snapshot, this.replica.entriesAfter(this.appliedIndex));
-		this.snapshotIndex = this.appliedIndex;
-		LOGGER.atInfo().log("event=snapshot_saved index=%d bytes=%d", this.appliedIndex, snapshot.state().length);
+		Snapshot header = this.replica.snapshotAt(this.appliedIndex, new byte[0]);
+		this.snapshots.write(header, this.state.image(), (written) -> submit(() -> finishSnapshot(written)));
+	}
+
+	private void finishSnapshot(Snapshot written) {
+		if (written.index() <= this.snapshotIndex) {
+			return;
+		}
+		try {
+			this.replica.compact(written.index(), written.state());
+			this.store.saveSnapshot(written, this.replica.entriesAfter(written.index()));
+			this.snapshotIndex = written.index();
+			this.snapshotBytes = written.state().length;
+			LOGGER.atInfo().log("event=snapshot_saved index=%d bytes=%d", written.index(), written.state().length);
+		}
+		catch (ServiceException ex) {
+			onDiskRefusal(ex);
+		}
 	}
 
 	private void wakeWaiters() {
--- /dev/null
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
@@ -0,0 +1,71 @@
+package org.zinniatack.control;
+
+import java.io.IOException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+import com.google.common.flogger.FluentLogger;
+
+import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.ControlState;
+import org.zinniatack.store.ReplicaStore;
+import org.zinniatack.wire.StateCodec;
+
+/**
+ * Encodes and writes snapshots beside the replica's thread, one at a time.
+ */
+final class SnapshotWriter {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long STOP_TIMEOUT_MS = 5_000;
+
+	private final ReplicaStore store;
+
+	private final ExecutorService executor = Executors
+		.newSingleThreadExecutor((task) -> new Thread(task, "snapshot-writer"));
+
+	private final AtomicBoolean running = new AtomicBoolean();
+
+	SnapshotWriter(ReplicaStore store) {
+		this.store = store;
+	}
+
+	boolean isRunning() {
+		return this.running.get();
+	}
+
+	/** Writes a snapshot of an image and then hands it over. */
+	void write(Snapshot header, ControlState.Image image, Consumer<Snapshot> written) {
+		this.running.set(true);
+		this.executor.execute(() -> {
+			try {
+				Snapshot snapshot = new Snapshot(header.index(), header.term(), header.membership(),
+						StateCodec.encode(image));
+				this.store.prepareSnapshot(snapshot);
+				written.accept(snapshot);
+			}
+			catch (IOException | ServiceException ex) {
+				LOGGER.atWarning().log("event=snapshot_failed index=%d detail=\"%s\"", header.index(), ex.getMessage());
+			}
+			finally {
+				this.running.set(false);
+			}
+		});
+	}
+
+	void stop() {
+		this.executor.shutdown();
+		try {
+			this.executor.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
@@ -140,11 +140,16 @@
 		if (index > this.appliedIndex || index <= this.log.snapshot().index()) {
 			throw new IllegalArgumentException("index must be applied and not yet compacted");
 		}
-		Snapshot snapshot = new Snapshot(index, this.log.termAt(index), this.log.membershipAt(index), state);
+		Snapshot snapshot = snapshotAt(index, state);
 		this.log.compact(snapshot);
 		return snapshot;
 	}
 
+	@Override
+	public Snapshot snapshotAt(long index, byte[] state) {
+		return new Snapshot(index, this.log.termAt(index), this.log.membershipAt(index), state);
+	}
+
 	@Override
 	public long currentAsOfMs(long nowMs) {
 		if (this.role != Role.LEADER) {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Effects.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Effects.java
@@ -19,6 +19,27 @@
 public record Effects(@Nullable HardState hardState, @Nullable Snapshot snapshot, long truncateFrom,
 		List<LogEntry> entries, List<ConsensusMessage> messages, List<LogEntry> committed) {
 
+	/**
+	 * Returns the messages that may leave before the sync: a leader's entries, which
+	 * count for itself only once they are synced.
+	 * @return the early messages
+	 */
+	public List<ConsensusMessage> earlyMessages() {
+		return this.messages.stream().filter(this::isEarly).toList();
+	}
+
+	/**
+	 * Returns the messages that must wait for the sync.
+	 * @return the other messages
+	 */
+	public List<ConsensusMessage> lateMessages() {
+		return this.messages.stream().filter((message) -> !isEarly(message)).toList();
+	}
+
+	private boolean isEarly(ConsensusMessage message) {
+		return this.hardState == null && message instanceof ConsensusMessage.AppendRequest;
+	}
+
 	/**
 	 * Returns whether something must reach the disk before the messages leave.
 	 * @return true if a sync is needed
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -55,6 +55,14 @@
 	 */
 	Snapshot compact(long index, byte[] state);
 
+	/**
+	 * Returns a snapshot of an applied index and leaves the log as it is.
+	 * @param index an index that has been applied and is not compacted
+	 * @param state the encoded state as of the index
+	 * @return the snapshot
+	 */
+	Snapshot snapshotAt(long index, byte[] state);
+
 	/**
 	 * Returns when the replica last knew that it held all that was accepted: for a leader
 	 * the time that a quorum confirmed, for a follower the last message whose commit
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -272,6 +272,9 @@
 				return;
 			}
 			Effects effects = node.replica().takeEffects(node.clockMs(this.nowMs));
+			if (this.deliberateBreak != Break.SENT_BEFORE_SYNC) {
+				effects.earlyMessages().forEach(this::send);
+			}
 			boolean crashesBeforeSync = this.lossy && effects.needsSync() && this.random.nextInt(2_000) == 0;
 			if (crashesBeforeSync || this.deliberateBreak == Break.SENT_BEFORE_SYNC) {
 				if (this.deliberateBreak == Break.SENT_BEFORE_SYNC) {
@@ -295,7 +298,7 @@
 				node.replica().persisted(effects.entries().get(effects.entries().size() - 1).index());
 			}
 			if (this.deliberateBreak != Break.SENT_BEFORE_SYNC) {
-				effects.messages().forEach(this::send);
+				effects.lateMessages().forEach(this::send);
 			}
 			apply(node, effects);
 			more = effects.needsSync() || !effects.committed().isEmpty();
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
@@ -44,9 +44,9 @@
 
 	private static final int LARGEST_STEP = 65_536;
 
-	private static final double STRAGGLER_MULTIPLE = 3;
+	private static final double STRAGGLER_MULTIPLE = 2;
 
-	private static final double STRAGGLER_SHARE = 0.02;
+	private static final double STRAGGLER_SHARE = 0.04;
 
 	private static final long BATCH_RETRY_MS = 200;
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
@@ -27,6 +27,8 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+	private static final int LIVE_ATTEMPTS = 3;
+
 	private final String customer;
 
 	private final String step;
@@ -91,8 +93,8 @@
 			for (int slot : this.open) {
 				List<CallerRequest> live = this.attempts.getOrDefault(slot, new ArrayList<>());
 				live.removeIf(CallerRequest::isDone);
-				boolean slow = live.size() == 1 && live.get(0).target() != null
-						&& this.stragglers.isStraggler(nowMs - live.get(0).startedMs());
+				boolean slow = !live.isEmpty() && live.size() < LIVE_ATTEMPTS
+						&& isSlow(live.get(live.size() - 1), nowMs);
 				if (live.isEmpty() || slow) {
 					again.add(slot);
 				}
@@ -102,6 +104,10 @@
 		send();
 	}
 
+	private boolean isSlow(CallerRequest newest, long nowMs) {
+		return newest.target() != null && this.stragglers.isStraggler(nowMs - newest.startedMs());
+	}
+
 	synchronized boolean isCommitted() {
 		return this.committed;
 	}
--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -49,6 +49,9 @@
 
 	private static final int INCARNATION_BYTES = 6;
 
+	/** Small enough that a journal's sync does not wait long behind a snapshot's. */
+	private static final int SYNC_CHUNK_BYTES = 256 * 1024;
+
 	private final Path folder;
 
 	private final FolderLock lock;
@@ -125,7 +128,13 @@
 				StandardOpenOption.TRUNCATE_EXISTING)) {
 			ByteBuffer buffer = ByteBuffer.wrap(bytes);
 			while (buffer.hasRemaining()) {
-				channel.write(buffer);
+				int chunk = Math.min(SYNC_CHUNK_BYTES, buffer.remaining());
+				ByteBuffer part = buffer.slice(buffer.position(), chunk);
+				while (part.hasRemaining()) {
+					channel.write(part);
+				}
+				buffer.position(buffer.position() + chunk);
+				channel.force(false);
 			}
 			channel.force(true);
 		}
@@ -263,13 +272,27 @@
 		return this.replicaId;
 	}
 
+	@Override
+	public void prepareSnapshot(Snapshot snapshot) throws ServiceException {
+		try {
+			byte[] record = Records.encode(MAPPER.writeValueAsBytes(snapshot)).array();
+			writeAside(this.folder, snapshotPath(snapshot), record);
+		}
+		catch (IOException ex) {
+			throw refused(ex);
+		}
+	}
+
+	private Path snapshotPath(Snapshot snapshot) {
+		return this.folder.resolve(SNAPSHOT_PREFIX + snapshot.index());
+	}
+
 	@Override
 	public void saveSnapshot(Snapshot snapshot, List<LogEntry> following) throws ServiceException {
+		if (snapshot.index() > 0 && !Files.exists(snapshotPath(snapshot))) {
+			prepareSnapshot(snapshot);
+		}
 		try {
-			if (snapshot.index() > 0) {
-				Path file = this.folder.resolve(SNAPSHOT_PREFIX + snapshot.index());
-				writeAside(this.folder, file, Records.encode(MAPPER.writeValueAsBytes(snapshot)).array());
-			}
 			startJournal(new Batch(this.hardState, snapshot.index(), snapshot.term(), 0, following));
 			deleteOlder(JOURNAL_PREFIX, this.journalNumber);
 			deleteOlder(SNAPSHOT_PREFIX, snapshot.index());
--- a/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
@@ -58,7 +58,16 @@
 	String replicaId();
 
 	/**
-	 * Writes a snapshot and the entries after it in place of all earlier ones.
+	 * Writes a snapshot beside the journal, which still holds what it covers. Any thread
+	 * may call this, so that a large snapshot delays no other write.
+	 * @param snapshot the snapshot
+	 * @throws ServiceException with DISK_FULL if the disk refuses
+	 */
+	void prepareSnapshot(Snapshot snapshot) throws ServiceException;
+
+	/**
+	 * Writes a snapshot, unless it is prepared, and the entries after it in place of all
+	 * earlier ones.
 	 * @param snapshot the snapshot
 	 * @param following the entries after it
 	 * @throws ServiceException with DISK_FULL if the disk refuses
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
@@ -40,6 +40,16 @@
 		return MAPPER.writeValueAsBytes(image);
 	}
 
+	/**
+	 * Returns how many bytes a message takes on the wire, with its frame.
+	 * @param message the message
+	 * @return the number of bytes
+	 * @throws IOException if it cannot be encoded
+	 */
+	public static int frameBytes(Message message) throws IOException {
+		return Integer.BYTES + FrameCodec.encode(new Frame(1, true, message)).length;
+	}
+
 	/**
 	 * Returns the command of some bytes.
 	 * @param bytes the MessagePack form
