--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
@@ -44,6 +44,8 @@
 
 	private static final int CONNECTIONS = 10_000;
 
+	private static final int HTTP_THREADS = 2;
+
 	private static final int ERROR_STATUS = 400;
 
 	private final StreamingHttpClient client;
@@ -57,6 +59,7 @@
 		configuration.setReadTimeout(null);
 		configuration.setExceptionOnErrorStatus(false);
 		configuration.setMaxContentLength(Integer.MAX_VALUE);
+		configuration.setNumOfThreads(HTTP_THREADS);
 		HttpClientConfiguration.ConnectionPoolConfiguration pool = configuration.getConnectionPoolConfiguration();
 		pool.setMaxConcurrentHttp1Connections(CONNECTIONS);
 		try {
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -94,7 +94,7 @@
 		row(table, "consensus heartbeat", "-",
 				(n) -> new Message.Consensus(new ConsensusMessage.AppendRequest("control-1.0123456789ab",
 						"control-2.0123456789ab", 7, 99_999, 7, List.of(), 99_999, 123_456_789)));
-		row(table, "entry report", "targets", (n) -> report("entry-1", n));
+		row(table, "entry report", "targets", (n) -> report("entry-1", n, 0));
 		row(table, "presence report", "entries of 7 targets", CapacityBench::presence);
 		row(table, "feed without changes", "entries", (n) -> feed(n, 0));
 		row(table, "feed with changes", "changed records", (n) -> feed(3, n));
@@ -118,21 +118,21 @@
 		table.row(cells.toArray());
 	}
 
-	private static Message.EntryReport report(String name, int targetCount) {
+	private static Message.EntryReport report(String name, int targetCount, int rosterHash) {
 		List<Message.TargetState> targets = new ArrayList<>();
 		Map<String, Long> revisions = new HashMap<>();
 		for (int number = 0; number < targetCount; number++) {
 			targets.add(new Message.TargetState("target-" + number, "pool", "domain-1", 9_000, false, 8));
 			revisions.put("target-" + number, 12_345L);
 		}
-		return new Message.EntryReport(name, "10.0.0.1:7400", 12_345, 3, revisions,
+		return new Message.EntryReport(name, "10.0.0.1:7400", 12_345, 3, rosterHash, revisions,
 				List.of(new Message.PoolLoad("pool", 4, 20)), targets);
 	}
 
 	private static Message presence(int entries) {
 		List<Message.EntryReport> reports = new ArrayList<>();
 		for (int number = 0; number < entries; number++) {
-			reports.add(report("entry-" + number, 7));
+			reports.add(report("entry-" + number, 7, 0));
 		}
 		return new Message.PresenceReport("control-2.0123456789ab", reports);
 	}
@@ -142,7 +142,7 @@
 		for (int number = 0; number < entryCount; number++) {
 			entries.put("entry-" + number, "10.0.0." + number + ":7400");
 		}
-		return new Message.Feed(12_345, recordList(changed), 7, 20, Map.of("draft", 9_000L), entries, 3, List.of(),
+		return new Message.Feed(12_345, recordList(changed), 7, 20, Map.of("draft", 9_000L), 1, entries, 3, List.of(),
 				List.of(), Map.of());
 	}
 
@@ -214,16 +214,20 @@
 	private static void samples() throws IOException {
 		Table table = new Table("samples of 2 KiB in steps", "heap, KB", "snapshot, KB");
 		List<double[]> points = new ArrayList<>();
-		for (int count : new int[] { 512, 1_024, 2_048, 4_096 }) {
+		List<ControlState> held = new ArrayList<>();
+		for (int count : new int[] { 512, 512, 2_048, 4_096, 8_192, 16_384 }) {
 			long before = heapBytes();
 			ControlState state = new ControlState();
 			state.apply(1, new Command.OpenStep("c", "s", "m", "d", count, 2));
 			byte[] encoded = StateCodec.encode(new Command.FillSlots("c", "s", sampleList(count)));
 			state.apply(2, StateCodec.decodeCommand(encoded));
 			encoded = new byte[0];
+			held.add(state);
 			long bytes = heapBytes() - before + encoded.length;
-			points.add(new double[] { count, bytes });
-			table.row(count, bytes / 1024, StateCodec.encode(state.image()).length / 1024);
+			if (held.size() > 1) {
+				points.add(new double[] { count, bytes });
+				table.row(count, bytes / 1024, StateCodec.encode(state.image()).length / 1024);
+			}
 		}
 		System.out.println("### State by the number of samples held\n");
 		table.print();
@@ -327,10 +331,18 @@
 
 		private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
+		private volatile int rosterHash;
+
 		FakePeers(String role, String address, int count) throws Exception {
 			for (int number = 0; number < count; number++) {
 				Wire wire = new Wire(new PeerIdentity(role, role + "-" + number),
 						ClusterSecret.of(CapacityBench.this.secret), new PeerHandler() {
+							@Override
+							public void onNotice(Peer peer, Message message) {
+								if (message instanceof Message.Feed feed) {
+									FakePeers.this.rosterHash = feed.rosterHash();
+								}
+							}
 						}, 1);
 				this.wires.add(wire);
 				Peer peer = wire.connect(address).get(5, TimeUnit.SECONDS);
@@ -346,7 +358,7 @@
 		private void reportAll(String role) {
 			for (int number = 0; number < this.peers.size(); number++) {
 				Message notice = role.equals("agent") ? new Message.Load(8, 9_000, false, true, 1, 12_345)
-						: report("fake-" + number, 7);
+						: report("fake-" + number, 7, this.rosterHash);
 				this.peers.get(number).send(notice);
 			}
 		}
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/Daemon.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/Daemon.java
@@ -22,6 +22,8 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+	private static final int HTTP_THREADS = 2;
+
 	private final ApplicationContext context;
 
 	private final List<Service> services;
@@ -49,6 +51,7 @@
 		properties.put("micronaut.server.max-request-size", maximumBodyBytes);
 		properties.put("micronaut.server.netty.max-header-size", "16KB");
 		properties.put("micronaut.metrics.enabled", false);
+		properties.put("micronaut.netty.event-loops.default.num-threads", HTTP_THREADS);
 		List<Object> singletons = new ArrayList<>(List.of(beans));
 		singletons.add(metrics);
 		ApplicationContext context = ApplicationContext.builder()
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -325,10 +325,15 @@
 		ReplicaDriver running = requireDriver();
 		ReplicaStatus status = running.status();
 		long nowMs = running.nowMs();
+		Map<String, String> entries = this.roster.entries();
+		boolean knowsEntries = link.rosterHash == entries.hashCode();
+		boolean knowsCrashes = link.sentCrashVersion == state.crashes().version();
 		link.peer.send(new Message.Feed(state.records().revision(), state.records().recordsAfter(link.sentRevision),
-				status.term(), Math.max(0, nowMs - status.currentAsOfMs()), state.weights(), this.roster.entries(),
-				state.crashes().version(), state.crashes().suspects(), state.crashes().quarantined(),
-				this.roster.directives()));
+				status.term(), Math.max(0, nowMs - status.currentAsOfMs()), state.weights(), entries.hashCode(),
+				knowsEntries ? Map.of() : entries, state.crashes().version(),
+				knowsCrashes ? List.of() : state.crashes().suspects(),
+				knowsCrashes ? List.of() : state.crashes().quarantined(), this.roster.directives()));
+		link.rosterHash = entries.hashCode();
 		link.sentRevision = state.records().revision();
 		link.sentCrashVersion = state.crashes().version();
 	}
@@ -352,6 +357,7 @@
 				link.peer = peer;
 				link.sentRevision = report.revision();
 				link.sentCrashVersion = report.crashVersion();
+				link.rosterHash = report.rosterHash();
 				feed(link, state);
 				return true;
 			});
@@ -440,6 +446,8 @@
 
 		private long sentCrashVersion;
 
+		private int rosterHash;
+
 	}
 
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Authority.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Authority.java
@@ -40,9 +40,11 @@
 		if (feed.revision() > configuration.revision()) {
 			configuration = merge(feed, configuration);
 		}
-		boolean newerCrashes = feed.crashVersion() >= before.crashVersion();
+		boolean newerCrashes = feed.crashVersion() > before.crashVersion();
+		boolean newEntries = feed.rosterHash() != before.entries().hashCode() && !feed.entries().isEmpty();
 		this.view = new View(configuration, Math.max(before.epoch(), feed.epoch()), newest(before, feed.weights()),
-				feed.entries(), Math.max(before.crashVersion(), feed.crashVersion()),
+				newEntries ? Map.copyOf(feed.entries()) : before.entries(),
+				Math.max(before.crashVersion(), feed.crashVersion()),
 				newerCrashes ? Set.copyOf(feed.suspects()) : before.suspects(),
 				newerCrashes ? Set.copyOf(feed.quarantined()) : before.quarantined(),
 				Math.max(before.leaseEndMs(), nowMs - feed.authorityAgeMs() + this.leaseMs));
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -235,7 +235,8 @@
 			}
 		}
 		Message.EntryReport report = new Message.EntryReport(this.settings.name(), this.settings.listenAddress(),
-				view.configuration().revision(), view.crashVersion(), agentRevisions, this.dispatcher.loads(), targets);
+				view.configuration().revision(), view.crashVersion(), view.entries().hashCode(), agentRevisions,
+				this.dispatcher.loads(), targets);
 		this.control.current().ifPresent((peer) -> peer.send(report));
 	}
 
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -202,11 +202,12 @@
 	 * @param address the address for agents, as host and port
 	 * @param revision the configuration revision in force at the entry
 	 * @param crashVersion the version of the suspects that the entry knows
+	 * @param rosterHash the hash of the entries that this entry knows
 	 * @param agentRevisions the configuration revision in force by target id
 	 * @param pools the load of the pools that the entry sees
 	 * @param targets the targets that count this entry as their first
 	 */
-	record EntryReport(String nodeId, String address, long revision, long crashVersion,
+	record EntryReport(String nodeId, String address, long revision, long crashVersion, int rosterHash,
 			Map<String, Long> agentRevisions, List<PoolLoad> pools, List<TargetState> targets) implements Message {
 	}
 
@@ -252,15 +253,18 @@
 	 * @param epoch the newest epoch known, which fences orders
 	 * @param authorityAgeMs how long ago the sender's state was known to be current
 	 * @param weights the newest weight version by model
-	 * @param entries the addresses of all entries by id
+	 * @param rosterHash the hash of the entries
+	 * @param entries the addresses of all entries by id, empty if the receiver knows them
 	 * @param crashVersion the version of the suspects
-	 * @param suspects the digests of suspects
-	 * @param quarantined the digests of quarantined requests
+	 * @param suspects the digests of suspects, empty if the receiver knows them
+	 * @param quarantined the digests of quarantined requests, empty if the receiver knows
+	 * them
 	 * @param directives the orders for targets by target id
 	 */
 	record Feed(long revision, List<ConfigurationRecord> records, long epoch, long authorityAgeMs,
-			Map<String, Long> weights, Map<String, String> entries, long crashVersion, List<String> suspects,
-			List<String> quarantined, Map<String, TargetDirective> directives) implements Message {
+			Map<String, Long> weights, int rosterHash, Map<String, String> entries, long crashVersion,
+			List<String> suspects, List<String> quarantined,
+			Map<String, TargetDirective> directives) implements Message {
 	}
 
 	/**
