--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentSettings.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentSettings.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
 
-import org.zinniatack.core.key.KeyDigest;
 import org.zinniatack.process.Checks;
 
 /**
@@ -29,8 +28,6 @@
 		int slotCount, String httpAddress, List<String> entryAddresses, int entryCount, String clusterSecret,
 		List<String> operatorKeyDigests, long loadIntervalMs, long drainTimeoutMs) {
 
-	private static final int SHORTEST_SECRET = 16;
-
 	private static final long HOUR_MS = 3_600_000;
 
 	/**
@@ -55,8 +52,8 @@
 		this.entryAddresses = List.copyOf(Checks.present("entryAddresses", entryAddresses));
 		this.entryAddresses.forEach((address) -> Checks.address("entryAddresses", address));
 		this.entryCount = (int) Checks.range("entryCount", entryCount, 1, 1_000);
-		this.clusterSecret = Checks.present("clusterSecret", clusterSecret);
-		this.operatorKeyDigests = List.copyOf(Checks.present("operatorKeyDigests", operatorKeyDigests));
+		this.clusterSecret = Checks.secret("clusterSecret", clusterSecret);
+		this.operatorKeyDigests = Checks.digests("operatorKeyDigests", operatorKeyDigests);
 		this.loadIntervalMs = Checks.range("loadIntervalMs", loadIntervalMs, 50, 60_000);
 		this.drainTimeoutMs = Checks.range("drainTimeoutMs", drainTimeoutMs, 0, HOUR_MS);
 		requireConsistent();
@@ -69,12 +66,6 @@
 		if (this.entryAddresses.isEmpty()) {
 			throw new IllegalArgumentException("entryAddresses must not be empty");
 		}
-		if (this.clusterSecret.length() < SHORTEST_SECRET) {
-			throw new IllegalArgumentException("clusterSecret must have at least 16 characters");
-		}
-		if (!this.operatorKeyDigests.stream().allMatch(KeyDigest::isValid)) {
-			throw new IllegalArgumentException("operatorKeyDigests must be SHA-256 digests in hexadecimal");
-		}
 	}
 
 	/**
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/DecisionBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/DecisionBench.java
@@ -12,7 +12,6 @@
 import org.zinniatack.core.config.Specification;
 import org.zinniatack.core.queue.RequestQueue;
 import org.zinniatack.core.result.ServiceException;
-import org.zinniatack.core.routing.Candidate;
 import org.zinniatack.core.routing.Hashing;
 import org.zinniatack.core.routing.Router;
 
@@ -43,7 +42,7 @@
 		return 0;
 	}
 
-	private static double best(int targetCount, int customerCount, Router<Target> router) throws ServiceException {
+	private static double best(int targetCount, int customerCount, Router<BenchTarget> router) throws ServiceException {
 		double best = Double.MAX_VALUE;
 		for (int round = 0; round < ROUNDS; round++) {
 			int count = (targetCount > 500 && round == 0) ? ROUND / 10 : ROUND / 4;
@@ -52,11 +51,11 @@
 		return best;
 	}
 
-	private static double round(int targetCount, int customerCount, Router<Target> router, int count)
+	private static double round(int targetCount, int customerCount, Router<BenchTarget> router, int count)
 			throws ServiceException {
-		List<Target> targets = new ArrayList<>();
+		List<BenchTarget> targets = new ArrayList<>();
 		for (int number = 0; number < targetCount; number++) {
-			targets.add(new Target("t" + number));
+			targets.add(new BenchTarget("t" + number));
 		}
 		router.targets(targets);
 		Admission admission = new Admission();
@@ -66,7 +65,7 @@
 		for (int number = 0; number < customerCount; number++) {
 			policies[number] = Specification.CustomerPolicy.defaults("c" + number);
 		}
-		List<Target> running = new ArrayList<>();
+		List<BenchTarget> running = new ArrayList<>();
 		long beganNs = System.nanoTime();
 		for (int call = 0; call < count; call++) {
 			Specification.CustomerPolicy policy = policies[call % customerCount];
@@ -74,13 +73,13 @@
 			admission.admit(policy, (long) queue.costAhead(flow) / 1_000_000, call);
 			queue.add(Hashing.combine(call % 512, 7), flow, costs.tokens(policy.customer(), "r", 100));
 			if (queue.size() > QUEUED) {
-				Target target = router.choose(queue.poll((each) -> true).orElseThrow()).orElseThrow();
-				target.running++;
+				BenchTarget target = router.choose(queue.poll((each) -> true).orElseThrow()).orElseThrow();
+				target.start();
 				running.add(target);
 				admission.release(policy.customer());
 			}
 			if (running.size() > targetCount * 4) {
-				running.remove(running.size() - 1).running--;
+				running.remove(running.size() - 1).end();
 			}
 		}
 		return (double) (System.nanoTime() - beganNs) / count;
@@ -101,37 +100,4 @@
 		return (double) (System.nanoTime() - beganNs) / ROUND;
 	}
 
-	/** A target with eight slots. */
-	private static final class Target implements Candidate {
-
-		private final String id;
-
-		private int running;
-
-		Target(String id) {
-			this.id = id;
-		}
-
-		@Override
-		public String failureDomain() {
-			return "a";
-		}
-
-		@Override
-		public boolean isAvailable() {
-			return this.running < 8;
-		}
-
-		@Override
-		public double load() {
-			return this.running / 8.0;
-		}
-
-		@Override
-		public String targetId() {
-			return this.id;
-		}
-
-	}
-
 }
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/PolicyBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/PolicyBench.java
@@ -17,7 +17,6 @@
 
 import org.zinniatack.core.config.Specification;
 import org.zinniatack.core.queue.RequestQueue;
-import org.zinniatack.core.routing.Candidate;
 import org.zinniatack.core.routing.Hashing;
 import org.zinniatack.core.routing.Router;
 import org.zinniatack.core.sample.StragglerPolicy;
@@ -172,7 +171,7 @@
 	private void affinity() {
 		Table table = new Table("router", "prefix hits, %", "fullest / mean load");
 		for (String name : List.of("least loaded", "prefix affinity")) {
-			Router<CachingTarget> router = name.startsWith("least") ? Router.leastLoaded()
+			Router<BenchTarget> router = name.startsWith("least") ? Router.leastLoaded()
 					: Router.prefixAffinity("a", new SplittableRandom(3));
 			double[] figures = route(router);
 			table.row(name, 100 * figures[0], figures[1]);
@@ -181,26 +180,26 @@
 		table.print();
 	}
 
-	private static double[] route(Router<CachingTarget> router) {
-		List<CachingTarget> targets = new ArrayList<>();
+	private static double[] route(Router<BenchTarget> router) {
+		List<BenchTarget> targets = new ArrayList<>();
 		for (int number = 0; number < 12; number++) {
-			targets.add(new CachingTarget("t" + number));
+			targets.add(new BenchTarget("t" + number));
 		}
 		router.targets(targets);
 		SplittableRandom random = new SplittableRandom(5);
-		List<CachingTarget> running = new ArrayList<>();
+		List<BenchTarget> running = new ArrayList<>();
 		int hits = 0;
 		int calls = 100_000;
 		double imbalance = 0;
 		for (int call = 0; call < calls; call++) {
 			int prefix = (int) (400 * Math.pow(random.nextDouble(), 2));
-			CachingTarget target = router.choose(Hashing.of("p" + prefix)).orElseThrow();
+			BenchTarget target = router.choose(Hashing.of("p" + prefix)).orElseThrow();
 			hits += target.take(prefix) ? 1 : 0;
 			running.add(target);
 			if (running.size() > 60) {
-				running.remove(random.nextInt(running.size())).running--;
+				running.remove(random.nextInt(running.size())).end();
 			}
-			imbalance += targets.stream().mapToInt((each) -> each.running).max().orElse(0) / 5.0;
+			imbalance += targets.stream().mapToInt(BenchTarget::running).max().orElse(0) / 5.0;
 		}
 		return new double[] { (double) hits / calls, imbalance / calls };
 	}
@@ -329,50 +328,4 @@
 
 	}
 
-	/** A target that keeps the prefixes it saw last. */
-	private static final class CachingTarget implements Candidate {
-
-		private static final int CACHED_PREFIXES = 48;
-
-		private final String id;
-
-		private final LinkedHashMap<Integer, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true);
-
-		private int running;
-
-		CachingTarget(String id) {
-			this.id = id;
-		}
-
-		boolean take(int prefix) {
-			this.running++;
-			boolean hit = this.cache.put(prefix, true) != null;
-			if (this.cache.size() > CACHED_PREFIXES) {
-				this.cache.remove(this.cache.keySet().iterator().next());
-			}
-			return hit;
-		}
-
-		@Override
-		public String failureDomain() {
-			return "a";
-		}
-
-		@Override
-		public boolean isAvailable() {
-			return this.running < 8;
-		}
-
-		@Override
-		public double load() {
-			return this.running / 8.0;
-		}
-
-		@Override
-		public String targetId() {
-			return this.id;
-		}
-
-	}
-
 }
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/Zinniatack.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/Zinniatack.java
@@ -9,8 +9,8 @@
 @CommandLine.Command(name = "zinniatack", mixinStandardHelpOptions = true, version = "zinniatack 0.1.0",
 		description = "A rollout service for reinforcement learning.",
 		subcommands = { DaemonCommands.Control.class, DaemonCommands.Entry.class, DaemonCommands.Agent.class,
-				StandInCommand.class, RecordCommand.class, KeyCommand.class, StatusCommand.class, DumpCommand.class,
-				DrainCommand.class, SettingsCommand.class, CodeCommand.class, TourCommand.class,
+				StandInCommand.class, RecordCommand.class, KeyCommand.class, ShowCommand.Status.class,
+				ShowCommand.Dump.class, DrainCommand.class, SettingsCommand.class, CodeCommand.class, TourCommand.class,
 				AutoComplete.GenerateCompletion.class })
 public final class Zinniatack {
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -49,7 +49,7 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	private static final long PRESENCE_INTERVAL_MS = 250;
+	private static final long PRESENCE_INTERVAL_MS = 500;
 
 	private static final long CALL_TIMEOUT_MS = 5_000;
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlSettings.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlSettings.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
 
-import org.zinniatack.core.key.KeyDigest;
 import org.zinniatack.process.Checks;
 
 /**
@@ -51,8 +50,8 @@
 		this.members = Map.copyOf(Checks.present("members", members));
 		this.members.forEach((member, address) -> Checks.address("members." + Checks.name("members", member), address));
 		this.failureDomains = List.copyOf(Checks.present("failureDomains", failureDomains));
-		this.clusterSecret = Checks.present("clusterSecret", clusterSecret);
-		this.operatorKeyDigests = List.copyOf(Checks.present("operatorKeyDigests", operatorKeyDigests));
+		this.clusterSecret = Checks.secret("clusterSecret", clusterSecret);
+		this.operatorKeyDigests = Checks.digests("operatorKeyDigests", operatorKeyDigests);
 		this.platformUrl = Checks.present("platformUrl", platformUrl);
 		this.usageWindowMs = Checks.range("usageWindowMs", usageWindowMs, 1_000, LONGEST_WINDOW_MS);
 		this.usageGraceMs = Checks.range("usageGraceMs", usageGraceMs, 0, LONGEST_WINDOW_MS);
@@ -67,12 +66,6 @@
 		if (this.members.size() % 2 == 0 || this.members.size() > 7) {
 			throw new IllegalArgumentException("members must be 1, 3, 5 or 7");
 		}
-		if (this.clusterSecret.length() < 16) {
-			throw new IllegalArgumentException("clusterSecret must have at least 16 characters");
-		}
-		if (!this.operatorKeyDigests.stream().allMatch(KeyDigest::isValid)) {
-			throw new IllegalArgumentException("operatorKeyDigests must be SHA-256 digests in hexadecimal");
-		}
 	}
 
 	@Override
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -43,7 +43,7 @@
 
 	private static final int TASKS_A_ROUND = 1024;
 
-	private static final long TICK_MS = 20;
+	private static final long TICK_MS = 50;
 
 	private static final long JOIN_MEMORY_MS = 60_000;
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -39,7 +39,7 @@
 
 	private static final long REPORT_INTERVAL_MS = 500;
 
-	private static final long ENFORCE_INTERVAL_MS = 50;
+	private static final long ENFORCE_INTERVAL_MS = 100;
 
 	private static final long USAGE_INTERVAL_MS = 1_000;
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntrySettings.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntrySettings.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
 
-import org.zinniatack.core.key.KeyDigest;
 import org.zinniatack.process.Checks;
 
 /**
@@ -30,8 +29,6 @@
 		List<String> controlAddresses, String clusterSecret, List<String> operatorKeyDigests, long authorityLeaseMs,
 		long requestTimeoutMs, int maximumBodyBytes, long balancerDelayMs, long usageWindowMs) {
 
-	private static final int SHORTEST_SECRET = 16;
-
 	private static final long LONGEST_LEASE_MS = 60_000;
 
 	private static final long HOUR_MS = 3_600_000;
@@ -57,19 +54,13 @@
 		this.httpAddress = Checks.address("httpAddress", httpAddress);
 		this.controlAddresses = List.copyOf(Checks.present("controlAddresses", controlAddresses));
 		this.controlAddresses.forEach((address) -> Checks.address("controlAddresses", address));
-		this.clusterSecret = Checks.present("clusterSecret", clusterSecret);
-		this.operatorKeyDigests = List.copyOf(Checks.present("operatorKeyDigests", operatorKeyDigests));
+		this.clusterSecret = Checks.secret("clusterSecret", clusterSecret);
+		this.operatorKeyDigests = Checks.digests("operatorKeyDigests", operatorKeyDigests);
 		this.authorityLeaseMs = Checks.range("authorityLeaseMs", authorityLeaseMs, 1_000, LONGEST_LEASE_MS);
 		this.requestTimeoutMs = Checks.range("requestTimeoutMs", requestTimeoutMs, 1_000, HOUR_MS);
 		this.maximumBodyBytes = (int) Checks.range("maximumBodyBytes", maximumBodyBytes, 1024, LARGEST_BODY_BYTES);
 		this.balancerDelayMs = Checks.range("balancerDelayMs", balancerDelayMs, 0, LONGEST_LEASE_MS);
 		this.usageWindowMs = Checks.range("usageWindowMs", usageWindowMs, 1_000, 24 * HOUR_MS);
-		if (clusterSecret.length() < SHORTEST_SECRET) {
-			throw new IllegalArgumentException("clusterSecret must have at least 16 characters");
-		}
-		if (!this.operatorKeyDigests.stream().allMatch(KeyDigest::isValid)) {
-			throw new IllegalArgumentException("operatorKeyDigests must be SHA-256 digests in hexadecimal");
-		}
 	}
 
 	@Override
--- a/zinniatack-process/src/main/java/org/zinniatack/process/Checks.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Checks.java
@@ -1,9 +1,12 @@
 package org.zinniatack.process;
 
+import java.util.List;
 import java.util.regex.Pattern;
 
 import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.core.key.KeyDigest;
+
 /**
  * Checks of fields, which name the field and what would be right.
  */
@@ -13,6 +16,8 @@
 
 	private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
 
+	private static final int SHORTEST_SECRET = 16;
+
 	private Checks() {
 	}
 
@@ -56,6 +61,32 @@
 		return value;
 	}
 
+	/**
+	 * Checks digests of operators' keys.
+	 * @param field the name of the field
+	 * @param values the values
+	 * @return a copy of the values
+	 */
+	public static List<String> digests(String field, @Nullable List<String> values) {
+		if (values == null || !values.stream().allMatch(KeyDigest::isValid)) {
+			throw new IllegalArgumentException(field + " must be SHA-256 digests in hexadecimal");
+		}
+		return List.copyOf(values);
+	}
+
+	/**
+	 * Checks a cluster secret.
+	 * @param field the name of the field
+	 * @param value the value
+	 * @return the value
+	 */
+	public static String secret(String field, @Nullable String value) {
+		if (value == null || value.length() < SHORTEST_SECRET) {
+			throw new IllegalArgumentException(field + " must have at least " + SHORTEST_SECRET + " characters");
+		}
+		return value;
+	}
+
 	/**
 	 * Checks a number against a range.
 	 * @param field the name of the field
