Try: share the event loops of HTTP and of the wire

Cause looked for: 2.5 ms that entry and agent add to a call. Guess: hand-overs between threads. Change: connections between processes run on the two event loops of the HTTP server.

--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.EventLoopGroup;
 import org.jfree.data.xy.XYSeries;
 import picocli.CommandLine;
 
@@ -331,6 +332,8 @@
 
 		private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
+		private final EventLoopGroup loops = Wire.eventLoops(2);
+
 		private volatile int rosterHash;
 
 		FakePeers(String role, String address, int count) throws Exception {
@@ -343,7 +346,7 @@
 									FakePeers.this.rosterHash = feed.rosterHash();
 								}
 							}
-						}, 1);
+						}, () -> this.loops);
 				this.wires.add(wire);
 				Peer peer = wire.connect(address).get(5, TimeUnit.SECONDS);
 				this.peers.add(peer);
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -13,12 +14,16 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -45,20 +50,35 @@
 
 	private final PeerHandler handler;
 
-	private final EventLoopGroup group;
+	private final Supplier<EventLoopGroup> group;
+
+	private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+
+	private volatile boolean stopped;
 
 	/**
 	 * Returns the sockets of a process, none open.
 	 * @param own who this process is
 	 * @param secret the cluster secret
 	 * @param handler what to do with the connections
-	 * @param threadCount the number of event loops
+	 * @param group provides the event loops, which the caller stops; a process that
+	 * serves HTTP shares them, so that a request changes threads as seldom as it can
 	 */
-	public Wire(PeerIdentity own, ClusterSecret secret, PeerHandler handler, int threadCount) {
+	public Wire(PeerIdentity own, ClusterSecret secret, PeerHandler handler, Supplier<EventLoopGroup> group) {
 		this.own = Objects.requireNonNull(own, "own");
 		this.secret = Objects.requireNonNull(secret, "secret");
 		this.handler = Objects.requireNonNull(handler, "handler");
-		this.group = new MultiThreadIoEventLoopGroup(threadCount, NioIoHandler.newFactory());
+		this.group = Objects.requireNonNull(group, "group");
+	}
+
+	/**
+	 * Returns event loops for a process without HTTP.
+	 * @param threadCount the number of event loops
+	 * @return the event loops, whose threads do not keep the process alive
+	 */
+	public static EventLoopGroup eventLoops(int threadCount) {
+		return new MultiThreadIoEventLoopGroup(threadCount, new DefaultThreadFactory("wire", true),
+				NioIoHandler.newFactory());
 	}
 
 	/**
@@ -69,7 +89,7 @@
 	 */
 	public CompletableFuture<Peer> connect(String address) {
 		CompletableFuture<Peer> opened = new CompletableFuture<>();
-		new Bootstrap().group(this.group)
+		new Bootstrap().group(this.group.get())
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -97,7 +117,7 @@
 	 * @throws ServiceException if the address cannot be bound
 	 */
 	public int listen(String address) throws ServiceException {
-		ChannelFuture bound = new ServerBootstrap().group(this.group)
+		ChannelFuture bound = new ServerBootstrap().group(this.group.get())
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -109,6 +129,7 @@
 			throw ServiceException.of(ResultCode.SETTINGS_INVALID,
 					"cannot listen on " + address + ": " + bound.cause().getMessage());
 		}
+		this.channels.add(bound.channel());
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
@@ -118,8 +139,8 @@
 	 * @param delayMs the delay, in milliseconds
 	 */
 	public void schedule(Runnable action, long delayMs) {
-		if (!this.group.isShuttingDown()) {
-			this.group.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+		if (!this.stopped && !this.group.get().isShuttingDown()) {
+			this.group.get().schedule(action, delayMs, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -127,13 +148,15 @@
 	 * Closes all sockets.
 	 */
 	public void stop() {
-		this.group.shutdownGracefully(0, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+		this.stopped = true;
+		this.channels.close().awaitUninterruptibly(STOP_TIMEOUT_MS);
 	}
 
 	private ChannelInitializer<SocketChannel> initializer(boolean opener, Consumer<Peer> opened) {
 		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
+				Wire.this.channels.add(channel);
 				channel.pipeline()
 					.addLast(
 							new LengthFieldBasedFrameDecoder(MAXIMUM_HANDSHAKE_FRAME_BYTES, 0, LENGTH_BYTES, 0,
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.EventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,8 @@
 
 	private static final long WAIT_MS = 5_000;
 
+	private static final EventLoopGroup LOOPS = Wire.eventLoops(2);
+
 	private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
 
 	private Wire server;
@@ -55,7 +58,7 @@
 	}
 
 	private static Wire wire(String secret, PeerHandler handler) {
-		return new Wire(new PeerIdentity("test", "node"), ClusterSecret.of(secret), handler, 1);
+		return new Wire(new PeerIdentity("test", "node"), ClusterSecret.of(secret), handler, () -> LOOPS);
 	}
 
 	private static ServiceException failureOf(CompletableFuture<?> future) throws Exception {
