Revert the shared event loops

Cause: with two shared loops a call waits behind others. Samples of the entry's threads under 500 calls a second show 56% of a core for them, 1.1 ms a call, spread over the HTTP stack, JSON and dispatch, one loop at 44% and one at 12%; so processor time and queueing behind it are the cause, not hand-overs. Conclusion: fewer allocations and less JSON on the way would be next.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -19,7 +19,6 @@
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.routing.Hashing;
-import org.zinniatack.process.EventLoops;
 import org.zinniatack.process.Link;
 import org.zinniatack.process.ProcessView;
 import org.zinniatack.process.Service;
@@ -76,15 +75,14 @@
 	/**
 	 * Returns a process that is not started.
 	 * @param settings the settings
-	 * @param eventLoops the event loops of the process
 	 * @throws ServiceException if the target's URL is wrong
 	 */
-	public AgentService(AgentSettings settings, EventLoops eventLoops) throws ServiceException {
+	public AgentService(AgentSettings settings) throws ServiceException {
 		this.settings = settings;
 		this.target = new HttpTarget(settings.targetUrl(), settings.isEngine());
 		this.admittance = new Admittance(settings.slotCount());
 		this.wire = new Wire(new PeerIdentity("agent", settings.targetId()), ClusterSecret.of(settings.clusterSecret()),
-				this, eventLoops);
+				this, 1);
 	}
 
 	@Override
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoopGroup;
 import org.jfree.data.xy.XYSeries;
 import picocli.CommandLine;
 
@@ -332,8 +331,6 @@
 
 		private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
-		private final EventLoopGroup loops = Wire.eventLoops(2);
-
 		private volatile int rosterHash;
 
 		FakePeers(String role, String address, int count) throws Exception {
@@ -346,7 +343,7 @@
 									FakePeers.this.rosterHash = feed.rosterHash();
 								}
 							}
-						}, () -> this.loops);
+						}, 1);
 				this.wires.add(wire);
 				Peer peer = wire.connect(address).get(5, TimeUnit.SECONDS);
 				this.peers.add(peer);
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/ControlBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/ControlBench.java
@@ -27,7 +27,6 @@
 import org.zinniatack.control.ControlSettings;
 import org.zinniatack.core.config.RecordKind;
 import org.zinniatack.core.state.Command;
-import org.zinniatack.process.EventLoops;
 
 /**
  * Measures control: the latency of a commit beside a bare sync of the same disk, changes
@@ -101,8 +100,7 @@
 		List<ControlService> members = new ArrayList<>();
 		List<CompletableFuture<Void>> starting = new ArrayList<>();
 		for (String name : addresses.keySet()) {
-			ControlService service = new ControlService(settings(name, this.folder.resolve(name), addresses),
-					new EventLoops());
+			ControlService service = new ControlService(settings(name, this.folder.resolve(name), addresses));
 			members.add(service);
 			starting.add(start(service));
 		}
@@ -187,7 +185,7 @@
 		for (int count : new int[] { 500, this.changes }) {
 			Path data = this.folder.resolve("single-" + count);
 			Map<String, String> addresses = Map.of("c1", freeAddress());
-			ControlService writer = new ControlService(settings("c1", data, addresses), new EventLoops());
+			ControlService writer = new ControlService(settings("c1", data, addresses));
 			writer.start();
 			awaitLeader(List.of(writer));
 			List<CompletableFuture<?>> waiting = new ArrayList<>();
@@ -201,7 +199,7 @@
 			CompletableFuture.allOf(waiting.toArray(new CompletableFuture<?>[0])).join();
 			writer.stop();
 			long beganNs = System.nanoTime();
-			ControlService again = new ControlService(settings("c1", data, addresses), new EventLoops());
+			ControlService again = new ControlService(settings("c1", data, addresses));
 			again.start();
 			awaitLeader(List.of(again));
 			long tookMs = (System.nanoTime() - beganNs) / 1_000_000;
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/Daemon.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/Daemon.java
@@ -9,11 +9,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.micronaut.context.ApplicationContext;
-import io.micronaut.http.netty.channel.EventLoopGroupRegistry;
 import io.micronaut.runtime.server.EmbeddedServer;
 
 import org.zinniatack.core.result.ServiceException;
-import org.zinniatack.process.EventLoops;
 import org.zinniatack.process.Service;
 
 /**
@@ -28,13 +26,10 @@
 
 	private final ApplicationContext context;
 
-	private final EventLoops eventLoops;
-
 	private final List<Service> services;
 
-	private Daemon(ApplicationContext context, EventLoops eventLoops, List<Service> services) {
+	private Daemon(ApplicationContext context, List<Service> services) {
 		this.context = context;
-		this.eventLoops = eventLoops;
 		this.services = List.copyOf(services);
 	}
 
@@ -43,13 +38,12 @@
 	 * @param httpAddress the address of the HTTP server, as host and port
 	 * @param maximumBodyBytes the largest body that the server takes, in bytes
 	 * @param metrics what the metrics endpoint shows
-	 * @param eventLoops the event loops, which become those of the HTTP server
 	 * @param services the services, in the order of their start
 	 * @param beans what controllers may use
 	 * @return the daemon
 	 */
 	public static Daemon of(String httpAddress, int maximumBodyBytes, PrometheusMeterRegistry metrics,
-			EventLoops eventLoops, List<Service> services, Object... beans) {
+			List<Service> services, Object... beans) {
 		int colon = httpAddress.lastIndexOf(':');
 		Map<String, Object> properties = new HashMap<>();
 		properties.put("micronaut.server.host", httpAddress.substring(0, colon));
@@ -66,13 +60,12 @@
 			.deduceEnvironment(false)
 			.singletons(singletons.toArray())
 			.build();
-		return new Daemon(context, eventLoops, services);
+		return new Daemon(context, services);
 	}
 
 	@Override
 	public void start() throws ServiceException {
 		this.context.start();
-		this.eventLoops.share(this.context.getBean(EventLoopGroupRegistry.class).getDefaultEventLoopGroup());
 		for (Service service : this.services) {
 			service.start();
 		}
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/DaemonCommands.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/DaemonCommands.java
@@ -13,7 +13,6 @@
 import org.zinniatack.control.ControlSettings;
 import org.zinniatack.entry.EntryService;
 import org.zinniatack.entry.EntrySettings;
-import org.zinniatack.process.EventLoops;
 import org.zinniatack.process.Metrics;
 import org.zinniatack.process.OperatorKeys;
 import org.zinniatack.process.Settings;
@@ -56,10 +55,9 @@
 		@Override
 		Daemon daemon() throws Exception {
 			ControlSettings settings = Settings.read(settings(), ControlSettings.class);
-			EventLoops eventLoops = new EventLoops();
-			ControlService service = new ControlService(settings, eventLoops);
-			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, Metrics.registry(), eventLoops,
-					List.of(service), service, OperatorKeys.of(settings.operatorKeyDigests()));
+			ControlService service = new ControlService(settings);
+			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, Metrics.registry(), List.of(service), service,
+					OperatorKeys.of(settings.operatorKeyDigests()));
 		}
 
 	}
@@ -72,10 +70,9 @@
 		Daemon daemon() throws Exception {
 			EntrySettings settings = Settings.read(settings(), EntrySettings.class);
 			PrometheusMeterRegistry metrics = Metrics.registry();
-			EventLoops eventLoops = new EventLoops();
-			EntryService service = new EntryService(settings, metrics, eventLoops);
-			return Daemon.of(settings.httpAddress(), settings.maximumBodyBytes(), metrics, eventLoops, List.of(service),
-					service, OperatorKeys.of(settings.operatorKeyDigests()));
+			EntryService service = new EntryService(settings, metrics);
+			return Daemon.of(settings.httpAddress(), settings.maximumBodyBytes(), metrics, List.of(service), service,
+					OperatorKeys.of(settings.operatorKeyDigests()));
 		}
 
 	}
@@ -88,10 +85,9 @@
 		@Override
 		Daemon daemon() throws Exception {
 			AgentSettings settings = Settings.read(settings(), AgentSettings.class);
-			EventLoops eventLoops = new EventLoops();
-			AgentService service = new AgentService(settings, eventLoops);
-			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, Metrics.registry(), eventLoops,
-					List.of(service), service, OperatorKeys.of(settings.operatorKeyDigests()));
+			AgentService service = new AgentService(settings);
+			return Daemon.of(settings.httpAddress(), OPERATOR_BODY_BYTES, Metrics.registry(), List.of(service), service,
+					OperatorKeys.of(settings.operatorKeyDigests()));
 		}
 
 	}
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/StandInCommand.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/StandInCommand.java
@@ -5,7 +5,6 @@
 
 import picocli.CommandLine;
 
-import org.zinniatack.process.EventLoops;
 import org.zinniatack.process.Metrics;
 import org.zinniatack.standin.StandInEngine;
 import org.zinniatack.standin.StandInPlatform;
@@ -51,7 +50,7 @@
 		@Override
 		public Integer call() throws Exception {
 			Daemon
-				.of(this.http, BODY_BYTES, Metrics.registry(), new EventLoops(), List.of(),
+				.of(this.http, BODY_BYTES, Metrics.registry(), List.of(),
 						new StandInEngine(
 								new StandInEngine.EngineOptions(this.weightVersion, this.tokenIntervalMs, this.loadMs,
 										!this.ignoresFencing, this.failedLoads, this.crashPrompt),
@@ -71,8 +70,7 @@
 
 		@Override
 		public Integer call() throws Exception {
-			Daemon.of(this.http, BODY_BYTES, Metrics.registry(), new EventLoops(), List.of(), new StandInService())
-				.run();
+			Daemon.of(this.http, BODY_BYTES, Metrics.registry(), List.of(), new StandInService()).run();
 			return 0;
 		}
 
@@ -88,8 +86,7 @@
 
 		@Override
 		public Integer call() throws Exception {
-			Daemon.of(this.http, BODY_BYTES, Metrics.registry(), new EventLoops(), List.of(), new StandInPlatform())
-				.run();
+			Daemon.of(this.http, BODY_BYTES, Metrics.registry(), List.of(), new StandInPlatform()).run();
 			return 0;
 		}
 
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/LocalSystem.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/LocalSystem.java
@@ -28,7 +28,6 @@
 import org.zinniatack.core.key.KeyDigest;
 import org.zinniatack.entry.EntryService;
 import org.zinniatack.entry.EntrySettings;
-import org.zinniatack.process.EventLoops;
 import org.zinniatack.process.Metrics;
 import org.zinniatack.process.OperatorKeys;
 import org.zinniatack.process.Service;
@@ -110,8 +109,7 @@
 	}
 
 	private void startPlatform() throws Exception {
-		add("platform", Daemon.of(freeAddress(), 1 << 20, Metrics.registry(), new EventLoops(), List.of(),
-				new StandInPlatform()));
+		add("platform", Daemon.of(freeAddress(), 1 << 20, Metrics.registry(), List.of(), new StandInPlatform()));
 	}
 
 	private synchronized void put(String name, Daemon daemon) {
@@ -127,9 +125,8 @@
 		ControlSettings settings = new ControlSettings(name, this.folder.resolve(name).toString(), members.get(name),
 				freeAddress(), members, List.of("a", "b", "c"), SECRET, this.operatorDigests, url("platform"),
 				this.usageWindowMs, 300, 1_000);
-		EventLoops eventLoops = new EventLoops();
-		ControlService service = new ControlService(settings, eventLoops);
-		add(name, Daemon.of(settings.httpAddress(), 1 << 20, Metrics.registry(), eventLoops, List.of(service), service,
+		ControlService service = new ControlService(settings);
+		add(name, Daemon.of(settings.httpAddress(), 1 << 20, Metrics.registry(), List.of(service), service,
 				OperatorKeys.of(this.operatorDigests)));
 	}
 
@@ -138,10 +135,9 @@
 				this.operatorDigests, 3_000, 20_000, 1 << 20, 0, this.usageWindowMs);
 		this.wireAddresses.put(name, settings.listenAddress());
 		PrometheusMeterRegistry metrics = Metrics.registry();
-		EventLoops eventLoops = new EventLoops();
-		EntryService service = new EntryService(settings, metrics, eventLoops);
+		EntryService service = new EntryService(settings, metrics);
 		this.services.put(name, service);
-		add(name, Daemon.of(settings.httpAddress(), 1 << 20, metrics, eventLoops, List.of(service), service,
+		add(name, Daemon.of(settings.httpAddress(), 1 << 20, metrics, List.of(service), service,
 				OperatorKeys.of(this.operatorDigests)));
 	}
 
@@ -155,7 +151,7 @@
 
 	/** Starts an engine with its agent. */
 	void startEngine(String name, String failureDomain, StandInEngine.EngineOptions options) throws Exception {
-		add("engine-of-" + name, Daemon.of(freeAddress(), 1 << 20, Metrics.registry(), new EventLoops(), List.of(),
+		add("engine-of-" + name, Daemon.of(freeAddress(), 1 << 20, Metrics.registry(), List.of(),
 				new StandInEngine(options, () -> CompletableFuture.runAsync(() -> stop("engine-of-" + name)))));
 		startAgent(name, "draft", failureDomain, url("engine-of-" + name), "engine");
 		awaitTarget(name);
@@ -163,8 +159,8 @@
 
 	/** Starts a plain service with its agent. */
 	void startService(String name) throws Exception {
-		add("service-of-" + name, Daemon.of(freeAddress(), 1 << 20, Metrics.registry(), new EventLoops(), List.of(),
-				new StandInService()));
+		add("service-of-" + name,
+				Daemon.of(freeAddress(), 1 << 20, Metrics.registry(), List.of(), new StandInService()));
 		startAgent(name, "rota", "c", url("service-of-" + name), "service");
 		awaitTarget(name);
 	}
@@ -173,10 +169,9 @@
 			throws Exception {
 		AgentSettings settings = new AgentSettings(name, pool, failureDomain, targetUrl, protocol, 8, freeAddress(),
 				List.of(this.wireAddresses.get("entry-1")), 4, SECRET, this.operatorDigests, 100, 5_000);
-		EventLoops eventLoops = new EventLoops();
-		AgentService service = new AgentService(settings, eventLoops);
+		AgentService service = new AgentService(settings);
 		this.services.put(name, service);
-		add(name, Daemon.of(settings.httpAddress(), 1 << 20, Metrics.registry(), eventLoops, List.of(service), service,
+		add(name, Daemon.of(settings.httpAddress(), 1 << 20, Metrics.registry(), List.of(service), service,
 				OperatorKeys.of(this.operatorDigests)));
 	}
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -29,7 +29,6 @@
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
-import org.zinniatack.process.EventLoops;
 import org.zinniatack.process.Link;
 import org.zinniatack.process.ProcessView;
 import org.zinniatack.process.Service;
@@ -56,6 +55,8 @@
 
 	private static final long NO_LEADER_RETRY_MS = 1_000;
 
+	private static final int WIRE_THREADS = 2;
+
 	private final ControlSettings settings;
 
 	private final Wire wire;
@@ -82,14 +83,13 @@
 	/**
 	 * Returns a process that is not started.
 	 * @param settings the settings
-	 * @param eventLoops the event loops of the process
 	 * @throws ServiceException if the data folder cannot be opened
 	 */
-	public ControlService(ControlSettings settings, EventLoops eventLoops) throws ServiceException {
+	public ControlService(ControlSettings settings) throws ServiceException {
 		this.settings = settings;
 		this.store = ReplicaStore.open(Path.of(settings.dataFolder()), settings.name());
 		this.wire = new Wire(new PeerIdentity("control", settings.name()), ClusterSecret.of(settings.clusterSecret()),
-				this, eventLoops);
+				this, WIRE_THREADS);
 		settings.members().forEach((name, address) -> {
 			if (!name.equals(settings.name())) {
 				this.others.put(name, new Link(this.wire, address, (peer) -> {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -20,7 +20,6 @@
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.routing.Hashing;
 import org.zinniatack.core.state.Command;
-import org.zinniatack.process.EventLoops;
 import org.zinniatack.process.ProcessView;
 import org.zinniatack.process.Service;
 import org.zinniatack.wire.ClusterSecret;
@@ -46,6 +45,8 @@
 
 	private static final long STOP_CHECK_MS = 20;
 
+	private static final int WIRE_THREADS = 2;
+
 	private final EntrySettings settings;
 
 	private final Ticker ticker = Ticker.systemTicker();
@@ -73,15 +74,14 @@
 	 * Returns a process that is not started.
 	 * @param settings the settings
 	 * @param metrics where to count
-	 * @param eventLoops the event loops of the process
 	 */
-	public EntryService(EntrySettings settings, MeterRegistry metrics, EventLoops eventLoops) {
+	public EntryService(EntrySettings settings, MeterRegistry metrics) {
 		this.settings = settings;
 		this.metrics = metrics;
 		this.authority = new Authority(settings.authorityLeaseMs());
 		this.dispatcher = new Dispatcher(this::nowMs, this.authority, settings.failureDomain(), this::onFinished);
 		this.wire = new Wire(new PeerIdentity("entry", settings.name()), ClusterSecret.of(settings.clusterSecret()),
-				this, eventLoops);
+				this, WIRE_THREADS);
 		this.control = new ControlLink(this.wire, settings.name(), settings.controlAddresses());
 		this.usage = new UsageMeter(settings.usageWindowMs(), System::currentTimeMillis, this.control);
 	}
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -14,16 +13,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.util.concurrent.DefaultThreadFactory;
-import io.netty.util.concurrent.GlobalEventExecutor;
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -50,35 +45,20 @@
 
 	private final PeerHandler handler;
 
-	private final Supplier<EventLoopGroup> group;
-
-	private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
-
-	private volatile boolean stopped;
+	private final EventLoopGroup group;
 
 	/**
 	 * Returns the sockets of a process, none open.
 	 * @param own who this process is
 	 * @param secret the cluster secret
 	 * @param handler what to do with the connections
-	 * @param group provides the event loops, which the caller stops; a process that
-	 * serves HTTP shares them, so that a request changes threads as seldom as it can
+	 * @param threadCount the number of event loops
 	 */
-	public Wire(PeerIdentity own, ClusterSecret secret, PeerHandler handler, Supplier<EventLoopGroup> group) {
+	public Wire(PeerIdentity own, ClusterSecret secret, PeerHandler handler, int threadCount) {
 		this.own = Objects.requireNonNull(own, "own");
 		this.secret = Objects.requireNonNull(secret, "secret");
 		this.handler = Objects.requireNonNull(handler, "handler");
-		this.group = Objects.requireNonNull(group, "group");
-	}
-
-	/**
-	 * Returns event loops for a process without HTTP.
-	 * @param threadCount the number of event loops
-	 * @return the event loops, whose threads do not keep the process alive
-	 */
-	public static EventLoopGroup eventLoops(int threadCount) {
-		return new MultiThreadIoEventLoopGroup(threadCount, new DefaultThreadFactory("wire", true),
-				NioIoHandler.newFactory());
+		this.group = new MultiThreadIoEventLoopGroup(threadCount, NioIoHandler.newFactory());
 	}
 
 	/**
@@ -89,7 +69,7 @@
 	 */
 	public CompletableFuture<Peer> connect(String address) {
 		CompletableFuture<Peer> opened = new CompletableFuture<>();
-		new Bootstrap().group(this.group.get())
+		new Bootstrap().group(this.group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -117,7 +97,7 @@
 	 * @throws ServiceException if the address cannot be bound
 	 */
 	public int listen(String address) throws ServiceException {
-		ChannelFuture bound = new ServerBootstrap().group(this.group.get())
+		ChannelFuture bound = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -129,7 +109,6 @@
 			throw ServiceException.of(ResultCode.SETTINGS_INVALID,
 					"cannot listen on " + address + ": " + bound.cause().getMessage());
 		}
-		this.channels.add(bound.channel());
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
@@ -139,8 +118,8 @@
 	 * @param delayMs the delay, in milliseconds
 	 */
 	public void schedule(Runnable action, long delayMs) {
-		if (!this.stopped && !this.group.get().isShuttingDown()) {
-			this.group.get().schedule(action, delayMs, TimeUnit.MILLISECONDS);
+		if (!this.group.isShuttingDown()) {
+			this.group.schedule(action, delayMs, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -148,15 +127,13 @@
 	 * Closes all sockets.
 	 */
 	public void stop() {
-		this.stopped = true;
-		this.channels.close().awaitUninterruptibly(STOP_TIMEOUT_MS);
+		this.group.shutdownGracefully(0, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
 	}
 
 	private ChannelInitializer<SocketChannel> initializer(boolean opener, Consumer<Peer> opened) {
 		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
-				Wire.this.channels.add(channel);
 				channel.pipeline()
 					.addLast(
 							new LengthFieldBasedFrameDecoder(MAXIMUM_HANDSHAKE_FRAME_BYTES, 0, LENGTH_BYTES, 0,
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,8 +26,6 @@
 
 	private static final long WAIT_MS = 5_000;
 
-	private static final EventLoopGroup LOOPS = Wire.eventLoops(2);
-
 	private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
 
 	private Wire server;
@@ -58,7 +55,7 @@
 	}
 
 	private static Wire wire(String secret, PeerHandler handler) {
-		return new Wire(new PeerIdentity("test", "node"), ClusterSecret.of(secret), handler, () -> LOOPS);
+		return new Wire(new PeerIdentity("test", "node"), ClusterSecret.of(secret), handler, 1);
 	}
 
 	private static ServiceException failureOf(CompletableFuture<?> future) throws Exception {
