Keep an agent connected to every entry that any of its entries names

Cause: a test once waited in vain for an agent at the second entry. An entry sends its list of entries when an agent announces itself and when the list changes, on two threads: the older list could leave last, and the agent dropped the entry that it lacked and heard no news again. An entry that has just started and knows only itself could do the same. Ruled out: a collision of the lists' hashes and the connection's own retries. Change: an entry sends its list in turns; an agent joins the lists of all its entries.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -55,6 +55,8 @@
 
 	private final Map<String, Link> links = new HashMap<>();
 
+	private final KnownEntries knownEntries = new KnownEntries();
+
 	private final AtomicLong crashCount = new AtomicLong();
 
 	private final AtomicBoolean loading = new AtomicBoolean();
@@ -209,7 +211,8 @@
 		if (message instanceof Message.Directory directory) {
 			this.fence.learn(directory.epoch());
 			this.revision = Math.max(this.revision, directory.revision());
-			follow(directory.entries());
+			this.knownEntries.put(peer.identity().nodeId(), directory.entries());
+			follow(this.knownEntries.all());
 			peer.send(load());
 		}
 		else if (message instanceof Message.TargetDirective directive) {
@@ -217,6 +220,11 @@
 		}
 	}
 
+	@Override
+	public void onClosed(Peer peer) {
+		this.knownEntries.remove(peer.identity().nodeId());
+	}
+
 	private void follow(Map<String, String> entries) {
 		if (!entries.isEmpty()) {
 			List<String> chosen = Hashing.rendezvous(this.settings.targetId(), entries.keySet(),
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
@@ -156,6 +156,54 @@
 						&& this.system.dump("engine-2").path("load").path("runningCount").asInt() == 0);
 	}
 
+	@Test
+	void aWithdrawnKeyEndsItsQueuedRequestWithATrueNotRun() throws Exception {
+		this.system.startEngine("engine-1", "a", LocalSystem.engine(SLOW_TOKEN_MS));
+		for (int slot = 0; slot < 8; slot++) {
+			longCall("entry-1", true);
+		}
+		LocalSystem.await("the engine is full",
+				() -> this.system.dump("engine-1").path("load").path("runningCount").asInt() == 8);
+		CompletableFuture<HttpResponse<String>> queued = longCall("entry-1", false);
+		LocalSystem.await("a request waits",
+				() -> this.system.dump("entry-1").path("pools").path(0).path("queuedCount").asInt() == 1);
+		long revision = this.system.revisionOf("key", "caller");
+		this.system.operator("DELETE", "/v1/records/key/caller?expectedRevision=" + revision, "");
+		HttpResponse<String> answer = queued.get(2, TimeUnit.SECONDS);
+		assertThat(codeOf(answer), is(1011));
+		assertThat(answer.body(), containsString("not_run"));
+	}
+
+	@Test
+	void aChangeIsInForceAtEveryProcessWithinTwoSeconds() throws Exception {
+		startEngines();
+		long longestMs = 0;
+		for (int change = 0; change < 20; change++) {
+			long revision = this.system.record("customer", "c" + change, 2, Map.of("weight", 1))
+				.path("revision")
+				.asLong();
+			long acceptedNs = System.nanoTime();
+			LocalSystem.await("it is in force", () -> isInForce(revision));
+			longestMs = Math.max(longestMs, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - acceptedNs));
+		}
+		System.out.println("longest time until a change is in force at entries and agents, ms: " + longestMs);
+		assertThat(longestMs, lessThan(2_000L));
+	}
+
+	private boolean isInForce(long revision) throws Exception {
+		for (String entry : new String[] { "entry-1", "entry-2" }) {
+			if (this.system.dump(entry).path("revision").asLong() < revision) {
+				return false;
+			}
+		}
+		for (String agent : new String[] { "engine-1", "engine-2" }) {
+			if (this.system.dump(agent).path("load").path("revision").asLong() < revision) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	@Test
 	void anEntryCutOffFromControlHonoursNoKeyAfterItsLease() throws Exception {
 		startEngines();
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -252,7 +252,7 @@
 		}
 		else if (message instanceof Message.Announce announce) {
 			this.dispatcher.announced(peer, announce);
-			peer.send(directory());
+			sendDirectory(peer);
 		}
 		else if (message instanceof Message.Load load) {
 			this.dispatcher.reported(peer, load);
@@ -273,7 +273,7 @@
 				|| after.epoch() != before.epoch() || !after.entries().equals(before.entries());
 		for (TargetLink target : this.dispatcher.targets()) {
 			if (news) {
-				target.peer().send(directory());
+				sendDirectory(target.peer());
 			}
 			Message.TargetDirective directive = feed.directives().get(target.targetId());
 			if (directive != null) {
@@ -282,9 +282,10 @@
 		}
 	}
 
-	private Message.Directory directory() {
+	/** Sends what is known now; in turns, so that no older list follows a newer one. */
+	private synchronized void sendDirectory(Peer peer) {
 		Authority.View view = this.authority.view();
-		return new Message.Directory(view.configuration().revision(), view.epoch(), view.entries());
+		peer.send(new Message.Directory(view.configuration().revision(), view.epoch(), view.entries()));
 	}
 
 	@Override
