Let a started request wait for its deadline, and stop steps of withdrawn keys

Cause, found by reading: a stream that had lost its target was ended when its queue time passed, although it had long been running; a step under a withdrawn key was issued again each 100 ms and each time ran until the next check; steps were not held to the spending ceiling. Change: queue time binds only what has reached no target; a withdrawn key or lapsed authority refuses at the door and ends the step, which a new key may post again; all work is held to the ceiling.

--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -72,6 +72,9 @@
 	@CommandLine.Option(names = "--interval-ms", defaultValue = "500", description = "the time between reports")
 	private long intervalMs;
 
+	/** Keeps what is measured from being collected. */
+	private Object kept = "";
+
 	@Override
 	public Integer call() throws Exception {
 		sizes();
@@ -183,7 +186,8 @@
 			before = heapBytes();
 			Configuration configuration = Configuration.of(1, state.records().records());
 			long viewBytes = heapBytes() - before;
-			double viewUs = changeUs(configuration, count);
+			this.kept = configuration;
+			double viewUs = changeUs(count);
 			beganNs = System.nanoTime();
 			byte[] snapshot = StateCodec.encode(state.image());
 			double snapshotMs = (System.nanoTime() - beganNs) / 1e6;
@@ -200,7 +204,7 @@
 		Table.plot(this.plots.resolve("records.png"), "Entry: view after one change", "records", "us", List.of(view));
 	}
 
-	private static double changeUs(Configuration configuration, int count) throws ServiceException {
+	private static double changeUs(int count) throws ServiceException {
 		double best = Double.MAX_VALUE;
 		List<ConfigurationRecord> all = recordList(count);
 		for (int round = 0; round < 5; round++) {
@@ -208,7 +212,7 @@
 			Configuration.of(2, all);
 			best = Math.min(best, (System.nanoTime() - beganNs) / NS_A_US);
 		}
-		return best + 0 * configuration.revision();
+		return best;
 	}
 
 	private static void samples() throws IOException {
@@ -219,11 +223,10 @@
 			long before = heapBytes();
 			ControlState state = new ControlState();
 			state.apply(1, new Command.OpenStep("c", "s", "m", "d", count, 2));
-			byte[] encoded = StateCodec.encode(new Command.FillSlots("c", "s", sampleList(count)));
-			state.apply(2, StateCodec.decodeCommand(encoded));
-			encoded = new byte[0];
+			state.apply(2,
+					StateCodec.decodeCommand(StateCodec.encode(new Command.FillSlots("c", "s", sampleList(count)))));
 			held.add(state);
-			long bytes = heapBytes() - before + encoded.length;
+			long bytes = heapBytes() - before;
 			if (held.size() > 1) {
 				points.add(new double[] { count, bytes });
 				table.row(count, bytes / 1024, StateCodec.encode(state.image()).length / 1024);
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import org.zinniatack.core.key.KeyDigest;
 import org.zinniatack.standin.StandInEngine;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -122,6 +123,47 @@
 		assertThat(textOf(call.get(20, TimeUnit.SECONDS).body()), equalTo(whole));
 	}
 
+	@Test
+	void aStreamContinuesAlsoWhenItsQueueTimeHasPassed() throws Exception {
+		startEngines();
+		this.system.record("policy", "trentvale", 2, Map.of("customer", "trentvale", "queueTimeMs", 500));
+		this.system.awaitInForce();
+		CompletableFuture<HttpResponse<String>> call = longCall("entry-1", true);
+		String busy = busyEngine();
+		for (int other = 0; other < 4; other++) {
+			this.system.sendAsync("entry-1", "POST", "/v1/completions",
+					LocalSystem.completion("other " + other, LONG_ANSWER, false), LocalSystem.CALLER_KEY);
+		}
+		LocalSystem.await("both engines are busy",
+				() -> this.system.dump("engine-1").path("load").path("runningCount").asInt() > 0
+						&& this.system.dump("engine-2").path("load").path("runningCount").asInt() > 0);
+		TimeUnit.MILLISECONDS.sleep(1_000);
+		this.system.stop("engine-of-" + busy);
+		assertThat(call.get(40, TimeUnit.SECONDS).body(), endsWith("data: [DONE]\n\n"));
+	}
+
+	@Test
+	void aStepOfAWithdrawnKeyStopsAndGoesOnUnderANewKey() throws Exception {
+		startEngines();
+		String step = "{\"step\":\"s\",\"model\":\"draft\",\"groups\":[{\"prompt\":\"p\",\"samples\":40,\"max_tokens\":60}]}";
+		this.system.send("entry-1", "POST", "/v1/steps", step, LocalSystem.CALLER_KEY, Map.of());
+		busyEngine();
+		long revision = this.system.revisionOf("key", "caller");
+		this.system.operator("DELETE", "/v1/records/key/caller?expectedRevision=" + revision, "");
+		TimeUnit.MILLISECONDS.sleep(2_000);
+		for (int look = 0; look < 50; look++) {
+			assertThat(this.system.dump("engine-1").path("load").path("runningCount").asInt(), is(0));
+			assertThat(this.system.dump("engine-2").path("load").path("runningCount").asInt(), is(0));
+		}
+		this.system.record("key", "new", 2,
+				Map.of("customer", "trentvale", "digestSha256", KeyDigest.of("zk-new-0123456789").hex()));
+		this.system.awaitInForce();
+		this.system.send("entry-1", "POST", "/v1/steps", step, "zk-new-0123456789", Map.of());
+		LocalSystem.await("the batch is whole",
+				() -> this.system.send("entry-1", "GET", "/v1/steps/s/batch", "", "zk-new-0123456789", Map.of())
+					.statusCode() == 200);
+	}
+
 	@Test
 	void aStreamThatCannotContinueDoesNotLookComplete() throws Exception {
 		this.system.startEngine("engine-1", "a", LocalSystem.engine(SLOW_TOKEN_MS));
--- a/zinniatack-core/src/main/java/org/zinniatack/core/admission/Admission.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/admission/Admission.java
@@ -41,11 +41,7 @@
 			throw ServiceException.retryable(ResultCode.CUSTOMER_LIMIT_REACHED, "concurrency " + policy.concurrency(),
 					CONCURRENCY_RETRY_MS);
 		}
-		long owedMs = (policy.tokensPerHour() > 0) ? state.tokens.owedMs(nowMs) : 0;
-		if (owedMs > 0) {
-			throw ServiceException.retryable(ResultCode.SPENDING_CEILING_REACHED,
-					"tokens an hour " + policy.tokensPerHour(), owedMs);
-		}
+		requireSpending(policy, nowMs);
 		long rateWaitMs = (policy.requestsPerS() > 0) ? state.requests.take(1, nowMs) : 0;
 		if (rateWaitMs > 0) {
 			throw ServiceException.retryable(ResultCode.CUSTOMER_LIMIT_REACHED,
@@ -54,6 +50,20 @@
 		state.admitted++;
 	}
 
+	/**
+	 * Refuses work of a customer that owes tokens.
+	 * @param policy the customer's policy
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @throws ServiceException with SPENDING_CEILING_REACHED
+	 */
+	public void requireSpending(Specification.CustomerPolicy policy, long nowMs) throws ServiceException {
+		long owedMs = (policy.tokensPerHour() > 0) ? stateOf(policy, nowMs).tokens.owedMs(nowMs) : 0;
+		if (owedMs > 0) {
+			throw ServiceException.retryable(ResultCode.SPENDING_CEILING_REACHED,
+					"tokens an hour " + policy.tokensPerHour(), owedMs);
+		}
+	}
+
 	/**
 	 * Charges tokens that a request used, admitted or not.
 	 * @param customer the customer
--- a/zinniatack-core/src/test/java/org/zinniatack/core/PolicyTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/PolicyTests.java
@@ -76,6 +76,22 @@
 		assertThat(refusal(admission, spending, 0, 100_000), is(ResultCode.OK));
 	}
 
+	@Test
+	void workThatIsNotAdmittedByRateIsStillHeldToTheSpendingCeiling() throws ServiceException {
+		Admission admission = new Admission();
+		Specification.CustomerPolicy policy = new Specification.CustomerPolicy("a", 0, 0, 1_000, 1, 3_600);
+		admission.requireSpending(policy, 0);
+		admission.charge("a", 700, 0);
+		try {
+			admission.requireSpending(policy, 0);
+			throw new AssertionError("the ceiling did not hold");
+		}
+		catch (ServiceException ex) {
+			assertThat(ex.code(), is(ResultCode.SPENDING_CEILING_REACHED));
+		}
+		admission.requireSpending(policy, 100_000);
+	}
+
 	@Test
 	void onlyWhatMayRunAgainIsTriedAgainAndOnlyWithinTheBudget() {
 		RetryPolicy policy = RetryPolicy.within(3, new RetryBudget(0.1, 2));
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
@@ -38,6 +38,8 @@
 
 	private boolean suspect;
 
+	private boolean started;
+
 	private boolean done;
 
 	private long startedMs;
@@ -118,6 +120,15 @@
 		this.admitted = true;
 	}
 
+	/** Returns whether an attempt may have reached a target. */
+	boolean hasStarted() {
+		return this.started;
+	}
+
+	void markStarted() {
+		this.started = true;
+	}
+
 	boolean isSuspect() {
 		return this.suspect;
 	}
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
@@ -12,8 +12,6 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
-import com.google.common.flogger.FluentLogger;
-
 import org.zinniatack.core.admission.Admission;
 import org.zinniatack.core.admission.CostEstimate;
 import org.zinniatack.core.config.Specification;
@@ -23,7 +21,6 @@
 import org.zinniatack.core.retry.RetryBudget;
 import org.zinniatack.core.retry.RetryPolicy;
 import org.zinniatack.core.routing.Router;
-import org.zinniatack.wire.ExchangeListener;
 import org.zinniatack.wire.Message;
 import org.zinniatack.wire.Peer;
 
@@ -33,8 +30,6 @@
  */
 final class Dispatcher {
 
-	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
 	private static final int MAXIMUM_ATTEMPTS = 4;
 
 	private static final double RETRY_SHARE = 0.1;
@@ -91,6 +86,9 @@
 			if (limited) {
 				admit(request);
 			}
+			else {
+				this.admission.requireSpending(policyOf(request), now());
+			}
 			this.retryBudget.earn();
 			enqueue(request);
 			pump(request.call().route().pool(), actions);
@@ -103,6 +101,13 @@
 		if (this.stopping) {
 			throw ServiceException.retryable(ResultCode.SHUTTING_DOWN, "try another entry", NO_TARGET_RETRY_MS);
 		}
+		if (request.access().key() != null && !this.authority.isValid(now())) {
+			throw ServiceException.retryable(ResultCode.AUTHORITY_EXPIRED, "no word from control",
+					this.authority.retryMs());
+		}
+		if (isWithdrawn(request)) {
+			throw ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn");
+		}
 		if (this.authority.view().quarantined().contains(digest)) {
 			throw ServiceException.of(ResultCode.QUARANTINED, "digest " + request.call().digest().abbreviated());
 		}
@@ -114,14 +119,15 @@
 
 	private void admit(CallerRequest request) throws ServiceException {
 		String pool = request.call().route().pool();
-		Specification.CustomerPolicy policy = this.authority.view()
-			.configuration()
-			.policyOf(request.access().customer());
 		long waitMs = poolState(pool).expectedWaitMs(request.flow(), this.fleet.slots(pool), this.fleet.room(pool));
-		this.admission.admit(policy, waitMs, now());
+		this.admission.admit(policyOf(request), waitMs, now());
 		request.markAdmitted();
 	}
 
+	private Specification.CustomerPolicy policyOf(CallerRequest request) {
+		return this.authority.view().configuration().policyOf(request.access().customer());
+	}
+
 	private void enqueue(CallerRequest request) {
 		String digest = request.call().digest().hex();
 		if (this.authority.view().suspects().contains(digest) || this.ownSuspects.contains(digest)) {
@@ -183,11 +189,11 @@
 		Message.Run run = new Message.Run(request.id() + "-" + request.attempts(), call.digest().hex(),
 				request.isSuspect(), call.method(), call.path(), call.headers(), call.body().bytes(request.progress()),
 				call.isEngine(), Math.max(1, request.deadlineMs() - nowMs));
-		AttemptListener listener = new AttemptListener(request, target, request.attempts());
+		AttemptListener listener = new AttemptListener(this, request, target, request.attempts());
 		actions.add(() -> {
 			Runnable cancel = target.peer().open(run, listener);
 			synchronized (this) {
-				if (!request.isDone() && request.attempts() == listener.number && request.target() == target) {
+				if (!request.isDone() && request.attempts() == listener.number() && request.target() == target) {
 					request.running(cancel);
 					return;
 				}
@@ -200,7 +206,7 @@
 		return !request.isDone() && request.attempts() == attempt && request.target() != null;
 	}
 
-	private void onHead(CallerRequest request, int attempt, Message.AnswerHead head) {
+	void onHead(CallerRequest request, int attempt, Message.AnswerHead head) {
 		synchronized (this) {
 			if (isCurrent(request, attempt)) {
 				request.progress().head(head.httpStatus(), head.contentType());
@@ -208,7 +214,7 @@
 		}
 	}
 
-	private void onChunk(CallerRequest request, int attempt, byte[] data) {
+	void onChunk(CallerRequest request, int attempt, byte[] data) {
 		try {
 			EngineEvent event = request.call().isEngine() ? EngineEvent.parse(data) : null;
 			synchronized (this) {
@@ -234,7 +240,7 @@
 		}
 	}
 
-	private void onEnd(CallerRequest request, int attempt) {
+	void onEnd(CallerRequest request, int attempt) {
 		Actions actions = new Actions();
 		synchronized (this) {
 			if (!isCurrent(request, attempt)) {
@@ -261,7 +267,7 @@
 		pump(request.call().route().pool(), actions);
 	}
 
-	private void onFailure(CallerRequest request, int attempt, ServiceException failure) {
+	void onFailure(CallerRequest request, int attempt, ServiceException failure) {
 		Actions actions = new Actions();
 		synchronized (this) {
 			if (isCurrent(request, attempt)) {
@@ -276,6 +282,9 @@
 		TargetLink target = request.target();
 		boolean neverStarted = code == ResultCode.TARGET_BUSY || code == ResultCode.TARGET_LEAVING;
 		leave(request, neverStarted);
+		if (!neverStarted) {
+			request.markStarted();
+		}
 		if (neverStarted && target != null) {
 			target.refusedAsBusy();
 		}
@@ -374,7 +383,7 @@
 		endAll(this::isWithdrawn, ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn"),
 				ServiceException.of(ResultCode.KEY_WITHDRAWN, "withdrawn"));
 		long nowMs = now();
-		endAll((request) -> request.target() == null && nowMs >= request.queuedUntilMs(),
+		endAll((request) -> isQueuedFirst(request) && nowMs >= request.queuedUntilMs(),
 				ServiceException.retryable(ResultCode.DEADLINE_UNREACHABLE, "queue time passed", NO_TARGET_RETRY_MS),
 				ServiceException.of(ResultCode.DEADLINE_EXCEEDED, "queue time passed"));
 		endAll((request) -> nowMs >= request.deadlineMs(),
@@ -383,6 +392,11 @@
 		pumpAll();
 	}
 
+	/** Returns whether nothing of a request has reached a target yet. */
+	private static boolean isQueuedFirst(CallerRequest request) {
+		return request.target() == null && !request.hasStarted();
+	}
+
 	private boolean isWithdrawn(CallerRequest request) {
 		var key = request.access().key();
 		return key != null && !this.authority.view()
@@ -400,8 +414,7 @@
 			this.running.stream().filter(condition).forEach(ended::add);
 		}
 		for (CallerRequest request : ended) {
-			boolean neverRan = request.attempts() == 0;
-			endNow(request, neverRan ? queued : started);
+			endNow(request, isQueuedFirst(request) ? queued : started);
 		}
 	}
 
@@ -463,66 +476,4 @@
 	record Finished(CallerRequest request, Answer answer, boolean clearedSuspect) {
 	}
 
-	/** What is done after the lock is given back. */
-	private static final class Actions {
-
-		private final List<Runnable> actions = new ArrayList<>();
-
-		void add(Runnable action) {
-			this.actions.add(action);
-		}
-
-		void run() {
-			for (Runnable action : this.actions) {
-				try {
-					action.run();
-				}
-				catch (RuntimeException ex) {
-					LOGGER.atSevere().withCause(ex).log("event=action_failed code=%d", ResultCode.INTERNAL.number());
-				}
-			}
-		}
-
-	}
-
-	private final class AttemptListener implements ExchangeListener {
-
-		private final CallerRequest request;
-
-		private final TargetLink target;
-
-		private final int number;
-
-		AttemptListener(CallerRequest request, TargetLink target, int number) {
-			this.request = request;
-			this.target = target;
-			this.number = number;
-		}
-
-		@Override
-		public void onMessage(Message message, boolean last) {
-			if (message instanceof Message.AnswerHead head) {
-				onHead(this.request, this.number, head);
-			}
-			else if (message instanceof Message.AnswerChunk chunk) {
-				onChunk(this.request, this.number, chunk.data());
-			}
-			else if (message instanceof Message.AnswerEnd) {
-				onEnd(this.request, this.number);
-			}
-			else if (message instanceof Message.Failure failure) {
-				onFailure(this.request, this.number,
-						ServiceException.retryable(failure.code(), failure.detail(), failure.retryAfterMs()));
-			}
-		}
-
-		@Override
-		public void onLost(ResultCode code) {
-			LOGGER.atInfo().log("event=attempt_lost request=%s target=%s", this.request.id(), this.target.targetId());
-			onFailure(this.request, this.number,
-					ServiceException.of(ResultCode.OUTCOME_UNKNOWN, "the agent of the target was lost"));
-		}
-
-	}
-
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EngineEvent.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EngineEvent.java
@@ -26,7 +26,8 @@
 			JsonNode event = MAPPER.readTree(data);
 			JsonNode choice = event.path("choices").path(0);
 			String text = choice.path("text").asText(choice.path("delta").path("content").asText(""));
-			return new EngineEvent(data, text, choice.path("finish_reason").asText(""),
+			JsonNode reason = choice.path("finish_reason");
+			return new EngineEvent(data, text, reason.isTextual() ? reason.asText() : "",
 					event.path("weight_version").asLong(0), event.path("token_count").asInt(text.isEmpty() ? 0 : 1));
 		}
 		catch (IOException ex) {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -182,7 +182,7 @@
 	}
 
 	private void tendSteps() {
-		this.steps.values().removeIf(StepRunner::isCommitted);
+		this.steps.values().removeIf(StepRunner::isOver);
 		this.steps.values().forEach(StepRunner::tend);
 	}
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Progress.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Progress.java
@@ -33,7 +33,7 @@
 	void event(EngineEvent event) {
 		this.text.append(event.text());
 		this.tokenCount += event.tokenCount();
-		if (!event.finishReason().isEmpty() && !event.finishReason().equals("null")) {
+		if (!event.finishReason().isEmpty()) {
 			this.finishReason = event.finishReason();
 		}
 		if (event.tokenCount() > 0) {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
@@ -29,6 +29,8 @@
 
 	private static final int LIVE_ATTEMPTS = 3;
 
+	private static final Set<ResultCode> ABANDONING = Set.of(ResultCode.KEY_WITHDRAWN_QUEUED, ResultCode.QUARANTINED);
+
 	private final String customer;
 
 	private final String step;
@@ -51,6 +53,8 @@
 
 	private boolean committed;
 
+	private boolean abandoned;
+
 	StepRunner(String customer, String step, Submitter submitter, ControlLink control, StragglerPolicy stragglers,
 			LongSupplier clockMs) {
 		this.customer = customer;
@@ -81,10 +85,24 @@
 			}
 		}
 		catch (ServiceException ex) {
+			if (ABANDONING.contains(ex.code())) {
+				abandon(ex);
+				return;
+			}
 			LOGGER.atFine().log("event=slot_waits step=%s slot=%d code=%d", this.step, slot, ex.code().number());
 		}
 	}
 
+	/** Gives the step up; the trainer may post it again with a key that is in force. */
+	private synchronized void abandon(ServiceException reason) {
+		if (!this.abandoned) {
+			this.abandoned = true;
+			LOGGER.atInfo()
+				.log("event=step_abandoned customer=%s step=%s code=%d", this.customer, this.step,
+						reason.code().number());
+		}
+	}
+
 	/** Issues slots again that have no attempt left, or whose attempt is a straggler. */
 	void tend() {
 		long nowMs = this.clockMs.getAsLong();
@@ -108,8 +126,9 @@
 		return newest.target() != null && this.stragglers.isStraggler(nowMs - newest.startedMs());
 	}
 
-	synchronized boolean isCommitted() {
-		return this.committed;
+	/** Returns whether the step is committed or given up. */
+	synchronized boolean isOver() {
+		return this.committed || this.abandoned;
 	}
 
 	synchronized int openSlots() {
