--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -352,9 +352,9 @@
 		}
 		else if (message instanceof Message.EntryReport report) {
 			this.presence.report(report, true, running.nowMs());
-			EntryLink link = this.entryLinks.computeIfAbsent(report.nodeId(), (absent) -> new EntryLink());
+			EntryLink link = this.entryLinks.compute(report.nodeId(),
+					(id, known) -> (known != null && known.peer == peer) ? known : new EntryLink(peer));
 			running.read((state) -> {
-				link.peer = peer;
 				link.sentRevision = report.revision();
 				link.sentCrashVersion = report.crashVersion();
 				link.rosterHash = report.rosterHash();
@@ -440,7 +440,7 @@
 	/** What was sent to one entry; the numbers belong to the replica's thread. */
 	private static final class EntryLink {
 
-		private volatile @Nullable Peer peer;
+		private final Peer peer;
 
 		private long sentRevision;
 
@@ -448,6 +448,10 @@
 
 		private int rosterHash;
 
+		EntryLink(Peer peer) {
+			this.peer = peer;
+		}
+
 	}
 
 }
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -345,11 +345,21 @@
 		if (effects.snapshot() != null || !effects.committed().isEmpty()) {
 			publish();
 			wakeWaiters();
-			this.changed.accept(this.state);
+			tellOfChange();
 			compactIfDue();
 		}
 	}
 
+	/** Tells others of the new state; their failure is not the replica's. */
+	private void tellOfChange() {
+		try {
+			this.changed.accept(this.state);
+		}
+		catch (RuntimeException ex) {
+			LOGGER.atSevere().withCause(ex).log("event=feed_failed code=%d", ResultCode.INTERNAL.number());
+		}
+	}
+
 	private void applyEntry(LogEntry entry) throws IOException {
 		this.appliedIndex = entry.index();
 		Pending waiting = this.pending.remove(entry.index());
@@ -387,7 +397,7 @@
 	}
 
 	private void finishSnapshot(Snapshot written) {
-		if (written.index() <= this.snapshotIndex) {
+		if (written.index() <= this.snapshotIndex || written.index() > this.replica.commitIndex()) {
 			return;
 		}
 		try {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
@@ -24,7 +24,7 @@
 
 	private final boolean bulk;
 
-	private final long queuedUntilMs;
+	private long queuedUntilMs;
 
 	private final long deadlineMs;
 
@@ -84,6 +84,11 @@
 		return this.queuedUntilMs;
 	}
 
+	/** Lets a started request wait for another target until a time. */
+	void waitUntil(long untilMs) {
+		this.queuedUntilMs = untilMs;
+	}
+
 	long deadlineMs() {
 		return this.deadlineMs;
 	}
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
@@ -40,6 +40,8 @@
 
 	private static final long NO_TARGET_RETRY_MS = 1_000;
 
+	private static final long RESUME_WAIT_MS = 30_000;
+
 	private final LongSupplier clockMs;
 
 	private final Authority authority;
@@ -284,6 +286,7 @@
 		leave(request, neverStarted);
 		if (!neverStarted) {
 			request.markStarted();
+			request.waitUntil(now() + RESUME_WAIT_MS);
 		}
 		if (neverStarted && target != null) {
 			target.refusedAsBusy();
@@ -383,7 +386,7 @@
 		endAll(this::isWithdrawn, ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn"),
 				ServiceException.of(ResultCode.KEY_WITHDRAWN, "withdrawn"));
 		long nowMs = now();
-		endAll((request) -> isQueuedFirst(request) && nowMs >= request.queuedUntilMs(),
+		endAll((request) -> request.target() == null && nowMs >= request.queuedUntilMs(),
 				ServiceException.retryable(ResultCode.DEADLINE_UNREACHABLE, "queue time passed", NO_TARGET_RETRY_MS),
 				ServiceException.of(ResultCode.DEADLINE_EXCEEDED, "queue time passed"));
 		endAll((request) -> nowMs >= request.deadlineMs(),
