Strike requests and samples with faults at every event, and mend what it found

Cause: only chosen faults were tested on the way of requests and samples. RequestFaultMatrixTests drives the real dispatchers, runners and state of control in virtual time and strikes at an event drawn from all events of a run. Only runs count against the limit of 4 now. - a step whose sample is quarantined waited for ever; the trainer now gets the code where it fetches the batch. - a slot that another entry had filled was generated to its end; it is cancelled at the next answer of control. Change also: a Proposer interface, OnceRunner out of the service controller, the router given to the dispatcher, so that all run without sockets. Any answer that says "not run" is turned into 3001 for a request that has started. Left: no command lifts a quarantine; an entry that has just started refuses with 2003 until its agents are back.

--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Answer.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Answer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.zinniatack.core.sample.VersionSpan;
+import org.zinniatack.core.state.IntentAnswer;
 
 /**
  * A whole answer.
@@ -17,4 +18,10 @@
  */
 record Answer(int httpStatus, String contentType, byte[] body, String text, String finishReason,
 		List<VersionSpan> spans, long tokenCount) {
+
+	/** Returns the answer of a service that control has kept. */
+	static Answer of(IntentAnswer kept) {
+		return new Answer(kept.httpStatus(), kept.contentType(), kept.body(), "", "", List.of(), 0);
+	}
+
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/AttemptListener.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/AttemptListener.java
@@ -54,8 +54,7 @@
 	@Override
 	public void onLost(ResultCode code) {
 		LOGGER.atInfo().log("event=attempt_lost request=%s target=%s", this.request.id(), this.target.targetId());
-		this.dispatcher.onFailure(this.request, this.number,
-				ServiceException.of(ResultCode.OUTCOME_UNKNOWN, "the agent of the target was lost"));
+		this.dispatcher.onLost(this.request, this.number);
 	}
 
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
@@ -34,11 +34,13 @@
 
 	private int attempts;
 
+	private int lostTargets;
+
 	private boolean admitted;
 
 	private boolean suspect;
 
-	private boolean started;
+	private int failedRuns;
 
 	private boolean done;
 
@@ -117,6 +119,15 @@
 		return this.target;
 	}
 
+	/** Returns the targets that crashed or were lost while they ran this request. */
+	int lostTargets() {
+		return this.lostTargets;
+	}
+
+	void countLostTarget() {
+		this.lostTargets++;
+	}
+
 	boolean isAdmitted() {
 		return this.admitted;
 	}
@@ -127,11 +138,16 @@
 
 	/** Returns whether an attempt may have reached a target. */
 	boolean hasStarted() {
-		return this.started;
+		return this.failedRuns > 0;
+	}
+
+	/** Returns the attempts that may have reached a target and failed. */
+	int failedRuns() {
+		return this.failedRuns;
 	}
 
-	void markStarted() {
-		this.started = true;
+	void countFailedRun() {
+		this.failedRuns++;
 	}
 
 	boolean isSuspect() {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/ControlLink.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/ControlLink.java
@@ -20,7 +20,7 @@
  * The connections of an entry to control. Calls go to the first reachable process in an
  * order of the entry's own, and to the next one when it has no answer.
  */
-final class ControlLink {
+final class ControlLink implements Proposer {
 
 	private static final long CALL_TIMEOUT_MS = 2_000;
 
@@ -62,8 +62,8 @@
 		return open.isEmpty() ? Optional.empty() : Optional.of(open.get(skipped % open.size()));
 	}
 
-	/** Carries out a command that may be sent more than once. */
-	CompletableFuture<Reply> propose(Command command) {
+	@Override
+	public CompletableFuture<Reply> propose(Command command) {
 		return call(new Message.Propose(command, false)).thenApply((answer) -> ((Message.Proposed) answer).reply());
 	}
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -5,11 +5,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -19,6 +21,7 @@
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.routing.Hashing;
+import org.zinniatack.core.routing.Router;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.process.ProcessView;
 import org.zinniatack.process.Service;
@@ -47,6 +50,8 @@
 
 	private static final int WIRE_THREADS = 2;
 
+	private static final int ABANDONED_STEPS_KEPT = 1_024;
+
 	private final EntrySettings settings;
 
 	private final Ticker ticker = Ticker.systemTicker();
@@ -63,6 +68,15 @@
 
 	private final Map<String, StepRunner> steps = new ConcurrentHashMap<>();
 
+	private final Map<String, ServiceException> abandonedSteps = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, ServiceException> eldest) {
+			return size() > ABANDONED_STEPS_KEPT;
+		}
+
+	};
+
 	private final MeterRegistry metrics;
 
 	private final ScheduledExecutorService timer = Executors
@@ -79,7 +93,8 @@
 		this.settings = settings;
 		this.metrics = metrics;
 		this.authority = new Authority(settings.authorityLeaseMs());
-		this.dispatcher = new Dispatcher(this::nowMs, this.authority, settings.failureDomain(), this::onFinished);
+		this.dispatcher = new Dispatcher(this::nowMs, this.authority,
+				() -> Router.prefixAffinity(settings.failureDomain(), RandomGenerator.getDefault()), this::onFinished);
 		this.wire = new Wire(new PeerIdentity("entry", settings.name()), ClusterSecret.of(settings.clusterSecret()),
 				this, WIRE_THREADS);
 		this.control = new ControlLink(this.wire, settings.name(), settings.controlAddresses());
@@ -178,14 +193,34 @@
 
 	/** Returns the runner of a step, made by the first call. */
 	StepRunner stepRunner(String customer, String step, Supplier<StepRunner> maker) {
+		synchronized (this.abandonedSteps) {
+			this.abandonedSteps.remove(customer + '\0' + step);
+		}
 		return this.steps.computeIfAbsent(customer + '\0' + step, (absent) -> maker.get());
 	}
 
 	private void tendSteps() {
+		this.steps.forEach((name, runner) -> runner.abandonment().ifPresent((reason) -> keep(name, reason)));
 		this.steps.values().removeIf(StepRunner::isOver);
 		this.steps.values().forEach(StepRunner::tend);
 	}
 
+	private void keep(String step, ServiceException abandonment) {
+		synchronized (this.abandonedSteps) {
+			this.abandonedSteps.put(step, abandonment);
+		}
+	}
+
+	/**
+	 * Returns why this process gave a step up after it was last submitted here, empty if
+	 * it did not.
+	 */
+	Optional<ServiceException> abandonment(String customer, String step) {
+		synchronized (this.abandonedSteps) {
+			return Optional.ofNullable(this.abandonedSteps.get(customer + '\0' + step));
+		}
+	}
+
 	private void onFinished(Dispatcher.Finished finished) {
 		CallerRequest request = finished.request();
 		this.usage.count(request.access().customer(), request.call().routeName(), finished.answer().tokenCount());
@@ -266,7 +301,8 @@
 		Authority.View before = this.authority.view();
 		this.authority.accept(feed, nowMs());
 		Authority.View after = this.authority.view();
-		if (after.configuration().revision() > before.configuration().revision()) {
+		if (after.configuration().revision() > before.configuration().revision()
+				|| after.crashVersion() > before.crashVersion()) {
 			this.dispatcher.enforce();
 		}
 		boolean news = after.configuration().revision() != before.configuration().revision()
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/OnceSink.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/OnceSink.java
@@ -21,9 +21,9 @@
 
 	private final Command.BeginIntent intent;
 
-	private final ControlLink control;
+	private final Proposer control;
 
-	OnceSink(AnswerSink next, Command.BeginIntent intent, ControlLink control) {
+	OnceSink(AnswerSink next, Command.BeginIntent intent, Proposer control) {
 		this.next = next;
 		this.intent = intent;
 		this.control = control;
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
@@ -101,7 +101,13 @@
 			.call(new Message.FetchBatch(access.customer(), step))
 			.<HttpResponse<?>>thenApply(
 					(answer) -> HttpResponse.ok(new BatchBody(step, ((Message.Batch) answer).samples())))
-			.exceptionally((failure) -> answerOf(ControlLink.unwrap(failure)));
+			.exceptionally((failure) -> {
+				Throwable cause = ControlLink.unwrap(failure);
+				boolean early = cause instanceof ServiceException known && known.code() == ResultCode.STEP_INCOMPLETE;
+				return early ? this.entry.abandonment(access.customer(), step)
+					.<HttpResponse<?>>map(ErrorAnswers::of)
+					.orElseGet(() -> answerOf(cause)) : answerOf(cause);
+			});
 	}
 
 	@Delete("/{step}")
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
@@ -37,7 +38,7 @@
 
 	private final Submitter submitter;
 
-	private final ControlLink control;
+	private final Proposer control;
 
 	private final StragglerPolicy stragglers;
 
@@ -53,9 +54,9 @@
 
 	private boolean committed;
 
-	private boolean abandoned;
+	private @Nullable ServiceException abandonment;
 
-	StepRunner(String customer, String step, Submitter submitter, ControlLink control, StragglerPolicy stragglers,
+	StepRunner(String customer, String step, Submitter submitter, Proposer control, StragglerPolicy stragglers,
 			LongSupplier clockMs) {
 		this.customer = customer;
 		this.step = step;
@@ -95,8 +96,8 @@
 
 	/** Gives the step up; the trainer may post it again with a key that is in force. */
 	private synchronized void abandon(ServiceException reason) {
-		if (!this.abandoned) {
-			this.abandoned = true;
+		if (this.abandonment == null) {
+			this.abandonment = reason;
 			LOGGER.atInfo()
 				.log("event=step_abandoned customer=%s step=%s code=%d", this.customer, this.step,
 						reason.code().number());
@@ -128,7 +129,12 @@
 
 	/** Returns whether the step is committed or given up. */
 	synchronized boolean isOver() {
-		return this.committed || this.abandoned;
+		return this.committed || this.abandonment != null;
+	}
+
+	/** Returns why the step was given up, empty if it was not. */
+	synchronized Optional<ServiceException> abandonment() {
+		return Optional.ofNullable(this.abandonment);
 	}
 
 	synchronized int openSlots() {
@@ -177,11 +183,26 @@
 			commit();
 		}
 		else if (reply instanceof Reply.Slots slots) {
+			cancelFilled(slots.missing());
 			reopen(sent, slots.missing());
 		}
 		send();
 	}
 
+	/** Ends the generation of slots that another entry has filled. */
+	private void cancelFilled(Collection<Integer> missing) {
+		Set<Integer> empty = Set.copyOf(missing);
+		List<CallerRequest> needless = new ArrayList<>();
+		synchronized (this) {
+			List<Integer> filled = this.open.stream().filter((slot) -> !empty.contains(slot)).toList();
+			filled.forEach((slot) -> {
+				this.open.remove(slot);
+				needless.addAll(Optional.ofNullable(this.attempts.remove(slot)).orElse(List.of()));
+			});
+		}
+		needless.stream().filter((request) -> !request.isDone()).forEach(this.submitter::cancel);
+	}
+
 	/** Generates again what control found too old. */
 	private void reopen(List<Sample> sent, Collection<Integer> missing) {
 		generate(sent.stream().map(Sample::slot).filter(Set.copyOf(missing)::contains).toList());
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
@@ -28,7 +28,7 @@
 
 	private final LongSupplier wallClockMs;
 
-	private final ControlLink control;
+	private final Proposer control;
 
 	private final Map<Long, Map<String, UsageFigure>> counting = new TreeMap<>();
 
@@ -38,7 +38,7 @@
 
 	private boolean sending;
 
-	UsageMeter(long windowMs, LongSupplier wallClockMs, ControlLink control) {
+	UsageMeter(long windowMs, LongSupplier wallClockMs, Proposer control) {
 		this.windowMs = windowMs;
 		this.wallClockMs = wallClockMs;
 		this.control = control;
--- /dev/null
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/VirtualTime.java
@@ -0,0 +1,44 @@
+package org.zinniatack.entry;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * Time that moves only when the next event is run.
+ */
+final class VirtualTime {
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+
+	private long nowMs = 1_000;
+
+	private long nextOrder;
+
+	long nowMs() {
+		return this.nowMs;
+	}
+
+	void after(long delayMs, Runnable task) {
+		this.events.add(new Event(this.nowMs + delayMs, this.nextOrder++, task));
+	}
+
+	/** Runs a task again and again while it returns true. */
+	void every(long intervalMs, java.util.function.BooleanSupplier task) {
+		after(intervalMs, () -> {
+			if (task.getAsBoolean()) {
+				every(intervalMs, task);
+			}
+		});
+	}
+
+	void runNext() {
+		Event next = this.events.remove();
+		this.nowMs = next.atMs();
+		next.task().run();
+	}
+
+	private record Event(long atMs, long order, Runnable task) {
+	}
+
+}
