Pass on only what changed about entries and targets

Cause: every entry sent all its targets to its replica twice a second, and every replica all its entries and targets to the leader: 615 KB/s at the two-year size by the slopes of docs/CAPACITY.md, against 19. Each feed carried the directives for all targets, too. Ruled out: longer intervals alone, which delay leases and demand and leave the slope. Change: tables number their changes (core presence: VersionedTable, TableCopy); entry, replica and leader send what the receiver's copy lacks by the version that it last told, and the whole table after a restart or a gap. Loads of pools are added up at the replica. Directives go to the replica and entry that hold the target. ControlService lost this part to PresenceExchange.

--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -7,7 +7,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +22,8 @@
 import org.zinniatack.core.config.RecordKind;
 import org.zinniatack.core.consensus.ConsensusMessage;
 import org.zinniatack.core.key.KeyDigest;
+import org.zinniatack.core.presence.TableChanges;
+import org.zinniatack.core.presence.TableVersion;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.routing.Hashing;
 import org.zinniatack.core.sample.Sample;
@@ -51,6 +55,10 @@
 
 	private static final int SAMPLE_TEXT_BYTES = 2048;
 
+	private static final String INCARNATION = "0f8fad5b-d9cb-469f-a165-70867728950e";
+
+	private static final int TARGETS_OF_AN_ENTRY = 7;
+
 	@CommandLine.Option(names = "--plots", defaultValue = "docs/plots", description = "where plots are written")
 	private Path plots;
 
@@ -97,8 +105,9 @@
 		row(table, "consensus heartbeat", "-",
 				(n) -> new Message.Consensus(new ConsensusMessage.AppendRequest("control-1.0123456789ab",
 						"control-2.0123456789ab", 7, 99_999, 7, List.of(), 99_999, 123_456_789)));
-		row(table, "entry report", "targets", (n) -> report("entry-1", n, 0));
-		row(table, "presence report", "entries of 7 targets", CapacityBench::presence);
+		row(table, "entry report", "changed targets", (n) -> report("entry-1", n, 0));
+		row(table, "presence report", "changed entries", (n) -> presence(n, 0));
+		row(table, "presence report", "changed targets", (n) -> presence(0, n));
 		row(table, "feed without changes", "entries", (n) -> feed(n, 0));
 		row(table, "feed with changes", "changed records", (n) -> feed(3, n));
 		row(table, "samples to control, 2 KiB each", "samples",
@@ -121,23 +130,27 @@
 		table.row(cells.toArray());
 	}
 
-	private static Message.EntryReport report(String name, int targetCount, int rosterHash) {
-		List<Message.TargetState> targets = new ArrayList<>();
-		Map<String, Long> revisions = new HashMap<>();
-		for (int number = 0; number < targetCount; number++) {
-			targets.add(new Message.TargetState("target-" + number, "pool", "domain-1", 9_000, false, 8));
-			revisions.put("target-" + number, 12_345L);
+	private static TableChanges<Message.TargetState> targets(String entry, int count) {
+		Map<String, Message.TargetState> targets = new HashMap<>();
+		for (int number = 0; number < count; number++) {
+			String id = entry + "-target-" + number;
+			targets.put(id, new Message.TargetState(id, "pool", "domain-1", 9_000, false, 12_345));
 		}
-		return new Message.EntryReport(name, "10.0.0.1:7400", 12_345, 3, rosterHash, revisions,
-				List.of(new Message.PoolLoad("pool", 4, 20)), targets);
+		return new TableChanges<>(INCARNATION, false, 1, 2, targets, List.of());
+	}
+
+	private static Message.EntryReport report(String name, int changedTargets, int rosterHash) {
+		return new Message.EntryReport(name, "10.0.0.1:7400", 12_345, 3, rosterHash,
+				List.of(new Message.PoolLoad("pool", 4, 20)), targets(name, changedTargets));
 	}
 
-	private static Message presence(int entries) {
-		List<Message.EntryReport> reports = new ArrayList<>();
-		for (int number = 0; number < entries; number++) {
-			reports.add(report("entry-" + number, 7, 0));
+	private static Message presence(int changedEntries, int changedTargets) {
+		Map<String, Message.EntryState> entries = new HashMap<>();
+		for (int number = 0; number < changedEntries; number++) {
+			entries.put("entry-" + number, new Message.EntryState("entry-" + number, "10.0.0.1:7400", 12_345));
 		}
-		return new Message.PresenceReport("control-2.0123456789ab", reports);
+		return new Message.PresenceReport("control-2.0123456789ab", 1, List.of(new Message.PoolLoad("pool", 4, 20)),
+				new TableChanges<>(INCARNATION, false, 1, 2, entries, List.of()), targets("entry-1", changedTargets));
 	}
 
 	private static Message feed(int entryCount, int changed) {
@@ -146,7 +159,7 @@
 			entries.put("entry-" + number, "10.0.0." + number + ":7400");
 		}
 		return new Message.Feed(12_345, recordList(changed), 7, 20, Map.of("draft", 9_000L), 1, entries, 3, List.of(),
-				List.of(), Map.of());
+				List.of(), Map.of(), new TableVersion(INCARNATION, 2));
 	}
 
 	private static List<ConfigurationRecord> recordList(int count) {
@@ -334,6 +347,8 @@
 
 		private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
+		private final Set<Peer> informed = ConcurrentHashMap.newKeySet();
+
 		private volatile int rosterHash;
 
 		FakePeers(String role, String address, int count) throws Exception {
@@ -344,6 +359,9 @@
 							public void onNotice(Peer peer, Message message) {
 								if (message instanceof Message.Feed feed) {
 									FakePeers.this.rosterHash = feed.rosterHash();
+									if (feed.knownTargets().number() == 2) {
+										FakePeers.this.informed.add(peer);
+									}
 								}
 							}
 						}, 1);
@@ -361,11 +379,21 @@
 		private void reportAll(String role) {
 			for (int number = 0; number < this.peers.size(); number++) {
 				Message notice = role.equals("agent") ? new Message.Load(8, 9_000, false, true, 1, 12_345)
-						: report("fake-" + number, 7, this.rosterHash);
+						: entryReport(number);
 				this.peers.get(number).send(notice);
 			}
 		}
 
+		private Message entryReport(int number) {
+			String name = "fake-" + number;
+			boolean isNew = !this.informed.contains(this.peers.get(number));
+			Message.EntryReport report = report(name, isNew ? TARGETS_OF_AN_ENTRY : 0, this.rosterHash);
+			TableChanges<Message.TargetState> targets = new TableChanges<>(INCARNATION, isNew, isNew ? 0 : 2, 2,
+					report.targets().changed(), List.of());
+			return new Message.EntryReport(name, report.address(), report.revision(), report.crashVersion(),
+					this.rosterHash, report.pools(), targets);
+		}
+
 		@Override
 		public void close() {
 			this.timer.shutdownNow();
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -3,11 +3,13 @@
 import java.net.MalformedURLException;
 import java.net.URI;
 import java.nio.file.Path;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
@@ -49,7 +51,7 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	private static final long PRESENCE_INTERVAL_MS = 500;
+	private static final long JOIN_INTERVAL_MS = 500;
 
 	private static final long CALL_TIMEOUT_MS = 5_000;
 
@@ -65,7 +67,7 @@
 
 	private final Map<String, EntryLink> entryLinks = new ConcurrentHashMap<>();
 
-	private final Presence presence = new Presence();
+	private final Presence presence = new Presence(UUID.randomUUID().toString());
 
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "control-timer"));
@@ -76,7 +78,7 @@
 
 	private @Nullable LeaderDuties duties;
 
-	private volatile Message.Roster roster = new Message.Roster(Map.of(), Map.of());
+	private volatile @Nullable PresenceExchange exchange;
 
 	private volatile boolean stopping;
 
@@ -111,11 +113,14 @@
 		}
 		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this::transport, this::onChange);
 		started.start();
-		this.driver = started;
 		this.duties = new LeaderDuties(started, this.presence, platform(), this.settings, System::currentTimeMillis);
+		PresenceExchange passing = new PresenceExchange(this.store.replicaId(), started, this.presence, this.duties,
+				this::leaderLink);
+		this.exchange = passing;
+		this.driver = started;
 		this.duties.start();
-		this.timer.scheduleWithFixedDelay(this::exchangePresence, PRESENCE_INTERVAL_MS, PRESENCE_INTERVAL_MS,
-				TimeUnit.MILLISECONDS);
+		passing.start();
+		this.timer.scheduleWithFixedDelay(this::askToJoin, JOIN_INTERVAL_MS, JOIN_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		LOGGER.atInfo().log("event=control_started replica=%s", this.store.replicaId());
 	}
 
@@ -133,6 +138,10 @@
 	public void stop() {
 		this.stopping = true;
 		this.timer.shutdownNow();
+		PresenceExchange passing = this.exchange;
+		if (passing != null) {
+			passing.stop();
+		}
 		if (this.duties != null) {
 			this.duties.stop();
 		}
@@ -159,7 +168,8 @@
 		ReplicaDriver running = this.driver;
 		if (running != null) {
 			dump.put("replica", running.status());
-			dump.put("entries", this.presence.all(running.nowMs()));
+			dump.put("entries", this.presence.entries(running.nowMs()).values());
+			dump.put("targets", this.presence.targets(running.nowMs()).values());
 			dump.put("state", running.read(this::summary).join());
 		}
 		return dump;
@@ -236,6 +246,14 @@
 		return running;
 	}
 
+	private PresenceExchange requireExchange() {
+		PresenceExchange passing = this.exchange;
+		if (passing == null) {
+			throw new IllegalStateException("not started");
+		}
+		return passing;
+	}
+
 	/**
 	 * Tells what is in force where.
 	 * @return the status for operators; it fails with a {@link ServiceException} if no
@@ -243,18 +261,19 @@
 	 */
 	public CompletableFuture<Map<String, Object>> status() {
 		ReplicaDriver running = requireDriver();
-		CompletableFuture<List<Message.EntryReport>> reports = running.status().isLeader()
-				? CompletableFuture.completedFuture(this.presence.all(running.nowMs()))
+		CompletableFuture<Message.PresenceReport> present = running.status().isLeader()
+				? CompletableFuture.completedFuture(this.presence.whole(this.store.replicaId(), running.nowMs()))
 				: leaderLink()
 					.map((peer) -> peer.call(new Message.PresenceRequest(), CALL_TIMEOUT_MS)
-						.thenApply((answer) -> ((Message.PresenceReport) answer).entries()))
+						.thenApply(Message.PresenceReport.class::cast))
 					.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
-		return reports.thenCombine(readCurrent((state) -> state.records().revision()),
-				(entries, revision) -> statusOf(entries, revision));
+		return present.thenCombine(readCurrent((state) -> state.records().revision()), this::statusOf);
 	}
 
-	private Map<String, Object> statusOf(List<Message.EntryReport> entries, long revision) {
+	private Map<String, Object> statusOf(Message.PresenceReport present, long revision) {
 		ReplicaStatus replica = requireDriver().status();
+		Collection<Message.EntryState> entries = present.entries().changed().values();
+		Collection<Message.TargetState> targets = present.targets().changed().values();
 		Map<String, Object> status = new LinkedHashMap<>();
 		status.put("revision", revision);
 		status.put("leader", replica.leaderId());
@@ -263,11 +282,10 @@
 		status.put("learners", replica.membership().learners());
 		status.put("entries", entries.size());
 		status.put("entriesInForce", entries.stream().filter((entry) -> entry.revision() >= revision).count());
-		Map<String, Long> agents = new HashMap<>();
-		entries.forEach((entry) -> entry.agentRevisions().forEach((id, held) -> agents.merge(id, held, Math::min)));
-		status.put("agents", agents.size());
-		status.put("agentsInForce", agents.values().stream().filter((held) -> held >= revision).count());
-		status.put("targets", entries.stream().flatMap((entry) -> entry.targets().stream()).toList());
+		status.put("agents", targets.size());
+		status.put("agentsInForce", targets.stream().filter((target) -> target.revision() >= revision).count());
+		status.put("pools", present.pools());
+		status.put("targets", targets);
 		return status;
 	}
 
@@ -277,27 +295,16 @@
 			.ifPresent((peer) -> peer.send(new Message.Consensus(message)));
 	}
 
-	private void exchangePresence() {
+	/** Asks to become a member, on a disk that was lost or is new. */
+	private void askToJoin() {
 		try {
-			ReplicaDriver running = requireDriver();
-			ReplicaStatus status = running.status();
-			if (!isSettledMember(status)) {
-				this.others.values()
-					.forEach((link) -> link.peer()
-						.ifPresent((peer) -> peer.send(new Message.JoinRequest(this.store.replicaId()))));
-			}
-			if (status.isLeader() && this.duties != null) {
-				this.roster = new Message.Roster(this.presence.addresses(running.nowMs()), this.duties.directives());
-				return;
+			if (!isSettledMember(requireDriver().status())) {
+				Message.JoinRequest request = new Message.JoinRequest(this.store.replicaId());
+				this.others.values().forEach((link) -> link.peer().ifPresent((peer) -> peer.send(request)));
 			}
-			leaderLink().ifPresent(
-					(peer) -> peer
-						.call(new Message.PresenceReport(this.store.replicaId(), this.presence.direct(running.nowMs())),
-								CALL_TIMEOUT_MS)
-						.thenAccept((answer) -> this.roster = (Message.Roster) answer));
 		}
 		catch (RuntimeException ex) {
-			LOGGER.atWarning().withCause(ex).log("event=presence_failed code=%d", ResultCode.INTERNAL.number());
+			LOGGER.atWarning().withCause(ex).log("event=join_failed code=%d", ResultCode.INTERNAL.number());
 		}
 	}
 
@@ -325,15 +332,17 @@
 		ReplicaDriver running = requireDriver();
 		ReplicaStatus status = running.status();
 		long nowMs = running.nowMs();
-		Map<String, String> entries = this.roster.entries();
-		boolean knowsEntries = link.rosterHash == entries.hashCode();
+		Message.Roster roster = requireExchange().roster();
+		String nodeId = link.peer.identity().nodeId();
+		boolean knowsEntries = link.rosterHash == roster.rosterHash();
 		boolean knowsCrashes = link.sentCrashVersion == state.crashes().version();
 		link.peer.send(new Message.Feed(state.records().revision(), state.records().recordsAfter(link.sentRevision),
-				status.term(), Math.max(0, nowMs - status.currentAsOfMs()), state.weights(), entries.hashCode(),
-				knowsEntries ? Map.of() : entries, state.crashes().version(),
+				status.term(), Math.max(0, nowMs - status.currentAsOfMs()), state.weights(), roster.rosterHash(),
+				knowsEntries ? Map.of() : roster.entries(), state.crashes().version(),
 				knowsCrashes ? List.of() : state.crashes().suspects(),
-				knowsCrashes ? List.of() : state.crashes().quarantined(), this.roster.directives()));
-		link.rosterHash = entries.hashCode();
+				knowsCrashes ? List.of() : state.crashes().quarantined(),
+				this.presence.directivesOf(nodeId, roster.directives()), this.presence.knownTargets(nodeId)));
+		link.rosterHash = roster.rosterHash();
 		link.sentRevision = state.records().revision();
 		link.sentCrashVersion = state.crashes().version();
 	}
@@ -351,7 +360,7 @@
 			running.join(join.replicaId());
 		}
 		else if (message instanceof Message.EntryReport report) {
-			this.presence.report(report, true, running.nowMs());
+			this.presence.report(report, running.nowMs());
 			EntryLink link = this.entryLinks.compute(report.nodeId(),
 					(id, known) -> (known != null && known.peer == peer) ? known : new EntryLink(peer));
 			running.read((state) -> {
@@ -407,16 +416,23 @@
 			return batch(fetch).thenApply(Message.Batch::new);
 		}
 		if (message instanceof Message.PresenceRequest) {
-			return CompletableFuture.completedFuture(
-					new Message.PresenceReport(this.store.replicaId(), this.presence.all(running.nowMs())));
+			return CompletableFuture.completedFuture(this.presence.whole(this.store.replicaId(), running.nowMs()));
 		}
 		if (message instanceof Message.PresenceReport report) {
-			report.entries().forEach((entry) -> this.presence.report(entry, false, running.nowMs()));
-			return CompletableFuture.completedFuture(this.roster);
+			return answerPresence(report);
 		}
 		return CompletableFuture.failedFuture(ServiceException.of(ResultCode.FRAME_MALFORMED, "unexpected message"));
 	}
 
+	private CompletableFuture<Message> answerPresence(Message.PresenceReport report) {
+		try {
+			return CompletableFuture.completedFuture(requireExchange().answer(report));
+		}
+		catch (ServiceException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
 	private CompletableFuture<List<Sample>> batch(Message.FetchBatch fetch) {
 		return readCurrent((state) -> {
 			try {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
@@ -111,7 +111,7 @@
 				this.demands.clear();
 				this.sentOrders.clear();
 			}
-			Collection<Message.TargetState> targets = this.presence.targets(this.driver.nowMs());
+			Collection<Message.TargetState> targets = this.presence.targets(this.driver.nowMs()).values();
 			rollWeights(targets, status.term());
 			orderTargets();
 			closeWindow();
@@ -179,17 +179,12 @@
 	}
 
 	private DemandPolicy.Load loadOf(String pool) {
-		int queued = 0;
-		int running = 0;
-		for (Message.EntryReport report : this.presence.all(this.driver.nowMs())) {
-			for (Message.PoolLoad load : report.pools()) {
-				if (load.pool().equals(pool)) {
-					queued += load.queuedCount();
-					running += load.runningCount();
-				}
-			}
-		}
-		return new DemandPolicy.Load(queued, running);
+		return this.presence.pools(this.driver.nowMs())
+			.stream()
+			.filter((load) -> load.pool().equals(pool))
+			.map((load) -> new DemandPolicy.Load(load.queuedCount(), load.runningCount()))
+			.findFirst()
+			.orElse(new DemandPolicy.Load(0, 0));
 	}
 
 	private void send(TargetOrder order) throws ServiceException {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -1,11 +1,11 @@
 package org.zinniatack.entry;
 
-import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -16,8 +16,11 @@
 import com.google.common.flogger.FluentLogger;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.util.concurrent.Ticker;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.config.Configuration;
+import org.zinniatack.core.presence.TableVersion;
+import org.zinniatack.core.presence.VersionedTable;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.routing.Hashing;
@@ -77,6 +80,11 @@
 
 	};
 
+	private final VersionedTable<Message.TargetState> firstHeldTargets = VersionedTable
+		.of(UUID.randomUUID().toString());
+
+	private volatile Told told = new Told(null, TableVersion.NONE);
+
 	private final MeterRegistry metrics;
 
 	private final ScheduledExecutorService timer = Executors
@@ -256,23 +264,26 @@
 
 	private static Message.TargetState stateOf(TargetLink target) {
 		return new Message.TargetState(target.targetId(), target.announce().pool(), target.failureDomain(),
-				target.lastLoad().weightVersion(), target.lastLoad().leaving(), target.lastLoad().runningCount());
+				target.lastLoad().weightVersion(), target.lastLoad().leaving(), target.lastLoad().revision());
 	}
 
 	private void report() {
 		Authority.View view = this.authority.view();
-		Map<String, Long> agentRevisions = new HashMap<>();
-		List<Message.TargetState> targets = new ArrayList<>();
+		Set<String> firstHeld = new HashSet<>();
 		for (TargetLink target : this.dispatcher.targets()) {
 			if (isFirstOf(target.targetId(), view)) {
-				agentRevisions.put(target.targetId(), target.lastLoad().revision());
-				targets.add(stateOf(target));
+				firstHeld.add(target.targetId());
+				this.firstHeldTargets.put(target.targetId(), stateOf(target));
 			}
 		}
-		Message.EntryReport report = new Message.EntryReport(this.settings.name(), this.settings.listenAddress(),
-				view.configuration().revision(), view.crashVersion(), view.entries().hashCode(), agentRevisions,
-				this.dispatcher.loads(), targets);
-		this.control.current().ifPresent((peer) -> peer.send(report));
+		this.firstHeldTargets.retain(firstHeld);
+		this.control.current().ifPresent((peer) -> {
+			Told told = this.told;
+			TableVersion known = (told.by() == peer) ? told.knownTargets() : TableVersion.NONE;
+			peer.send(new Message.EntryReport(this.settings.name(), this.settings.listenAddress(),
+					view.configuration().revision(), view.crashVersion(), view.entries().hashCode(),
+					this.dispatcher.loads(), this.firstHeldTargets.changesAfter(known)));
+		});
 	}
 
 	private boolean isFirstOf(String targetId, Authority.View view) {
@@ -283,6 +294,7 @@
 	@Override
 	public void onNotice(Peer peer, Message message) {
 		if (message instanceof Message.Feed feed) {
+			this.told = new Told(peer, feed.knownTargets());
 			onFeed(feed);
 		}
 		else if (message instanceof Message.Announce announce) {
@@ -329,4 +341,13 @@
 		this.dispatcher.lost(peer);
 	}
 
+	/**
+	 * How much a process of control knows.
+	 *
+	 * @param by the connection to it, null for none
+	 * @param knownTargets how far its copy of the targets has come
+	 */
+	private record Told(@Nullable Peer by, TableVersion knownTargets) {
+	}
+
 }
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedControl.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedControl.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
+import org.zinniatack.core.presence.TableVersion;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
@@ -58,7 +59,7 @@
 	void feed(SimulatedEntry entry) {
 		entry.accept(new Message.Feed(this.state.records().revision(), this.state.records().recordsAfter(0), 1, 0,
 				this.state.weights(), 0, Map.of(), this.state.crashes().version(), this.state.crashes().suspects(),
-				this.state.crashes().quarantined(), Map.of()));
+				this.state.crashes().quarantined(), Map.of(), TableVersion.NONE));
 	}
 
 	/** Carries out a command as one entry sends it. */
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -8,6 +8,8 @@
 
 import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.consensus.ConsensusMessage;
+import org.zinniatack.core.presence.TableChanges;
+import org.zinniatack.core.presence.TableVersion;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.sample.Sample;
 import org.zinniatack.core.sample.VersionSpan;
@@ -157,7 +159,7 @@
 	record ReadIndex() implements Message {
 	}
 
-	/** Asks the leader for the reports of all entries. */
+	/** Asks the leader for the state of all entries and targets. */
 	record PresenceRequest() implements Message {
 	}
 
@@ -172,10 +174,14 @@
 	/**
 	 * What the leader tells a replica for its entries.
 	 *
-	 * @param entries the addresses of all entries by id
-	 * @param directives the orders for targets by target id
+	 * @param rosterHash the hash of the entries
+	 * @param entries the addresses of all entries by id, empty if the replica knows them
+	 * @param directives the orders for the replica's targets by target id
+	 * @param knownEntries how far the leader's copy of the replica's entries has come
+	 * @param knownTargets how far the leader's copy of the replica's targets has come
 	 */
-	record Roster(Map<String, String> entries, Map<String, TargetDirective> directives) implements Message {
+	record Roster(int rosterHash, Map<String, String> entries, Map<String, TargetDirective> directives,
+			TableVersion knownEntries, TableVersion knownTargets) implements Message {
 	}
 
 	/**
@@ -203,21 +209,34 @@
 	 * @param revision the configuration revision in force at the entry
 	 * @param crashVersion the version of the suspects that the entry knows
 	 * @param rosterHash the hash of the entries that this entry knows
-	 * @param agentRevisions the configuration revision in force by target id
 	 * @param pools the load of the pools that the entry sees
-	 * @param targets the targets that count this entry as their first
+	 * @param targets what changed among the targets that count this entry as their first
 	 */
 	record EntryReport(String nodeId, String address, long revision, long crashVersion, int rosterHash,
-			Map<String, Long> agentRevisions, List<PoolLoad> pools, List<TargetState> targets) implements Message {
+			List<PoolLoad> pools, TableChanges<TargetState> targets) implements Message {
 	}
 
 	/**
 	 * What a replica passes on to the leader about its entries.
 	 *
 	 * @param replicaId the id of the replica
-	 * @param entries the newest reports
+	 * @param rosterHash the hash of the entries that the replica knows
+	 * @param pools the load of the pools, added up over the replica's entries
+	 * @param entries what changed among the replica's entries
+	 * @param targets what changed among the targets of the replica's entries
+	 */
+	record PresenceReport(String replicaId, int rosterHash, List<PoolLoad> pools, TableChanges<EntryState> entries,
+			TableChanges<TargetState> targets) implements Message {
+	}
+
+	/**
+	 * The state of one entry.
+	 *
+	 * @param nodeId the id of the entry
+	 * @param address the address for agents, as host and port
+	 * @param revision the configuration revision in force at the entry
 	 */
-	record PresenceReport(String replicaId, List<EntryReport> entries) implements Message {
+	record EntryState(String nodeId, String address, long revision) {
 	}
 
 	/**
@@ -238,10 +257,10 @@
 	 * @param failureDomain the failure domain
 	 * @param weightVersion the weight version that the engine reports, 0 for none
 	 * @param leaving true if it accepts no new work
-	 * @param runningCount the requests that run
+	 * @param revision the configuration revision in force at the agent
 	 */
 	record TargetState(String targetId, String pool, String failureDomain, long weightVersion, boolean leaving,
-			int runningCount) {
+			long revision) {
 	}
 
 	/**
@@ -259,12 +278,13 @@
 	 * @param suspects the digests of suspects, empty if the receiver knows them
 	 * @param quarantined the digests of quarantined requests, empty if the receiver knows
 	 * them
-	 * @param directives the orders for targets by target id
+	 * @param directives the orders for the entry's targets by target id
+	 * @param knownTargets how far the sender's copy of the entry's targets has come
 	 */
 	record Feed(long revision, List<ConfigurationRecord> records, long epoch, long authorityAgeMs,
 			Map<String, Long> weights, int rosterHash, Map<String, String> entries, long crashVersion,
-			List<String> suspects, List<String> quarantined,
-			Map<String, TargetDirective> directives) implements Message {
+			List<String> suspects, List<String> quarantined, Map<String, TargetDirective> directives,
+			TableVersion knownTargets) implements Message {
 	}
 
 	/**
