--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
@@ -12,8 +12,8 @@
 import org.zinniatack.core.result.ServiceException;
 
 /**
- * The roles of a replica and the passage between them. What a leader does for its
- * followers is in {@link Replication}.
+ * The roles of a replica and the passage between them. Its log is a {@link ReplicaLog};
+ * what a leader does for its followers is in {@link Replication}.
  */
 final class CoreReplica implements Replica {
 
@@ -27,7 +27,7 @@
 
 	private final RandomGenerator random;
 
-	private final MemoryLog log;
+	private final ReplicaLog log;
 
 	private final Set<String> votes = new HashSet<>();
 
@@ -39,10 +39,6 @@
 
 	private boolean hardStateChanged;
 
-	private Membership membership;
-
-	private long membershipIndex;
-
 	private String leaderId = "";
 
 	private long lastLeaderContactMs;
@@ -59,32 +55,14 @@
 
 	private boolean commitToAnnounce;
 
-	private long commitIndex;
-
-	private long appliedIndex;
-
-	private long writtenIndex;
-
-	private long persistedIndex;
-
-	private long truncateFrom;
-
-	private boolean snapshotReceived;
-
 	CoreReplica(ReplicaSettings settings, PersistentState state, RandomGenerator random, long nowMs) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.random = Objects.requireNonNull(random, "random");
 		this.hardState = state.hardState();
-		this.log = new MemoryLog(state.snapshot(), state.entries());
-		this.commitIndex = state.snapshot().index();
-		this.appliedIndex = this.commitIndex;
-		this.writtenIndex = this.log.lastIndex();
-		this.persistedIndex = this.writtenIndex;
-		this.membership = Membership.empty();
+		this.log = new ReplicaLog(state);
 		this.replication = Replication.none();
 		// A restarted voter has forgotten when it last answered a leader, so it waits.
 		this.lastLeaderContactMs = nowMs;
-		refreshMembership();
 		resetElectionDeadline(nowMs);
 	}
 
@@ -105,18 +83,18 @@
 		else if (nowMs >= this.nextHeartbeatMs || this.commitToAnnounce) {
 			this.commitToAnnounce = false;
 			this.nextHeartbeatMs = nowMs + this.settings.heartbeatIntervalMs();
-			this.replication.sendAll(this.membership, this.commitIndex, true, nowMs, this.messages);
+			this.replication.sendAll(membership(), commitIndex(), true, nowMs, this.messages);
 		}
 	}
 
 	@Override
 	public long changeMembership(Membership changed) throws ServiceException {
 		requireLeader();
-		if (this.membershipIndex > this.commitIndex || !this.replication.isOpen(this.commitIndex)) {
+		if (!this.log.isMembershipCommitted() || !this.replication.isOpen(commitIndex())) {
 			throw ServiceException.retryable(ResultCode.NOT_ACCEPTED, "a membership change is under way",
 					this.settings.electionTimeoutMs());
 		}
-		if (!changed.isOneVoterFrom(this.membership)) {
+		if (!changed.isOneVoterFrom(membership())) {
 			throw ServiceException.of(ResultCode.NOT_ACCEPTED, "more than one voter changes at once");
 		}
 		return append(LogEntry.membership(this.log.lastIndex() + 1, term(), changed));
@@ -124,30 +102,25 @@
 
 	@Override
 	public List<String> caughtUpLearners() {
-		return (this.role == Role.LEADER) ? this.membership.learners()
+		return (this.role == Role.LEADER) ? membership().learners()
 			.stream()
-			.filter((id) -> this.replication.matchIndex(id) >= this.commitIndex)
+			.filter((id) -> this.replication.matchIndex(id) >= commitIndex())
 			.toList() : List.of();
 	}
 
 	@Override
 	public long commitIndex() {
-		return this.commitIndex;
+		return this.log.commitIndex();
 	}
 
 	@Override
 	public Snapshot compact(long index, byte[] state) {
-		if (index > this.appliedIndex || index <= this.log.snapshot().index()) {
-			throw new IllegalArgumentException("index must be applied and not yet compacted");
-		}
-		Snapshot snapshot = snapshotAt(index, state);
-		this.log.compact(snapshot);
-		return snapshot;
+		return this.log.compact(index, state);
 	}
 
 	@Override
 	public Snapshot snapshotAt(long index, byte[] state) {
-		return new Snapshot(index, this.log.termAt(index), this.log.membershipAt(index), state);
+		return this.log.snapshotAt(index, state);
 	}
 
 	@Override
@@ -155,18 +128,18 @@
 		if (this.role != Role.LEADER) {
 			return this.currentAsOfMs;
 		}
-		return this.replication.isOpen(this.commitIndex) ? this.replication.quorumContactMs(this.membership, nowMs)
+		return this.replication.isOpen(commitIndex()) ? this.replication.quorumContactMs(membership(), nowMs)
 				: Progress.NEVER_MS;
 	}
 
 	@Override
 	public List<LogEntry> entriesAfter(long index) {
-		return this.log.slice(index + 1, (int) (this.writtenIndex - index));
+		return this.log.writtenAfter(index);
 	}
 
 	@Override
 	public boolean holdsLease(long nowMs) {
-		return this.role == Role.LEADER && this.replication.isOpen(this.commitIndex) && nowMs < leaseEndMs(nowMs);
+		return this.role == Role.LEADER && this.replication.isOpen(commitIndex()) && nowMs < leaseEndMs(nowMs);
 	}
 
 	@Override
@@ -177,7 +150,7 @@
 	@Override
 	public long leaseEndMs(long nowMs) {
 		return (this.role == Role.LEADER)
-				? this.replication.quorumContactMs(this.membership, nowMs) + this.settings.leaseDurationMs()
+				? this.replication.quorumContactMs(membership(), nowMs) + this.settings.leaseDurationMs()
 				: Long.MIN_VALUE;
 	}
 
@@ -188,12 +161,12 @@
 
 	@Override
 	public Membership membership() {
-		return this.membership;
+		return this.log.membership();
 	}
 
 	@Override
 	public void persisted(long index) {
-		this.persistedIndex = Math.max(this.persistedIndex, Math.min(index, this.log.lastIndex()));
+		this.log.persisted(index);
 		advanceCommit();
 	}
 
@@ -213,8 +186,7 @@
 	private long append(LogEntry entry) {
 		this.log.append(entry);
 		if (entry.kind() == LogEntry.Kind.MEMBERSHIP) {
-			adopt(entry.membership(), entry.index());
-			this.replication.track(this.membership, this.log.lastIndex());
+			this.replication.track(membership(), this.log.lastIndex());
 		}
 		return entry.index();
 	}
@@ -296,7 +268,7 @@
 	}
 
 	private boolean hearsQuorum(long nowMs) {
-		long contactMs = Math.max(this.leadingSinceMs, this.replication.quorumContactMs(this.membership, nowMs));
+		long contactMs = Math.max(this.leadingSinceMs, this.replication.quorumContactMs(membership(), nowMs));
 		return nowMs - contactMs < this.settings.electionTimeoutMs();
 	}
 
@@ -325,10 +297,10 @@
 	}
 
 	private boolean wins(String voter) {
-		if (this.membership.voters().contains(voter)) {
+		if (membership().voters().contains(voter)) {
 			this.votes.add(voter);
 		}
-		return this.votes.size() >= this.membership.quorum();
+		return this.votes.size() >= membership().quorum();
 	}
 
 	private void startElection(Role next, boolean transfer, long nowMs) {
@@ -352,7 +324,7 @@
 	}
 
 	private void requestVotes(long wanted, boolean preVote, boolean transfer) {
-		for (String voter : this.membership.voters()) {
+		for (String voter : membership().voters()) {
 			if (!voter.equals(this.settings.id())) {
 				this.messages.add(new ConsensusMessage.VoteRequest(this.settings.id(), voter, wanted,
 						this.log.lastIndex(), this.log.lastTerm(), preVote, transfer));
@@ -366,8 +338,8 @@
 		this.leadingSinceMs = nowMs;
 		this.nextHeartbeatMs = nowMs;
 		LogEntry opening = LogEntry.noop(this.log.lastIndex() + 1, term());
-		this.replication = new Replication(this.settings, this.log, term(), opening.index());
-		this.replication.track(this.membership, this.log.lastIndex());
+		this.replication = new Replication(this.settings, this.log.entries(), term(), opening.index());
+		this.replication.track(membership(), this.log.lastIndex());
 		append(opening);
 	}
 
@@ -398,17 +370,12 @@
 			respond(request.from(), false, 0, 0, request.sentAtMs());
 			return;
 		}
-		if (request.previousIndex() > this.log.lastIndex()) {
-			respond(request.from(), false, this.log.lastIndex(), request.previousIndex(), request.sentAtMs());
-			return;
-		}
-		if (request.previousIndex() >= this.log.snapshot().index()
-				&& this.log.termAt(request.previousIndex()) != request.previousTerm()) {
-			respond(request.from(), false, lastIndexBeforeTermAt(request.previousIndex()), request.previousIndex(),
-					request.sentAtMs());
+		long mismatch = this.log.mismatch(request);
+		if (mismatch >= 0) {
+			respond(request.from(), false, mismatch, request.previousIndex(), request.sentAtMs());
 			return;
 		}
-		request.entries().forEach(this::store);
+		request.entries().forEach(this.log::store);
 		long matchIndex = request.previousIndex() + request.entries().size();
 		commitTo(Math.min(request.commitIndex(), matchIndex));
 		if (request.commitIndex() <= matchIndex) {
@@ -417,70 +384,13 @@
 		respond(request.from(), true, matchIndex, 0, request.sentAtMs());
 	}
 
-	private long lastIndexBeforeTermAt(long index) {
-		long conflicting = this.log.termAt(index);
-		long at = index;
-		while (at > this.commitIndex && this.log.termAt(at) == conflicting) {
-			at--;
-		}
-		return at;
-	}
-
-	private void store(LogEntry entry) {
-		if (entry.index() <= this.log.snapshot().index()) {
-			return;
-		}
-		if (this.log.holds(entry.index())) {
-			if (this.log.termAt(entry.index()) == entry.term()) {
-				return;
-			}
-			truncate(entry.index());
-		}
-		this.log.append(entry);
-		if (entry.kind() == LogEntry.Kind.MEMBERSHIP) {
-			adopt(entry.membership(), entry.index());
-		}
-	}
-
-	private void truncate(long index) {
-		if (index <= this.commitIndex) {
-			throw new IllegalStateException("committed entry " + index + " would be truncated");
-		}
-		this.log.truncateFrom(index);
-		if (index <= this.writtenIndex) {
-			this.truncateFrom = (this.truncateFrom == 0) ? index : Math.min(this.truncateFrom, index);
-			this.writtenIndex = index - 1;
-			this.persistedIndex = Math.min(this.persistedIndex, this.writtenIndex);
-		}
-		refreshMembership();
-	}
-
 	private void onSnapshotRequest(ConsensusMessage.SnapshotRequest request, long nowMs) {
 		if (!followLeader(request, nowMs)) {
 			respond(request.from(), false, 0, 0, request.sentAtMs());
 			return;
 		}
-		Snapshot received = request.snapshot();
-		if (received.index() > this.commitIndex) {
-			if (this.log.termAt(received.index()) == received.term()) {
-				commitTo(received.index());
-			}
-			else {
-				install(received);
-			}
-		}
-		respond(request.from(), true, received.index(), 0, request.sentAtMs());
-	}
-
-	private void install(Snapshot received) {
-		this.log.reset(received);
-		this.commitIndex = received.index();
-		this.appliedIndex = received.index();
-		this.writtenIndex = received.index();
-		this.persistedIndex = received.index();
-		this.truncateFrom = 0;
-		this.snapshotReceived = true;
-		refreshMembership();
+		this.log.receive(request.snapshot());
+		respond(request.from(), true, request.snapshot().index(), 0, request.sentAtMs());
 	}
 
 	private void onAppendResponse(ConsensusMessage.AppendResponse response, long nowMs) {
@@ -490,7 +400,7 @@
 		boolean sendsNow = this.replication.onResponse(response);
 		advanceCommit();
 		if (sendsNow) {
-			this.replication.sendTo(response.from(), this.commitIndex, false, nowMs, this.messages);
+			this.replication.sendTo(response.from(), commitIndex(), false, nowMs, this.messages);
 		}
 	}
 
@@ -498,16 +408,16 @@
 		if (this.role != Role.LEADER) {
 			return;
 		}
-		long majority = this.replication.majorityIndex(this.membership, this.persistedIndex);
-		if (majority > this.commitIndex && this.log.termAt(majority) == term()) {
+		long majority = this.replication.majorityIndex(membership(), this.log.persistedIndex());
+		if (majority > commitIndex() && this.log.termAt(majority) == term()) {
 			commitTo(majority);
 		}
 	}
 
 	private void commitTo(long index) {
-		this.commitToAnnounce = this.role == Role.LEADER && index > this.commitIndex;
-		this.commitIndex = Math.max(this.commitIndex, index);
-		boolean removed = this.role == Role.LEADER && this.membershipIndex <= this.commitIndex && !isVoter();
+		boolean news = this.log.commitTo(index);
+		this.commitToAnnounce = this.role == Role.LEADER && news;
+		boolean removed = this.role == Role.LEADER && this.log.isMembershipCommitted() && !isVoter();
 		if (removed) {
 			this.role = Role.FOLLOWER;
 			this.leaderId = "";
@@ -523,27 +433,15 @@
 	@Override
 	public Effects takeEffects(long nowMs) {
 		if (this.role == Role.LEADER) {
-			this.replication.sendAll(this.membership, this.commitIndex, false, nowMs, this.messages);
+			this.replication.sendAll(membership(), commitIndex(), false, nowMs, this.messages);
 		}
-		List<LogEntry> entries = this.log.slice(Math.max(this.writtenIndex + 1, this.log.firstIndex()),
-				Integer.MAX_VALUE);
-		Effects effects = new Effects(this.hardStateChanged ? this.hardState : null,
-				this.snapshotReceived ? this.log.snapshot() : null, this.truncateFrom, entries,
-				List.copyOf(this.messages), takeCommitted());
+		Effects effects = this.log.takeEffects(this.hardStateChanged ? this.hardState : null,
+				List.copyOf(this.messages));
 		this.hardStateChanged = false;
-		this.snapshotReceived = false;
-		this.truncateFrom = 0;
-		this.writtenIndex = this.log.lastIndex();
 		this.messages.clear();
 		return effects;
 	}
 
-	private List<LogEntry> takeCommitted() {
-		List<LogEntry> committed = this.log.slice(this.appliedIndex + 1, (int) (this.commitIndex - this.appliedIndex));
-		this.appliedIndex = this.commitIndex;
-		return committed;
-	}
-
 	@Override
 	public long term() {
 		return this.hardState.term();
@@ -554,7 +452,7 @@
 		if (this.role != Role.LEADER) {
 			return false;
 		}
-		Optional<String> target = this.replication.mostAdvanced(this.membership);
+		Optional<String> target = this.replication.mostAdvanced(membership());
 		target
 			.ifPresent((id) -> this.messages.add(new ConsensusMessage.TransferRequest(this.settings.id(), id, term())));
 		becomeFollower(term(), "", nowMs);
@@ -562,16 +460,7 @@
 	}
 
 	private boolean isVoter() {
-		return this.membership.voters().contains(this.settings.id());
-	}
-
-	private void adopt(Membership changed, long index) {
-		this.membership = changed;
-		this.membershipIndex = index;
-	}
-
-	private void refreshMembership() {
-		adopt(this.log.membershipAt(this.log.lastIndex()), this.log.membershipIndex());
+		return membership().voters().contains(this.settings.id());
 	}
 
 	private void setHardState(HardState changed) {
