Bound how fast loads of weights begin, and read the records once a change

Cause: a new weight version started the loads of half a pool at once, whatever the weight store bears. Ruled out for the bound: a smaller share of targets at once, which does not bound the rate when loads are short. Change: the policy of a pool has weightLoadsPerS; a rollout takes a permit for each load, also for one that is tried again. The duties keep the configuration until the revision moves. The bench's stand-in entries reported under another name than they proved, so that no copy of their targets was confirmed.

--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -385,7 +385,7 @@
 		}
 
 		private Message entryReport(int number) {
-			String name = "fake-" + number;
+			String name = "entry-" + number;
 			boolean isNew = !this.informed.contains(this.peers.get(number));
 			Message.EntryReport report = report(name, isNew ? TARGETS_OF_AN_ENTRY : 0, this.rosterHash);
 			TableChanges<Message.TargetState> targets = new TableChanges<>(INCARNATION, isNew, isNew ? 0 : 2, 2,
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/PolicyBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/PolicyBench.java
@@ -218,7 +218,7 @@
 	}
 
 	private static XYSeries follow(String name, DemandPolicy policy, Table table) {
-		Specification.PoolPolicy limits = new Specification.PoolPolicy("p", 1, 100, 8);
+		Specification.PoolPolicy limits = new Specification.PoolPolicy("p", 1, 100, 8, 0);
 		SplittableRandom random = new SplittableRandom(11);
 		XYSeries series = new XYSeries(name);
 		int ordered = 1;
--- a/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
@@ -19,6 +19,7 @@
 import com.google.common.flogger.FluentLogger;
 
 import org.zinniatack.core.config.Configuration;
+import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.config.Specification;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -73,6 +74,8 @@
 
 	private volatile Map<String, Message.TargetDirective> directives = Map.of();
 
+	private Configuration configuration = Configuration.empty();
+
 	private long dutiesTerm;
 
 	LeaderDuties(ReplicaDriver driver, Presence presence, Platform platform, ControlSettings settings,
@@ -131,6 +134,7 @@
 			.collect(Collectors.groupingBy(Message.TargetState::pool));
 		Map<String, Message.TargetDirective> next = new HashMap<>();
 		Set<String> draining = read(ControlState::draining);
+		Configuration configuration = configuration();
 		for (Map.Entry<String, List<Message.TargetState>> pool : byPool.entrySet()) {
 			long newest = announceWeights(pool.getKey());
 			Rollout rollout = this.rollouts.computeIfAbsent(pool.getKey(),
@@ -139,7 +143,7 @@
 				.stream()
 				.map((target) -> new Rollout.Holder(target.targetId(), target.weightVersion()))
 				.toList();
-			rollout.loading(newest, holders, this.driver.nowMs())
+			rollout.loading(newest, holders, loadsPerS(configuration, pool.getKey()), this.driver.nowMs())
 				.forEach((id) -> next.put(id, new Message.TargetDirective(term, newest, draining.contains(id))));
 			rollout.failed().forEach((id) -> next.put(id, new Message.TargetDirective(term, 0, true)));
 		}
@@ -147,6 +151,12 @@
 		this.directives = Map.copyOf(next);
 	}
 
+	private static double loadsPerS(Configuration configuration, String pool) {
+		return Optional.ofNullable(configuration.poolPolicies().get(pool))
+			.map(Specification.PoolPolicy::weightLoadsPerS)
+			.orElse(0.0);
+	}
+
 	private long announceWeights(String model) throws ServiceException {
 		long known = read((state) -> state.newestVersion(model));
 		Optional<Long> newest = this.platform.newestWeights(model);
@@ -234,7 +244,12 @@
 	}
 
 	private Configuration configuration() throws ServiceException {
-		return Configuration.of(0, read((state) -> state.records().records()));
+		long revision = read((state) -> state.records().revision());
+		if (revision != this.configuration.revision()) {
+			List<ConfigurationRecord> records = read((state) -> state.records().records());
+			this.configuration = Configuration.of(revision, records);
+		}
+		return this.configuration;
 	}
 
 	private <T> T read(Function<ControlState, T> reader) throws ServiceException {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/config/SchemaVersion2.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/config/SchemaVersion2.java
@@ -35,7 +35,7 @@
 		int minimum = (int) reader.integer("minimumTargets", 0, 0);
 		int maximum = (int) reader.integer("maximumTargets", 1000, minimum);
 		return new Specification.PoolPolicy(reader.text("pool"), minimum, maximum,
-				(int) reader.integer("requestsPerTarget", 8, 1));
+				(int) reader.integer("requestsPerTarget", 8, 1), reader.number("weightLoadsPerS", 0, 0));
 	}
 
 	private Specification.Route route(DocumentReader reader) throws ServiceException {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/config/Specification.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/config/Specification.java
@@ -74,9 +74,11 @@
 	 * @param minimumTargets the smallest number of targets to order
 	 * @param maximumTargets the largest number of targets to order
 	 * @param requestsPerTarget the number of running requests that one target carries
+	 * @param weightLoadsPerS the loads of weights that may begin in a second, 0 for no
+	 * limit
 	 */
-	record PoolPolicy(String pool, int minimumTargets, int maximumTargets,
-			int requestsPerTarget) implements Specification {
+	record PoolPolicy(String pool, int minimumTargets, int maximumTargets, int requestsPerTarget,
+			double weightLoadsPerS) implements Specification {
 	}
 
 	/** What the targets of a route speak. */
--- a/zinniatack-core/src/main/java/org/zinniatack/core/weight/Rollout.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/weight/Rollout.java
@@ -3,14 +3,19 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.admission.RateLimit;
 
 /**
  * Rolls a weight version through the targets of one pool: only some load at the same
- * time, so that the others go on serving, and a target that fails too often is given up.
+ * time, so that the others go on serving, loads begin no faster than the weight store
+ * bears, and a target that fails too often is given up.
  */
 public final class Rollout {
 
@@ -20,12 +25,16 @@
 
 	private final long attemptTimeoutMs;
 
-	private final Map<String, Attempt> attempts = new HashMap<>();
+	private final Map<String, Long> startedMs = new HashMap<>();
 
-	private final Set<String> failed = new HashSet<>();
+	private final Map<String, Integer> failures = new HashMap<>();
 
 	private long version;
 
+	private double loadsPerS;
+
+	private @Nullable RateLimit loads;
+
 	/**
 	 * Returns a rollout that has not begun.
 	 * @param servingShare the share of the targets that must not be loading, from 0 to 1
@@ -40,28 +49,31 @@
 	 * Returns the targets that should load now, those that already do among them.
 	 * @param newestVersion the version to load
 	 * @param targets the targets of the pool
+	 * @param permittedLoadsPerS the loads that may begin in a second, 0 for no limit
 	 * @param nowMs the monotonic time, in milliseconds
 	 * @return the ids of the targets
 	 */
-	public Set<String> loading(long newestVersion, Collection<Holder> targets, long nowMs) {
+	public Set<String> loading(long newestVersion, Collection<Holder> targets, double permittedLoadsPerS, long nowMs) {
 		if (newestVersion != this.version) {
 			this.version = newestVersion;
-			this.attempts.clear();
-			this.failed.clear();
+			this.startedMs.clear();
+			this.failures.clear();
 		}
-		List<Holder> behind = targets.stream()
-			.filter((target) -> target.weightVersion() < newestVersion && !this.failed.contains(target.targetId()))
-			.sorted(Comparator.comparing(Holder::targetId))
+		List<String> behind = targets.stream()
+			.filter((target) -> target.weightVersion() < newestVersion)
+			.map(Holder::targetId)
 			.toList();
-		this.attempts.keySet().retainAll(behind.stream().map(Holder::targetId).toList());
-		behind.forEach((target) -> expire(target.targetId(), nowMs));
+		this.startedMs.keySet().retainAll(behind);
+		this.failures.keySet().retainAll(behind);
+		behind.forEach((id) -> expire(id, nowMs));
 		int allowed = Math.max(1, (int) Math.floor(targets.size() * (1 - this.servingShare)));
 		behind.stream()
-			.map(Holder::targetId)
-			.filter((id) -> !this.failed.contains(id) && !this.attempts.containsKey(id))
-			.limit(Math.max(0, allowed - this.attempts.size()))
-			.forEach((id) -> this.attempts.put(id, new Attempt(1, nowMs)));
-		return Set.copyOf(this.attempts.keySet());
+			.filter((id) -> !hasFailed(id) && !this.startedMs.containsKey(id))
+			.sorted(Comparator.comparing(this::failuresOf).reversed().thenComparing(Comparator.naturalOrder()))
+			.limit(Math.max(0, allowed - this.startedMs.size()))
+			.takeWhile((id) -> mayLoad(permittedLoadsPerS, nowMs))
+			.forEach((id) -> this.startedMs.put(id, nowMs));
+		return Set.copyOf(this.startedMs.keySet());
 	}
 
 	/**
@@ -69,21 +81,36 @@
 	 * @return the ids of the targets
 	 */
 	public Set<String> failed() {
-		return Set.copyOf(this.failed);
+		return this.failures.keySet().stream().filter(this::hasFailed).collect(Collectors.toUnmodifiableSet());
+	}
+
+	private int failuresOf(String targetId) {
+		return this.failures.getOrDefault(targetId, 0);
+	}
+
+	private boolean hasFailed(String targetId) {
+		return failuresOf(targetId) >= ATTEMPTS;
 	}
 
 	private void expire(String targetId, long nowMs) {
-		Attempt attempt = this.attempts.get(targetId);
-		if (attempt == null || nowMs - attempt.startedMs() < this.attemptTimeoutMs) {
-			return;
+		Long began = this.startedMs.get(targetId);
+		if (began != null && nowMs - began >= this.attemptTimeoutMs) {
+			this.startedMs.remove(targetId);
+			this.failures.merge(targetId, 1, Integer::sum);
 		}
-		if (attempt.count() >= ATTEMPTS) {
-			this.attempts.remove(targetId);
-			this.failed.add(targetId);
+	}
+
+	private boolean mayLoad(double permittedLoadsPerS, long nowMs) {
+		if (permittedLoadsPerS <= 0) {
+			return true;
 		}
-		else {
-			this.attempts.put(targetId, new Attempt(attempt.count() + 1, nowMs));
+		RateLimit limit = this.loads;
+		if (limit == null || this.loadsPerS != permittedLoadsPerS) {
+			limit = new RateLimit(permittedLoadsPerS, Math.max(1, permittedLoadsPerS), nowMs);
+			this.loads = limit;
+			this.loadsPerS = permittedLoadsPerS;
 		}
+		return limit.take(1, nowMs) == 0;
 	}
 
 	/**
@@ -95,7 +122,4 @@
 	public record Holder(String targetId, long weightVersion) {
 	}
 
-	private record Attempt(int count, long startedMs) {
-	}
-
 }
--- a/zinniatack-core/src/test/java/org/zinniatack/core/PolicyTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/PolicyTests.java
@@ -26,6 +26,7 @@
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -35,7 +36,7 @@
  */
 class PolicyTests {
 
-	private static final Specification.PoolPolicy POOL = new Specification.PoolPolicy("p", 1, 10, 4);
+	private static final Specification.PoolPolicy POOL = new Specification.PoolPolicy("p", 1, 10, 4, 0);
 
 	private static ResultCode refusal(Admission admission, Specification.CustomerPolicy policy, long waitMs,
 			long nowMs) {
@@ -126,15 +127,15 @@
 		for (int number = 0; number < 4; number++) {
 			holders.add(new Rollout.Holder("t" + number, 1));
 		}
-		assertThat(rollout.loading(2, holders, 0), containsInAnyOrder("t0", "t1"));
+		assertThat(rollout.loading(2, holders, 0, 0), containsInAnyOrder("t0", "t1"));
 		holders.set(0, new Rollout.Holder("t0", 2));
-		assertThat(rollout.loading(2, holders, 10), containsInAnyOrder("t1", "t2"));
-		rollout.loading(2, holders, 110);
-		rollout.loading(2, holders, 210);
-		Set<String> loading = rollout.loading(2, holders, 310);
+		assertThat(rollout.loading(2, holders, 0, 10), containsInAnyOrder("t1", "t2"));
+		rollout.loading(2, holders, 0, 110);
+		rollout.loading(2, holders, 0, 210);
+		Set<String> loading = rollout.loading(2, holders, 0, 310);
 		assertThat(rollout.failed(), containsInAnyOrder("t1", "t2"));
 		assertThat(loading, contains("t3"));
-		assertThat("a newer version is a new chance", rollout.loading(3, holders, 320), hasSize(2));
+		assertThat("a newer version is a new chance", rollout.loading(3, holders, 0, 320), hasSize(2));
 		assertThat(rollout.failed(), empty());
 	}
 
@@ -188,4 +189,21 @@
 		assertThat(numbers.size(), lessThanOrEqualTo(100));
 	}
 
+	@Test
+	void loadsOfWeightsBeginNoFasterThanTheStoreBears() {
+		Rollout rollout = new Rollout(0, 100_000);
+		List<Rollout.Holder> holders = new ArrayList<>();
+		for (int number = 0; number < 1_000; number++) {
+			holders.add(new Rollout.Holder("t" + number, 1));
+		}
+		int before = 0;
+		for (long nowMs = 0; nowMs <= 20_000; nowMs += 200) {
+			int loading = rollout.loading(2, holders, 50, nowMs).size();
+			assertThat((long) loading, lessThanOrEqualTo(50 + 50 * nowMs / 1_000));
+			assertThat(loading, greaterThanOrEqualTo(before));
+			before = loading;
+		}
+		assertThat(before, is(1_000));
+	}
+
 }
