Let an operator lift a quarantine, and name suspects apart

What an entry itself had seen of suspects grew without a bound. Ruled out: a quarantine that ends by time, which lets a poisonous request take a third target.

--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
@@ -290,6 +290,9 @@
 		assertThat(codeOf(this.system.complete("entry-2", "crash-this-target", 4, false)), is(2008));
 		assertThat(codeOf(this.system.complete("entry-1", "crash-this-target", 4, false)), is(2008));
 		assertThat(this.system.running("engine-of").size(), is(1));
+		String digest = this.system.dump("entry-2").path("quarantined").path(0).asText();
+		this.system.operator("DELETE", "/v1/quarantine/" + digest, "");
+		LocalSystem.await("the quarantine is lifted", () -> this.system.dump("entry-2").path("quarantined").isEmpty());
 	}
 
 	@Test
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -267,10 +267,13 @@
 					.map((peer) -> peer.call(new Message.PresenceRequest(), CALL_TIMEOUT_MS)
 						.thenApply(Message.PresenceReport.class::cast))
 					.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
-		return present.thenCombine(readCurrent((state) -> state.records().revision()), this::statusOf);
+		return present.thenCombine(
+				readCurrent((state) -> new Decided(state.records().revision(), state.crashes().quarantined())),
+				this::statusOf);
 	}
 
-	private Map<String, Object> statusOf(Message.PresenceReport present, long revision) {
+	private Map<String, Object> statusOf(Message.PresenceReport present, Decided decided) {
+		long revision = decided.revision();
 		ReplicaStatus replica = requireDriver().status();
 		Collection<Message.EntryState> entries = present.entries().changed().values();
 		Collection<Message.TargetState> targets = present.targets().changed().values();
@@ -286,6 +289,7 @@
 		status.put("agentsInForce", targets.stream().filter((target) -> target.revision() >= revision).count());
 		status.put("pools", present.pools());
 		status.put("targets", targets);
+		status.put("quarantined", decided.quarantined());
 		return status;
 	}
 
@@ -453,6 +457,15 @@
 				true);
 	}
 
+	/**
+	 * What the status takes from the replicated state.
+	 *
+	 * @param revision the configuration revision
+	 * @param quarantined the digests of quarantined requests
+	 */
+	private record Decided(long revision, List<String> quarantined) {
+	}
+
 	/** What was sent to one entry; the numbers belong to the replica's thread. */
 	private static final class EntryLink {
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/RecordController.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/RecordController.java
@@ -30,7 +30,8 @@
 import org.zinniatack.process.OperatorKeys;
 
 /**
- * The operators' interface: configuration records, what is in force where, and drains.
+ * The operators' interface: configuration records, what is in force where, drains, and
+ * quarantines.
  */
 @Controller("/v1")
 @Requires(beans = ControlService.class)
@@ -98,6 +99,13 @@
 		return change(new Command.DrainTarget(targetId, leaving));
 	}
 
+	@Delete("/quarantine/{digest}")
+	CompletableFuture<Reply> liftQuarantine(@Header("Authorization") @Nullable String authorization, String digest)
+			throws ServiceException {
+		this.operatorKeys.require(authorization);
+		return change(new Command.LiftQuarantine(digest));
+	}
+
 	@Get("/status")
 	CompletableFuture<Map<String, Object>> status(@Header("Authorization") @Nullable String authorization)
 			throws ServiceException {
--- /dev/null
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/PresenceTests.java
@@ -0,0 +1,118 @@
+package org.zinniatack.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.presence.TableVersion;
+import org.zinniatack.core.presence.VersionedTable;
+import org.zinniatack.wire.Message;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anEmptyMap;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * What control knows of entries and targets, over a replica and leaders.
+ */
+class PresenceTests {
+
+	private static final Message.Roster UNKNOWN = new Message.Roster(0, Map.of(), Map.of(), TableVersion.NONE,
+			TableVersion.NONE);
+
+	private final Presence replica = new Presence("replica");
+
+	private final Presence leader = new Presence("leader");
+
+	private final VersionedTable<Message.TargetState> entryTable = VersionedTable.of("entry");
+
+	private Message.Roster told = UNKNOWN;
+
+	private void hold(String target, long weightVersion) {
+		this.entryTable.put(target, new Message.TargetState(target, "draft", "a", weightVersion, false, 1));
+	}
+
+	private void entryReports(long nowMs) {
+		this.replica.report(new Message.EntryReport("entry-1", "10.0.0.1:7400", 1, 0, 0,
+				List.of(new Message.PoolLoad("draft", 2, 3)),
+				this.entryTable.changesAfter(this.replica.knownTargets("entry-1"))), nowMs);
+	}
+
+	private Message.PresenceReport passOn(Presence to, long nowMs) {
+		Message.PresenceReport report = this.replica.passOn("control-2", this.told, nowMs);
+		to.receive(report, nowMs);
+		this.told = to.rosterFor(report, UNKNOWN);
+		return report;
+	}
+
+	@Test
+	void theLeaderLearnsOfEntriesAndTargetsByTheirChangesOnly() {
+		hold("t1", 1);
+		hold("t2", 1);
+		entryReports(0);
+		passOn(this.leader, 0);
+		assertThat(this.leader.targets(0).keySet(), is(Set.of("t1", "t2")));
+		hold("t2", 2);
+		entryReports(500);
+		Message.PresenceReport second = passOn(this.leader, 500);
+		assertThat(second.targets().changed().keySet(), is(Set.of("t2")));
+		assertThat(second.entries().changed(), anEmptyMap());
+		assertThat(this.leader.targets(500).get("t2").weightVersion(), is(2L));
+	}
+
+	@Test
+	void aNewLeaderGetsEverythingAtOnce() {
+		hold("t1", 1);
+		entryReports(0);
+		passOn(this.leader, 0);
+		Presence next = new Presence("next");
+		this.told = UNKNOWN;
+		passOn(next, 500);
+		assertThat(next.targets(500).keySet(), is(Set.of("t1")));
+		assertThat(next.entries(500).keySet(), is(Set.of("entry-1")));
+	}
+
+	@Test
+	void anEntryThatIsSilentForLongIsForgottenEverywhereAndComesBackWhole() {
+		hold("t1", 1);
+		entryReports(0);
+		passOn(this.leader, 0);
+		passOn(this.leader, 3_500);
+		assertThat(this.leader.entries(3_500), anEmptyMap());
+		entryReports(4_000);
+		entryReports(4_500);
+		passOn(this.leader, 4_500);
+		assertThat(this.leader.targets(4_500).keySet(), is(Set.of("t1")));
+	}
+
+	@Test
+	void aReplicaThatIsSilentForLongIsForgottenAndComesBackWhole() {
+		hold("t1", 1);
+		entryReports(0);
+		passOn(this.leader, 0);
+		assertThat(this.leader.targets(3_500), anEmptyMap());
+		entryReports(4_000);
+		entryReports(4_500);
+		passOn(this.leader, 4_500);
+		passOn(this.leader, 5_000);
+		assertThat(this.leader.targets(5_000).keySet(), is(Set.of("t1")));
+	}
+
+	@Test
+	void loadsAreAddedUpAndDirectivesGoWhereTheirTargetIs() {
+		hold("t1", 1);
+		entryReports(0);
+		Message.PresenceReport report = passOn(this.leader, 0);
+		assertThat(this.leader.pools(0), is(List.of(new Message.PoolLoad("draft", 2, 3))));
+		Map<String, Message.TargetDirective> directives = Map.of("t1", new Message.TargetDirective(1, 2, false), "t9",
+				new Message.TargetDirective(1, 2, false));
+		Message.Roster roster = this.leader.rosterFor(report, new Message.Roster(7, Map.of("entry-1", "10.0.0.1:7400"),
+				directives, TableVersion.NONE, TableVersion.NONE));
+		assertThat(roster.directives().keySet(), is(Set.of("t1")));
+		assertThat(this.replica.directivesOf("entry-1", directives).keySet(), is(Set.of("t1")));
+		assertThat(this.replica.directivesOf("entry-2", directives), anEmptyMap());
+	}
+
+}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -29,6 +29,7 @@
 		@JsonSubTypes.Type(value = Command.AnnounceWeights.class, name = "weights"),
 		@JsonSubTypes.Type(value = Command.ReportCrash.class, name = "crash"),
 		@JsonSubTypes.Type(value = Command.ClearSuspect.class, name = "clear"),
+		@JsonSubTypes.Type(value = Command.LiftQuarantine.class, name = "lift"),
 		@JsonSubTypes.Type(value = Command.DrainTarget.class, name = "drain") })
 public sealed interface Command {
 
@@ -187,6 +188,14 @@
 	record ClearSuspect(String requestDigest) implements Command {
 	}
 
+	/**
+	 * Lets a quarantined request run again.
+	 *
+	 * @param requestDigest the digest of customer and request
+	 */
+	record LiftQuarantine(String requestDigest) implements Command {
+	}
+
 	/**
 	 * Makes a target leave, or lets it serve again.
 	 *
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -126,6 +126,9 @@
 		else if (command instanceof Command.ClearSuspect clear) {
 			this.crashes.clear(clear.requestDigest());
 		}
+		else if (command instanceof Command.LiftQuarantine lift) {
+			this.crashes.lift(lift.requestDigest());
+		}
 		else if (command instanceof Command.DrainTarget drain) {
 			drain(drain);
 		}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/CrashTable.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/CrashTable.java
@@ -58,6 +58,14 @@
 		}
 	}
 
+	void lift(String digest) {
+		boolean quarantinedBefore = this.quarantined.remove(digest);
+		boolean suspectBefore = this.suspects.remove(digest);
+		if (quarantinedBefore || suspectBefore) {
+			this.version++;
+		}
+	}
+
 	Image image() {
 		return new Image(this.version, List.copyOf(this.suspects), List.copyOf(this.quarantined),
 				List.copyOf(this.crashIds));
--- a/zinniatack-core/src/test/java/org/zinniatack/core/state/ControlStateTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/state/ControlStateTests.java
@@ -224,4 +224,18 @@
 		assertThat(refused.detail().contains("timeout"), is(true));
 	}
 
+	@Test
+	void aLiftedQuarantineLetsARequestRunUntilItCrashesTwoMoreTargets() {
+		apply(new Command.ReportCrash("c1", List.of("d", "innocent")));
+		apply(new Command.ReportCrash("c2", List.of("d")));
+		assertThat(this.state.crashes().quarantined(), contains("d"));
+		apply(new Command.LiftQuarantine("d"));
+		assertThat(this.state.crashes().quarantined(), empty());
+		assertThat(this.state.crashes().suspects(), contains("innocent"));
+		apply(new Command.ReportCrash("c3", List.of("d")));
+		assertThat(this.state.crashes().quarantined(), empty());
+		apply(new Command.ReportCrash("c4", List.of("d")));
+		assertThat(this.state.crashes().quarantined(), contains("d"));
+	}
+
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -64,9 +63,7 @@
 
 	private final Set<CallerRequest> running = new LinkedHashSet<>();
 
-	private final List<CallerRequest> suspectsWaiting = new ArrayList<>();
-
-	private final Set<String> ownSuspects = new HashSet<>();
+	private final Suspects suspects;
 
 	private final Consumer<Finished> finished;
 
@@ -76,6 +73,7 @@
 			Consumer<Finished> finished) {
 		this.clockMs = clockMs;
 		this.authority = authority;
+		this.suspects = new Suspects(authority);
 		this.fleet = new Fleet(routers);
 		this.finished = finished;
 	}
@@ -114,7 +112,7 @@
 		if (isWithdrawn(request)) {
 			throw ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn");
 		}
-		if (isQuarantined(request)) {
+		if (this.suspects.isQuarantined(request)) {
 			throw ServiceException.of(ResultCode.QUARANTINED, "digest " + request.call().digest().abbreviated());
 		}
 		if (this.fleet.slots(request.call().route().pool()) == 0) {
@@ -134,15 +132,9 @@
 		return this.authority.view().configuration().policyOf(request.access().customer());
 	}
 
-	private boolean isSuspected(CallerRequest request) {
-		String digest = request.call().digest().hex();
-		return this.authority.view().suspects().contains(digest) || this.ownSuspects.contains(digest);
-	}
-
 	private void enqueue(CallerRequest request) {
-		if (isSuspected(request)) {
-			request.suspect(true);
-			this.suspectsWaiting.add(request);
+		if (this.suspects.contains(request)) {
+			this.suspects.await(request);
 		}
 		else {
 			poolState(request.call().route().pool()).queue().add(request, request.flow(), request.costTokens());
@@ -168,7 +160,7 @@
 			if (next.isEmpty()) {
 				return;
 			}
-			if (isSuspected(next.get())) {
+			if (this.suspects.contains(next.get())) {
 				enqueue(next.get());
 				continue;
 			}
@@ -183,10 +175,10 @@
 	}
 
 	private void pumpSuspects(String pool, Actions actions) {
-		for (CallerRequest request : List.copyOf(this.suspectsWaiting)) {
+		for (CallerRequest request : this.suspects.waiting()) {
 			if (request.call().route().pool().equals(pool)) {
 				this.fleet.choose(request).ifPresent((target) -> {
-					this.suspectsWaiting.remove(request);
+					this.suspects.remove(request);
 					start(request, target, actions);
 				});
 			}
@@ -274,7 +266,7 @@
 		Answer answer = request.progress().answer();
 		boolean wasSuspect = request.isSuspect();
 		leave(request, true);
-		this.ownSuspects.remove(request.call().digest().hex());
+		this.suspects.clear(request);
 		finish(request, actions);
 		actions.add(() -> request.sink().end(answer));
 		actions.add(() -> this.finished.accept(new Finished(request, answer, wasSuspect)));
@@ -346,7 +338,7 @@
 			failLater(request, ServiceException.of(ResultCode.TARGET_CRASHED, "not repeated"), actions);
 		}
 		else {
-			this.ownSuspects.add(request.call().digest().hex());
+			this.suspects.add(request);
 			enqueue(request);
 		}
 	}
@@ -396,7 +388,7 @@
 				Runnable cancel = request.cancelExchange();
 				String pool = request.call().route().pool();
 				poolState(pool).queue().removeIf((waiting) -> waiting == request);
-				this.suspectsWaiting.remove(request);
+				this.suspects.remove(request);
 				leave(request, true);
 				failLater(request, failure, actions);
 				actions.add(cancel);
@@ -416,7 +408,7 @@
 						this.authority.retryMs()));
 		endAll(this::isWithdrawn, ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn"),
 				ServiceException.of(ResultCode.KEY_WITHDRAWN, "withdrawn"));
-		endAll(this::isQuarantined, ServiceException.of(ResultCode.QUARANTINED, "queued"),
+		endAll(this.suspects::isQuarantined, ServiceException.of(ResultCode.QUARANTINED, "queued"),
 				ServiceException.of(ResultCode.ANSWER_CUT_SHORT, "quarantined"));
 		long nowMs = now();
 		endAll((request) -> request.target() == null && nowMs >= request.queuedUntilMs(),
@@ -433,10 +425,6 @@
 		return request.target() == null && !request.hasStarted();
 	}
 
-	private boolean isQuarantined(CallerRequest request) {
-		return this.authority.view().quarantined().contains(request.call().digest().hex());
-	}
-
 	private boolean isWithdrawn(CallerRequest request) {
 		var key = request.access().key();
 		return key != null && !this.authority.view()
@@ -450,7 +438,7 @@
 		List<CallerRequest> ended = new ArrayList<>();
 		synchronized (this) {
 			this.pools.values().forEach((pool) -> ended.addAll(pool.queue().removeIf(condition)));
-			this.suspectsWaiting.stream().filter(condition).forEach(ended::add);
+			this.suspects.waiting().stream().filter(condition).forEach(ended::add);
 			this.running.stream().filter(condition).forEach(ended::add);
 		}
 		for (CallerRequest request : ended) {
@@ -502,7 +490,7 @@
 	}
 
 	synchronized int openRequests() {
-		return this.running.size() + this.suspectsWaiting.size()
+		return this.running.size() + this.suspects.waiting().size()
 				+ this.pools.values().stream().mapToInt((pool) -> pool.queue().size()).sum();
 	}
 
