--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -12,7 +12,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -65,8 +64,6 @@
 
 	private final Map<String, Link> others = new HashMap<>();
 
-	private final Map<String, EntryLink> entryLinks = new ConcurrentHashMap<>();
-
 	private final Presence presence = new Presence(UUID.randomUUID().toString());
 
 	private final ScheduledExecutorService timer = Executors
@@ -80,6 +77,8 @@
 
 	private volatile @Nullable PresenceExchange exchange;
 
+	private volatile @Nullable EntryFeeds feeds;
+
 	private volatile boolean stopping;
 
 	/**
@@ -117,6 +116,7 @@
 		PresenceExchange passing = new PresenceExchange(this.store.replicaId(), started, this.presence, this.duties,
 				this::leaderLink);
 		this.exchange = passing;
+		this.feeds = new EntryFeeds(started, this.presence, passing);
 		this.driver = started;
 		this.duties.start();
 		passing.start();
@@ -326,35 +326,12 @@
 	}
 
 	private void onChange(ControlState state) {
-		for (EntryLink link : this.entryLinks.values()) {
-			boolean news = link.sentRevision < state.records().revision()
-					|| link.sentCrashVersion < state.crashes().version();
-			if (news) {
-				feed(link, state);
-			}
+		EntryFeeds started = this.feeds;
+		if (started != null) {
+			started.onChange(state);
 		}
 	}
 
-	/** Sends an entry what it lacks; runs on the replica's thread. */
-	private void feed(EntryLink link, ControlState state) {
-		ReplicaDriver running = requireDriver();
-		ReplicaStatus status = running.status();
-		long nowMs = running.nowMs();
-		Message.Roster roster = requireExchange().roster();
-		String nodeId = link.peer.identity().nodeId();
-		boolean knowsEntries = link.rosterHash == roster.rosterHash();
-		boolean knowsCrashes = link.sentCrashVersion == state.crashes().version();
-		link.peer.send(new Message.Feed(state.records().revision(), state.records().recordsAfter(link.sentRevision),
-				status.term(), Math.max(0, nowMs - status.currentAsOfMs()), state.weights(), roster.rosterHash(),
-				knowsEntries ? Map.of() : roster.entries(), state.crashes().version(),
-				knowsCrashes ? List.of() : state.crashes().suspects(),
-				knowsCrashes ? List.of() : state.crashes().quarantined(),
-				this.presence.directivesOf(nodeId, roster.directives()), this.presence.knownTargets(nodeId)));
-		link.rosterHash = roster.rosterHash();
-		link.sentRevision = state.records().revision();
-		link.sentCrashVersion = state.crashes().version();
-	}
-
 	@Override
 	public void onNotice(Peer peer, Message message) {
 		ReplicaDriver running = this.driver;
@@ -368,22 +345,19 @@
 			running.join(join.replicaId());
 		}
 		else if (message instanceof Message.EntryReport report) {
-			this.presence.report(report, running.nowMs());
-			EntryLink link = this.entryLinks.compute(report.nodeId(),
-					(id, known) -> (known != null && known.peer == peer) ? known : new EntryLink(peer));
-			running.read((state) -> {
-				link.sentRevision = report.revision();
-				link.sentCrashVersion = report.crashVersion();
-				link.rosterHash = report.rosterHash();
-				feed(link, state);
-				return true;
-			});
+			EntryFeeds started = this.feeds;
+			if (started != null) {
+				started.onReport(peer, report);
+			}
 		}
 	}
 
 	@Override
 	public void onClosed(Peer peer) {
-		this.entryLinks.values().removeIf((link) -> link.peer == peer);
+		EntryFeeds started = this.feeds;
+		if (started != null) {
+			started.onClosed(peer);
+		}
 	}
 
 	@Override
@@ -470,21 +444,4 @@
 	private record Decided(long revision, List<String> quarantined) {
 	}
 
-	/** What was sent to one entry; the numbers belong to the replica's thread. */
-	private static final class EntryLink {
-
-		private final Peer peer;
-
-		private long sentRevision;
-
-		private long sentCrashVersion;
-
-		private int rosterHash;
-
-		EntryLink(Peer peer) {
-			this.peer = peer;
-		}
-
-	}
-
 }
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/RequestFaultMatrixTests.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/RequestFaultMatrixTests.java
@@ -1,6 +1,7 @@
 package org.zinniatack.entry;
 
 import java.util.List;
+import java.util.Random;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,7 +28,7 @@
 		try {
 			int events = new SimulatedSystem(seed, poison, Break.NONE).run();
 			SimulatedSystem system = new SimulatedSystem(seed, poison, deliberateBreak);
-			java.util.Random random = new java.util.Random(seed);
+			Random random = new Random(seed);
 			for (Fault fault : faults) {
 				system.strike(1 + random.nextInt(events), fault);
 			}
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedCaller.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedCaller.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
@@ -49,7 +50,7 @@
 		this.system = system;
 		this.kind = kind;
 		this.customer = customer;
-		this.prompt = kind.name().toLowerCase(java.util.Locale.ROOT) + number;
+		this.prompt = kind.name().toLowerCase(Locale.ROOT) + number;
 		this.tokenCount = tokenCount;
 	}
 
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedSystem.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedSystem.java
@@ -1,5 +1,6 @@
 package org.zinniatack.entry;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -185,7 +186,7 @@
 	}
 
 	private static String promptOf(Message.Run run) {
-		return new String(run.body(), java.nio.charset.StandardCharsets.UTF_8).split(" ")[0];
+		return new String(run.body(), StandardCharsets.UTF_8).split(" ")[0];
 	}
 
 	void poisonTook(String prompt) {
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/VirtualTime.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/VirtualTime.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
 
 /**
  * Time that moves only when the next event is run.
@@ -24,7 +25,7 @@
 	}
 
 	/** Runs a task again and again while it returns true. */
-	void every(long intervalMs, java.util.function.BooleanSupplier task) {
+	void every(long intervalMs, BooleanSupplier task) {
 		after(intervalMs, () -> {
 			if (task.getAsBoolean()) {
 				every(intervalMs, task);
