Show that a trainer learns why its step was given up

The choice of the answer was a condition within a condition. Change: a test over the whole system, and a method of its own for the choice.

--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
@@ -295,6 +295,18 @@
 		LocalSystem.await("the quarantine is lifted", () -> this.system.dump("entry-2").path("quarantined").isEmpty());
 	}
 
+	@Test
+	void aTrainerLearnsThatItsStepWasGivenUpForAQuarantinedSample() throws Exception {
+		startEngines();
+		this.system.startEngine("engine-3", "c", LocalSystem.engine(SLOW_TOKEN_MS));
+		String step = "{\"step\":\"s\",\"model\":\"draft\","
+				+ "\"groups\":[{\"prompt\":\"crash-this-target\",\"samples\":1,\"max_tokens\":4}]}";
+		this.system.send("entry-1", "POST", "/v1/steps", step, LocalSystem.CALLER_KEY, Map.of());
+		LocalSystem.await("the batch says why it will not come", () -> codeOf(
+				this.system.send("entry-1", "GET", "/v1/steps/s/batch", "", LocalSystem.CALLER_KEY, Map.of())) == 2008);
+		assertThat(this.system.running("engine-of").size(), is(1));
+	}
+
 	@Test
 	void aDrainedTargetGetsNoNewWorkAndFinishesWhatItRuns() throws Exception {
 		startEngines();
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -101,13 +102,14 @@
 			.call(new Message.FetchBatch(access.customer(), step))
 			.<HttpResponse<?>>thenApply(
 					(answer) -> HttpResponse.ok(new BatchBody(step, ((Message.Batch) answer).samples())))
-			.exceptionally((failure) -> {
-				Throwable cause = ControlLink.unwrap(failure);
-				boolean early = cause instanceof ServiceException known && known.code() == ResultCode.STEP_INCOMPLETE;
-				return early ? this.entry.abandonment(access.customer(), step)
-					.<HttpResponse<?>>map(ErrorAnswers::of)
-					.orElseGet(() -> answerOf(cause)) : answerOf(cause);
-			});
+			.exceptionally((failure) -> answerOf(whyNoBatch(ControlLink.unwrap(failure), access.customer(), step)));
+	}
+
+	/** Returns why a step was given up in place of its being incomplete. */
+	private Throwable whyNoBatch(Throwable failure, String customer, String step) {
+		boolean incomplete = failure instanceof ServiceException known && known.code() == ResultCode.STEP_INCOMPLETE;
+		Optional<ServiceException> abandonment = this.entry.abandonment(customer, step);
+		return (incomplete && abandonment.isPresent()) ? abandonment.get() : failure;
 	}
 
 	@Delete("/{step}")
