--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedControl.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedControl.java
@@ -1,6 +1,5 @@
 package org.zinniatack.entry;
 
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -90,8 +89,4 @@
 		});
 	}
 
-	List<Integer> missing(String customer, String step) {
-		return ((Reply.Slots) apply(new Command.CommitStep(customer, step))).missing();
-	}
-
 }
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedTarget.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/SimulatedTarget.java
@@ -65,10 +65,6 @@
 		return this.running;
 	}
 
-	boolean isReachable() {
-		return this.reachable;
-	}
-
 	void connect(SimulatedEntry entry) {
 		if (!this.reachable || !entry.isAlive()) {
 			return;
