Leave usage with agents until control has it

Weighed and ruled out (docs/design/5-state.md): a disk at entries, agents that count, a copy at another entry.

Change: each use goes to the agent that ran it, with the number of the entry's report that will count it. An agent whose entry stays away for 5 s brings its part before control through another entry; the ledger counts a part once and takes it off its report should that come after all.

The whole CLI module was not yet run on this commit. Figures of commits and traffic are not measured yet.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.Executors;
@@ -41,6 +42,8 @@
 
 	private static final int UNHEALTHY_AFTER = 2;
 
+	private static final long ENTRY_LOSS_DELAY_MS = 5_000;
+
 	private final AgentSettings settings;
 
 	private final Target target;
@@ -55,6 +58,8 @@
 
 	private final Map<String, Link> links = new HashMap<>();
 
+	private final HeldUsage heldUsage = new HeldUsage(this.incarnation, ENTRY_LOSS_DELAY_MS);
+
 	private final KnownEntries knownEntries = new KnownEntries();
 
 	private final AtomicLong crashCount = new AtomicLong();
@@ -143,6 +148,7 @@
 		dump.put("pool", this.settings.pool());
 		dump.put("failureDomain", this.settings.failureDomain());
 		dump.put("load", load());
+		dump.put("usageHeld", this.heldUsage.reportCount());
 		dump.put("epoch", this.fence.newestEpoch());
 		synchronized (this) {
 			dump.put("entries", List.copyOf(this.links.keySet()));
@@ -182,6 +188,15 @@
 	private void round() {
 		this.target.state().whenComplete(this::onState);
 		report();
+		this.heldUsage.tend(anyEntry(), nowMs());
+	}
+
+	private synchronized Optional<Peer> anyEntry() {
+		return this.links.values().stream().flatMap((link) -> link.peer().stream()).findAny();
+	}
+
+	private static long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 	}
 
 	private void onState(Target.@Nullable State state, @Nullable Throwable failure) {
@@ -212,17 +227,25 @@
 			this.fence.learn(directory.epoch());
 			this.revision = Math.max(this.revision, directory.revision());
 			this.knownEntries.put(peer.identity().nodeId(), directory.entries());
+			this.heldUsage.connected(peer, directory.usageSource());
 			follow(this.knownEntries.all());
 			peer.send(load());
 		}
 		else if (message instanceof Message.TargetDirective directive) {
 			carryOut(directive);
 		}
+		else if (message instanceof Message.UsageNote note) {
+			this.heldUsage.note(note);
+		}
+		else if (message instanceof Message.UsageRelease release) {
+			this.heldUsage.release(release);
+		}
 	}
 
 	@Override
 	public void onClosed(Peer peer) {
 		this.knownEntries.remove(peer.identity().nodeId());
+		this.heldUsage.disconnected(peer, nowMs());
 	}
 
 	private void follow(Map<String, String> entries) {
--- /dev/null
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HeldUsage.java
@@ -0,0 +1,80 @@
+package org.zinniatack.agent;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+
+import org.zinniatack.core.usage.UsagePart;
+import org.zinniatack.core.usage.UsageWitness;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+
+/**
+ * The use that entries leave with this agent, and what is done with it when an entry is
+ * lost: another entry brings it before control.
+ */
+final class HeldUsage {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long CALL_TIMEOUT_MS = 5_000;
+
+	private final UsageWitness witness;
+
+	private final Map<String, String> sourceByEntry = new HashMap<>();
+
+	private boolean sending;
+
+	HeldUsage(String incarnation, long lossDelayMs) {
+		this.witness = new UsageWitness(incarnation, lossDelayMs);
+	}
+
+	/** Learns under which id an entry counts use. */
+	synchronized void connected(Peer entry, String source) {
+		this.sourceByEntry.put(entry.identity().nodeId(), source);
+		this.witness.returned(source);
+	}
+
+	synchronized void note(Message.UsageNote note) {
+		this.witness.note(note.source(), note.sequence(), note.windowStartMs(), note.figure());
+	}
+
+	synchronized void release(Message.UsageRelease release) {
+		this.witness.release(release.source(), release.sequence());
+	}
+
+	synchronized void disconnected(Peer entry, long nowMs) {
+		String source = this.sourceByEntry.remove(entry.identity().nodeId());
+		if (source != null) {
+			this.witness.lost(source, nowMs);
+		}
+	}
+
+	synchronized int reportCount() {
+		return this.witness.heldCount();
+	}
+
+	/** Sends a part that is due through an entry, one at a time. */
+	synchronized void tend(Optional<Peer> entry, long nowMs) {
+		if (!this.sending && entry.isPresent()) {
+			this.witness.due(nowMs).ifPresent((part) -> send(part, entry.get()));
+		}
+	}
+
+	private void send(UsagePart part, Peer entry) {
+		this.sending = true;
+		entry.call(new Message.HeldUsage(part), CALL_TIMEOUT_MS)
+			.whenComplete((answer, failure) -> answered(part, failure == null));
+	}
+
+	private synchronized void answered(UsagePart part, boolean counted) {
+		this.sending = false;
+		if (counted) {
+			this.witness.settled(part);
+			LOGGER.atInfo().log("event=held_usage_reported source=%s report=%d", part.source(), part.sequence());
+		}
+	}
+
+}
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -30,6 +30,7 @@
 import org.zinniatack.core.sample.VersionSpan;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.usage.UsageFigure;
 import org.zinniatack.wire.ClusterSecret;
 import org.zinniatack.wire.Message;
 import org.zinniatack.wire.Peer;
@@ -112,6 +113,11 @@
 		row(table, "feed with changes", "changed records", (n) -> feed(3, n));
 		row(table, "samples to control, 2 KiB each", "samples",
 				(n) -> new Message.Propose(new Command.FillSlots("c", "s", sampleList(n)), false));
+		row(table, "usage report to control", "customers and routes",
+				(n) -> new Message.Propose(new Command.RecordUsage(INCARNATION, 12_345, 1_796_362_020_000L, figures(n)),
+						false));
+		row(table, "usage note to an agent", "-",
+				(n) -> new Message.UsageNote(INCARNATION, 12_345, 1_796_362_020_000L, figures(1).get(0)));
 		System.out.println("### Sizes of messages, in bytes with their frame\n");
 		table.print();
 	}
@@ -172,6 +178,14 @@
 		return records;
 	}
 
+	private static List<UsageFigure> figures(int count) {
+		List<UsageFigure> figures = new ArrayList<>();
+		for (int number = 0; number < count; number++) {
+			figures.add(new UsageFigure("customer-" + number, "draft", 1_000, 200_000, false));
+		}
+		return figures;
+	}
+
 	private static List<Sample> sampleList(int count) {
 		List<Sample> samples = new ArrayList<>();
 		for (int slot = 0; slot < count; slot++) {
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
@@ -46,7 +46,7 @@
 
 	@BeforeEach
 	void startSystem() throws Exception {
-		this.system = new LocalSystem(this.folder, 60_000);
+		this.system = new LocalSystem(this.folder, 60_000, 500);
 		this.system.start(3);
 	}
 
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/LocalSystem.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/LocalSystem.java
@@ -66,9 +66,12 @@
 
 	private final long usageWindowMs;
 
-	LocalSystem(Path folder, long usageWindowMs) {
+	private final long usageIntervalMs;
+
+	LocalSystem(Path folder, long usageWindowMs, long usageIntervalMs) {
 		this.folder = folder;
 		this.usageWindowMs = usageWindowMs;
+		this.usageIntervalMs = usageIntervalMs;
 	}
 
 	static String freeAddress() {
@@ -132,7 +135,7 @@
 
 	void startEntry(String name) throws Exception {
 		EntrySettings settings = new EntrySettings(name, "a", freeAddress(), freeAddress(), controlAddresses(), SECRET,
-				this.operatorDigests, 3_000, 20_000, 1 << 20, 0, this.usageWindowMs);
+				this.operatorDigests, 3_000, 20_000, 1 << 20, 0, this.usageWindowMs, this.usageIntervalMs);
 		this.wireAddresses.put(name, settings.listenAddress());
 		PrometheusMeterRegistry metrics = Metrics.registry();
 		EntryService service = new EntryService(settings, metrics);
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/RequestPathTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/RequestPathTests.java
@@ -36,7 +36,7 @@
 
 	@BeforeAll
 	static void startSystem() throws Exception {
-		system = new LocalSystem(folder, 1_000);
+		system = new LocalSystem(folder, 1_000, 500);
 		system.start(3);
 		system.startEngine("engine-1", "a", LocalSystem.engine(1));
 		system.startEngine("engine-2", "b", LocalSystem.engine(1));
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -9,6 +9,7 @@
 import org.zinniatack.core.config.RecordKind;
 import org.zinniatack.core.sample.Sample;
 import org.zinniatack.core.usage.UsageFigure;
+import org.zinniatack.core.usage.UsagePart;
 
 /**
  * A change of the replicated state.
@@ -23,6 +24,7 @@
 		@JsonSubTypes.Type(value = Command.CommitStep.class, name = "commit"),
 		@JsonSubTypes.Type(value = Command.ReleaseStep.class, name = "release"),
 		@JsonSubTypes.Type(value = Command.RecordUsage.class, name = "usage"),
+		@JsonSubTypes.Type(value = Command.RecordUsagePart.class, name = "part"),
 		@JsonSubTypes.Type(value = Command.CloseWindow.class, name = "close"),
 		@JsonSubTypes.Type(value = Command.AcknowledgeWindow.class, name = "ack"),
 		@JsonSubTypes.Type(value = Command.OrderTargets.class, name = "order"),
@@ -136,6 +138,14 @@
 	record RecordUsage(String source, long sequence, long windowStartMs, List<UsageFigure> figures) implements Command {
 	}
 
+	/**
+	 * Counts the part of a report of use that a witness holds.
+	 *
+	 * @param part the part
+	 */
+	record RecordUsagePart(UsagePart part) implements Command {
+	}
+
 	/**
 	 * Closes a window of usage.
 	 *
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -152,6 +152,9 @@
 		if (command instanceof Command.RecordUsage used) {
 			this.usage.record(used.source(), used.sequence(), used.windowStartMs(), used.figures());
 		}
+		else if (command instanceof Command.RecordUsagePart held) {
+			this.usage.record(held.part());
+		}
 		else if (command instanceof Command.CloseWindow close) {
 			this.usage.close(close.startMs(), close.endMs());
 		}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageFigure.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageFigure.java
@@ -11,6 +11,33 @@
  */
 public record UsageFigure(String customer, String route, long requestCount, long tokenCount, boolean late) {
 
+	/**
+	 * Returns whether nothing was used.
+	 * @return true if both counts are 0
+	 */
+	public boolean isNothing() {
+		return this.requestCount == 0 && this.tokenCount == 0;
+	}
+
+	/**
+	 * Returns whether another figure counts the same customer on the same route.
+	 * @param other the other figure
+	 * @return true if the two can be added up
+	 */
+	public boolean isOfSameUse(UsageFigure other) {
+		return this.customer.equals(other.customer) && this.route.equals(other.route);
+	}
+
+	/**
+	 * Returns what is left of this figure without another that it includes.
+	 * @param other the other figure
+	 * @return the difference, as late as this figure
+	 */
+	public UsageFigure minus(UsageFigure other) {
+		return new UsageFigure(this.customer, this.route, this.requestCount - other.requestCount,
+				this.tokenCount - other.tokenCount, this.late);
+	}
+
 	/**
 	 * Returns the sum of two figures of the same customer, route and lateness.
 	 * @param other the other figure
--- a/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageLedger.java
@@ -4,13 +4,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 
 /**
  * The usage of all customers by window. A window is closed once; what arrives for it
  * later is counted in the open window and marked late. Each source numbers its reports,
- * so a repeated report counts once.
+ * so a repeated report counts once, also where witnesses of a source that seemed lost
+ * reported parts of it first.
  */
 public final class UsageLedger {
 
@@ -20,6 +22,8 @@
 
 	private final Map<String, Long> lastSequences = new LinkedHashMap<>();
 
+	private WitnessedParts parts = new WitnessedParts();
+
 	private final Map<Long, Map<String, UsageFigure>> openFigures = new TreeMap<>();
 
 	private final TreeMap<Long, UsageWindow> closedWindows = new TreeMap<>();
@@ -35,6 +39,7 @@
 		UsageLedger ledger = new UsageLedger();
 		ledger.lastSequences.putAll(image.lastSequences());
 		ledger.closedUntilMs = image.closedUntilMs();
+		ledger.parts = WitnessedParts.of(image.parts());
 		image.openFigures().forEach((open) -> open.figures().forEach((figure) -> ledger.add(open.startMs(), figure)));
 		image.closedWindows().forEach((window) -> ledger.closedWindows.put(window.startMs(), window));
 		return ledger;
@@ -96,7 +101,8 @@
 		List<OpenFigures> open = new ArrayList<>();
 		this.openFigures
 			.forEach((startMs, figures) -> open.add(new OpenFigures(startMs, List.copyOf(figures.values()))));
-		return new Image(new LinkedHashMap<>(this.lastSequences), open, closedWindows(), this.closedUntilMs);
+		return new Image(new LinkedHashMap<>(this.lastSequences), open, closedWindows(), this.closedUntilMs,
+				this.parts.image());
 	}
 
 	/**
@@ -123,6 +129,20 @@
 		if (this.lastSequences.size() > SOURCES_KEPT) {
 			this.lastSequences.remove(this.lastSequences.keySet().iterator().next());
 		}
+		count(startMs, this.parts.takeFrom(source, sequence, figures));
+	}
+
+	/**
+	 * Counts a part of a report that has not come, unless it was counted before.
+	 * @param part the part that a witness holds
+	 */
+	public void record(UsagePart part) {
+		if (part.sequence() > this.lastSequences.getOrDefault(part.source(), 0L) && this.parts.add(part)) {
+			count(part.windowStartMs(), part.figures());
+		}
+	}
+
+	private void count(long startMs, List<UsageFigure> figures) {
 		boolean late = startMs < this.closedUntilMs;
 		long countedMs = Math.max(startMs, this.closedUntilMs);
 		figures.forEach((figure) -> add(countedMs, late ? figure.markedLate() : figure));
@@ -152,9 +172,18 @@
 	 * @param openFigures the figures of open windows
 	 * @param closedWindows the closed windows that are kept
 	 * @param closedUntilMs the end of the newest closed window
+	 * @param parts the parts that were counted before their reports
 	 */
 	public record Image(Map<String, Long> lastSequences, List<OpenFigures> openFigures, List<UsageWindow> closedWindows,
-			long closedUntilMs) {
+			long closedUntilMs, List<UsagePart> parts) {
+
+		/**
+		 * Takes an image without parts, as earlier versions stored it, for one with none.
+		 */
+		public Image {
+			parts = Objects.requireNonNullElse(parts, List.of());
+		}
+
 	}
 
 }
--- a/zinniatack-core/src/test/java/org/zinniatack/core/usage/UsageLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/usage/UsageLedgerTests.java
@@ -59,4 +59,46 @@
 		assertThat(copy.closedWindows().get(1).figures(), contains(FIGURE));
 	}
 
+	@Test
+	void partsThatWitnessesReportBeforeTheReportItselfCountOnce() {
+		UsagePart part = new UsagePart("entry", 1, "agent/1", 0, List.of(FIGURE));
+		this.ledger.record(part);
+		this.ledger.record(part);
+		this.ledger.record(new UsagePart("entry", 1, "other/1", 0, List.of(FIGURE)));
+		UsageLedger copy = UsageLedger.of(this.ledger.image());
+		copy.record("entry", 1, 0, List.of(new UsageFigure("a", "r", 3, 35, false)));
+		copy.record(new UsagePart("entry", 1, "third/1", 0, List.of(FIGURE)));
+		copy.close(0, 100);
+		assertThat(copy.closedWindows().get(0).figures(), contains(new UsageFigure("a", "r", 3, 35, false)));
+	}
+
+	@Test
+	void aPartOfAClosedWindowIsLateAndIsNotCountedAgainWithItsReport() {
+		this.ledger.close(0, 100);
+		this.ledger.record(new UsagePart("entry", 1, "agent/1", 50, List.of(FIGURE)));
+		this.ledger.record("entry", 1, 50, List.of(FIGURE));
+		this.ledger.close(100, 200);
+		assertThat(this.ledger.closedWindows().get(1).figures(), contains(FIGURE.markedLate()));
+	}
+
+	@Test
+	void aWitnessReportsWhatASourceLeftOnlyOnceItStaysLost() {
+		UsageWitness witness = new UsageWitness("agent", 100);
+		witness.note("lost", 1, 0, FIGURE);
+		witness.note("lost", 2, 0, FIGURE);
+		witness.note("lost", 2, 0, FIGURE);
+		witness.note("back", 7, 0, FIGURE);
+		witness.release("lost", 1);
+		witness.lost("lost", 1_000);
+		witness.lost("back", 1_000);
+		witness.returned("back");
+		assertThat(witness.due(1_099).isPresent(), is(false));
+		UsagePart due = witness.due(1_100).orElseThrow();
+		assertThat(due, equalTo(new UsagePart("lost", 2, "agent/1", 0, List.of(FIGURE.plus(FIGURE)))));
+		assertThat(witness.due(2_000).orElseThrow(), equalTo(due));
+		witness.settled(due);
+		assertThat(witness.due(2_000).isPresent(), is(false));
+		assertThat(witness.heldCount(), is(1));
+	}
+
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.zinniatack.entry;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.UUID;
 
 import org.jspecify.annotations.Nullable;
@@ -48,6 +49,8 @@
 
 	private @Nullable TargetLink target;
 
+	private @Nullable TargetLink lastTarget;
+
 	private Runnable cancelExchange = () -> {
 	};
 
@@ -119,6 +122,11 @@
 		return this.target;
 	}
 
+	/** Returns the target of the newest attempt, also after it has ended. */
+	Optional<TargetLink> lastTarget() {
+		return Optional.ofNullable(this.lastTarget);
+	}
+
 	/** Returns the targets that crashed or were lost while they ran this request. */
 	int lostTargets() {
 		return this.lostTargets;
@@ -168,6 +176,7 @@
 
 	void begin(TargetLink on, long nowMs) {
 		this.target = on;
+		this.lastTarget = on;
 		this.attempts++;
 		this.startedMs = nowMs;
 		this.progress.restartBody();
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -10,8 +10,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import com.google.common.flogger.FluentLogger;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -33,6 +35,7 @@
 import org.zinniatack.wire.Peer;
 import org.zinniatack.wire.PeerHandler;
 import org.zinniatack.wire.PeerIdentity;
+import org.zinniatack.wire.Responder;
 import org.zinniatack.wire.Wire;
 
 /**
@@ -47,7 +50,9 @@
 
 	private static final long ENFORCE_INTERVAL_MS = 100;
 
-	private static final long USAGE_INTERVAL_MS = 1_000;
+	private static final long USAGE_CHECK_MS = 250;
+
+	private static final long LAST_USAGE_WAIT_MS = 1_000;
 
 	private static final long STOP_CHECK_MS = 20;
 
@@ -106,7 +111,8 @@
 		this.wire = new Wire(new PeerIdentity("entry", settings.name()), ClusterSecret.of(settings.clusterSecret()),
 				this, WIRE_THREADS);
 		this.control = new ControlLink(this.wire, settings.name(), settings.controlAddresses());
-		this.usage = new UsageMeter(settings.usageWindowMs(), System::currentTimeMillis, this.control);
+		this.usage = new UsageMeter(settings.usageWindowMs(), settings.usageIntervalMs(), System::currentTimeMillis,
+				this.control, this::releaseUsage);
 	}
 
 	@Override
@@ -116,7 +122,7 @@
 		every(REPORT_INTERVAL_MS, this::report);
 		every(ENFORCE_INTERVAL_MS, this.dispatcher::enforce);
 		every(ENFORCE_INTERVAL_MS, this::tendSteps);
-		every(USAGE_INTERVAL_MS, this.usage::flush);
+		every(USAGE_CHECK_MS, this.usage::tend);
 		this.metrics.gauge("zinniatack.requests.open", this.dispatcher, Dispatcher::openRequests);
 		LOGGER.atInfo().log("event=entry_started name=%s", this.settings.name());
 	}
@@ -145,7 +151,7 @@
 			sleep(STOP_CHECK_MS);
 		}
 		this.usage.flush();
-		long usageDeadlineMs = nowMs() + USAGE_INTERVAL_MS;
+		long usageDeadlineMs = nowMs() + LAST_USAGE_WAIT_MS;
 		while (!this.usage.isEmpty() && nowMs() < usageDeadlineMs) {
 			sleep(STOP_CHECK_MS);
 		}
@@ -231,13 +237,30 @@
 
 	private void onFinished(Dispatcher.Finished finished) {
 		CallerRequest request = finished.request();
-		this.usage.count(request.access().customer(), request.call().routeName(), finished.answer().tokenCount());
+		this.usage.count(request.access().customer(), request.call().routeName(), finished.answer().tokenCount(),
+				witnessOf(request));
 		this.metrics.counter("zinniatack.requests.finished", "route", request.call().routeName()).increment();
 		if (finished.clearedSuspect()) {
 			this.control.propose(new Command.ClearSuspect(request.call().digest().hex()));
 		}
 	}
 
+	/** Returns the agent that ran a request, or any other if it is gone. */
+	private Consumer<Message> witnessOf(CallerRequest request) {
+		return Stream.concat(request.lastTarget().stream(), this.dispatcher.targets().stream())
+			.map(TargetLink::peer)
+			.filter(Peer::isOpen)
+			.findFirst()
+			.<Consumer<Message>>map((peer) -> peer::send)
+			.orElse((note) -> {
+			});
+	}
+
+	private void releaseUsage(long sequence) {
+		Message release = new Message.UsageRelease(this.usage.source(), sequence);
+		this.dispatcher.targets().forEach((target) -> target.peer().send(release));
+	}
+
 	@Override
 	public boolean isReady() {
 		return !this.stopping && this.authority.isValid(nowMs());
@@ -258,7 +281,7 @@
 		dump.put("quarantined", view.quarantined());
 		dump.put("targets", this.dispatcher.targets().stream().map(EntryService::stateOf).toList());
 		dump.put("pools", this.dispatcher.loads());
-		dump.put("usageHeld", this.usage.held().size());
+		dump.put("usageHeld", this.usage.heldCount());
 		return dump;
 	}
 
@@ -333,7 +356,21 @@
 	/** Sends what is known now; in turns, so that no older list follows a newer one. */
 	private synchronized void sendDirectory(Peer peer) {
 		Authority.View view = this.authority.view();
-		peer.send(new Message.Directory(view.configuration().revision(), view.epoch(), view.entries()));
+		peer.send(new Message.Directory(view.configuration().revision(), view.epoch(), view.entries(),
+				this.usage.source()));
+	}
+
+	@Override
+	public void onRequest(Peer peer, Message message, Responder responder) {
+		if (!(message instanceof Message.HeldUsage held)) {
+			responder.respond(new Message.Failure(ResultCode.FRAME_MALFORMED, "unexpected message", 0), true);
+			return;
+		}
+		this.control.propose(new Command.RecordUsagePart(held.part()))
+			.whenComplete((reply,
+					failure) -> responder.respond((failure != null)
+							? new Message.Failure(ResultCode.NOT_ACCEPTED, "control gave no answer", USAGE_CHECK_MS)
+							: new Message.Proposed(reply), true));
 	}
 
 	@Override
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntrySettings.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntrySettings.java
@@ -24,10 +24,12 @@
  * @param balancerDelayMs the time that the balancer takes to send callers elsewhere, in
  * milliseconds
  * @param usageWindowMs the length of a usage window, in milliseconds
+ * @param usageIntervalMs the longest time for which use is left with agents before
+ * control has it, in milliseconds
  */
 public record EntrySettings(String name, String failureDomain, String listenAddress, String httpAddress,
 		List<String> controlAddresses, String clusterSecret, List<String> operatorKeyDigests, long authorityLeaseMs,
-		long requestTimeoutMs, int maximumBodyBytes, long balancerDelayMs, long usageWindowMs) {
+		long requestTimeoutMs, int maximumBodyBytes, long balancerDelayMs, long usageWindowMs, long usageIntervalMs) {
 
 	private static final long LONGEST_LEASE_MS = 60_000;
 
@@ -47,7 +49,8 @@
 			@JsonProperty("authorityLeaseMs") long authorityLeaseMs,
 			@JsonProperty("requestTimeoutMs") long requestTimeoutMs,
 			@JsonProperty("maximumBodyBytes") int maximumBodyBytes,
-			@JsonProperty("balancerDelayMs") long balancerDelayMs, @JsonProperty("usageWindowMs") long usageWindowMs) {
+			@JsonProperty("balancerDelayMs") long balancerDelayMs, @JsonProperty("usageWindowMs") long usageWindowMs,
+			@JsonProperty("usageIntervalMs") long usageIntervalMs) {
 		this.name = Checks.name("name", name);
 		this.failureDomain = Checks.name("failureDomain", failureDomain);
 		this.listenAddress = Checks.address("listenAddress", listenAddress);
@@ -61,6 +64,7 @@
 		this.maximumBodyBytes = (int) Checks.range("maximumBodyBytes", maximumBodyBytes, 1024, LARGEST_BODY_BYTES);
 		this.balancerDelayMs = Checks.range("balancerDelayMs", balancerDelayMs, 0, LONGEST_LEASE_MS);
 		this.usageWindowMs = Checks.range("usageWindowMs", usageWindowMs, 1_000, 24 * HOUR_MS);
+		this.usageIntervalMs = Checks.range("usageIntervalMs", usageIntervalMs, 100, HOUR_MS);
 	}
 
 	@Override
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
@@ -2,62 +2,109 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 import com.google.common.flogger.FluentLogger;
 
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.usage.UsageFigure;
+import org.zinniatack.wire.Message;
 
 /**
  * Counts use and holds it until control has it. Reports are numbered and sent one at a
- * time, so each counts once however often it is sent.
+ * time, so each counts once however often it is sent. Each use is also left with a
+ * witness, which reports it if this process is lost before it does.
  */
 final class UsageMeter {
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+	private static final String SEPARATOR = "\0";
+
 	private final String source = UUID.randomUUID().toString();
 
 	private final long windowMs;
 
+	private final long intervalMs;
+
 	private final LongSupplier wallClockMs;
 
 	private final Proposer control;
 
-	private final Map<Long, Map<String, UsageFigure>> counting = new TreeMap<>();
+	private final LongConsumer released;
+
+	private final Map<Long, Report> counting = new TreeMap<>();
 
 	private final Deque<Command.RecordUsage> unsent = new ArrayDeque<>();
 
 	private long nextSequence = 1;
 
+	private long closedAtMs;
+
 	private boolean sending;
 
-	UsageMeter(long windowMs, LongSupplier wallClockMs, Proposer control) {
+	/**
+	 * Returns a meter that has counted nothing.
+	 * @param windowMs the length of a usage window, in milliseconds
+	 * @param intervalMs the longest time for which use is counted before it is sent, in
+	 * milliseconds
+	 * @param wallClockMs the milliseconds since the epoch
+	 * @param control where reports are sent
+	 * @param released who learns the number of each report that control has
+	 */
+	UsageMeter(long windowMs, long intervalMs, LongSupplier wallClockMs, Proposer control, LongConsumer released) {
 		this.windowMs = windowMs;
+		this.intervalMs = intervalMs;
 		this.wallClockMs = wallClockMs;
 		this.control = control;
+		this.released = released;
+		this.closedAtMs = wallClockMs.getAsLong();
+	}
+
+	/** Returns the id under which this meter counts, new at each start. */
+	String source() {
+		return this.source;
 	}
 
-	synchronized void count(String customer, String route, long tokenCount) {
+	/** Counts a request that ran and leaves it with a witness. */
+	synchronized void count(String customer, String route, long tokenCount, Consumer<Message> witness) {
+		long startMs = windowStartMs();
+		UsageFigure figure = new UsageFigure(customer, route, 1, tokenCount, false);
+		Report report = this.counting.computeIfAbsent(startMs, (absent) -> new Report(this.nextSequence++));
+		report.figures().merge(customer + SEPARATOR + route, figure, UsageFigure::plus);
+		witness.accept(new Message.UsageNote(this.source, report.sequence(), startMs, figure));
+	}
+
+	private long windowStartMs() {
 		long nowMs = this.wallClockMs.getAsLong();
-		long startMs = nowMs - Math.floorMod(nowMs, this.windowMs);
-		this.counting.computeIfAbsent(startMs, (absent) -> new TreeMap<>())
-			.merge(customer + '\0' + route, new UsageFigure(customer, route, 1, tokenCount, false), UsageFigure::plus);
+		return nowMs - Math.floorMod(nowMs, this.windowMs);
+	}
+
+	/** Sends what was counted once it is due, and what control has not acknowledged. */
+	void tend() {
+		if (isDue()) {
+			flush();
+		}
+	}
+
+	private synchronized boolean isDue() {
+		boolean windowEnded = this.counting.keySet().stream().anyMatch((startMs) -> startMs < windowStartMs());
+		return windowEnded || !this.unsent.isEmpty()
+				|| this.wallClockMs.getAsLong() - this.closedAtMs >= this.intervalMs;
 	}
 
 	/** Sends what was counted, if the last report is acknowledged. */
 	void flush() {
 		Command.RecordUsage next;
 		synchronized (this) {
-			this.counting.forEach((startMs, figures) -> this.unsent.add(new Command.RecordUsage(this.source,
-					this.nextSequence++, startMs, new ArrayList<>(figures.values()))));
-			this.counting.clear();
+			closeReports();
 			if (this.sending || this.unsent.isEmpty()) {
 				return;
 			}
@@ -67,16 +114,28 @@
 		this.control.propose(next).whenComplete((reply, failure) -> acknowledged(failure == null));
 	}
 
+	private void closeReports() {
+		this.closedAtMs = this.wallClockMs.getAsLong();
+		this.counting.entrySet()
+			.stream()
+			.map((counted) -> new Command.RecordUsage(this.source, counted.getValue().sequence(), counted.getKey(),
+					new ArrayList<>(counted.getValue().figures().values())))
+			.sorted(Comparator.comparingLong(Command.RecordUsage::sequence))
+			.forEach(this.unsent::add);
+		this.counting.clear();
+	}
+
 	private void acknowledged(boolean counted) {
 		synchronized (this) {
 			this.sending = false;
-			if (counted) {
-				this.unsent.poll();
-			}
-			else {
+			if (!counted) {
 				LOGGER.atWarning().log("event=usage_held reports=%d", this.unsent.size());
 				return;
 			}
+			this.released.accept(this.unsent.remove().sequence());
+			if (this.unsent.isEmpty()) {
+				return;
+			}
 		}
 		flush();
 	}
@@ -85,8 +144,23 @@
 		return this.counting.isEmpty() && this.unsent.isEmpty();
 	}
 
-	synchronized List<Command.RecordUsage> held() {
-		return List.copyOf(this.unsent);
+	/** Returns the number of reports that control does not have. */
+	synchronized int heldCount() {
+		return this.counting.size() + this.unsent.size();
+	}
+
+	/**
+	 * A report that still grows.
+	 *
+	 * @param sequence the number of the report
+	 * @param figures the figures by customer and route
+	 */
+	private record Report(long sequence, Map<String, UsageFigure> figures) {
+
+		Report(long sequence) {
+			this(sequence, new TreeMap<>());
+		}
+
 	}
 
 }
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -15,6 +15,8 @@
 import org.zinniatack.core.sample.VersionSpan;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.core.usage.UsageFigure;
+import org.zinniatack.core.usage.UsagePart;
 
 /**
  * A message between two processes of the system.
@@ -50,7 +52,10 @@
 		@JsonSubTypes.Type(value = Message.AnswerChunk.class, name = "ac"),
 		@JsonSubTypes.Type(value = Message.AnswerEnd.class, name = "ae"),
 		@JsonSubTypes.Type(value = Message.TargetDirective.class, name = "td"),
-		@JsonSubTypes.Type(value = Message.TargetCrash.class, name = "tc") })
+		@JsonSubTypes.Type(value = Message.TargetCrash.class, name = "tc"),
+		@JsonSubTypes.Type(value = Message.UsageNote.class, name = "un"),
+		@JsonSubTypes.Type(value = Message.UsageRelease.class, name = "ur"),
+		@JsonSubTypes.Type(value = Message.HeldUsage.class, name = "hu") })
 public sealed interface Message {
 
 	/**
@@ -332,8 +337,9 @@
 	 * @param revision the configuration revision
 	 * @param epoch the newest epoch known
 	 * @param entries the addresses of all entries by id
+	 * @param usageSource the id under which the sender counts use
 	 */
-	record Directory(long revision, long epoch, Map<String, String> entries) implements Message {
+	record Directory(long revision, long epoch, Map<String, String> entries, String usageSource) implements Message {
 	}
 
 	/**
@@ -398,4 +404,32 @@
 	record TargetCrash(String crashId, List<String> requestDigests) implements Message {
 	}
 
+	/**
+	 * Leaves a use with an agent until control has it.
+	 *
+	 * @param source the id under which the entry counts use
+	 * @param sequence the number of the entry's report that will count it
+	 * @param windowStartMs the start of the window, in milliseconds since the epoch
+	 * @param figure the use
+	 */
+	record UsageNote(String source, long sequence, long windowStartMs, UsageFigure figure) implements Message {
+	}
+
+	/**
+	 * Tells an agent that control has reports of use.
+	 *
+	 * @param source the id under which the entry counts use
+	 * @param sequence the number of the newest of these reports
+	 */
+	record UsageRelease(String source, long sequence) implements Message {
+	}
+
+	/**
+	 * Asks an entry to bring before control the use that a lost entry left with an agent.
+	 *
+	 * @param part what the agent holds of a report
+	 */
+	record HeldUsage(UsagePart part) implements Message {
+	}
+
 }
