Measure an agent, a token and a leader by the number of its followers

Cause: three slopes of docs/CAPACITY.md were missing, so the agent's, the leader's and the data path's processor time were guesses.

ProcessMeter reads processor, memory and traffic for all of them.

--- /dev/null
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/AgentBench.java
@@ -0,0 +1,80 @@
+package org.zinniatack.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine;
+
+import org.zinniatack.wire.ClusterSecret;
+import org.zinniatack.wire.PeerHandler;
+import org.zinniatack.wire.PeerIdentity;
+import org.zinniatack.wire.Wire;
+
+/**
+ * Stands in for entries and measures idle agents that report to different numbers of
+ * them.
+ */
+@CommandLine.Command(name = "agents", description = "Measures idle agents by the number of their entries.")
+final class AgentBench implements Callable<Integer> {
+
+	private static final long SETTLE_MS = 6_000;
+
+	private static final long MEASURE_MS = 30_000;
+
+	private static final double MS_A_S = 1_000;
+
+	@CommandLine.Option(names = "--secret", required = true, description = "the cluster secret")
+	private String secret;
+
+	@CommandLine.Option(names = "--first-port", required = true, description = "the port of the first entry")
+	private int firstPort;
+
+	@CommandLine.Option(names = "--entries", required = true, split = ",", description = "entries of each agent")
+	private List<Integer> entryCounts;
+
+	@CommandLine.Option(names = "--pids", required = true, split = ",", description = "process ids of the agents")
+	private List<Long> pids;
+
+	@CommandLine.Option(names = "--interval-ms", required = true, description = "the time between an agent's reports")
+	private long intervalMs;
+
+	@Override
+	public Integer call() throws Exception {
+		List<Wire> entries = new ArrayList<>();
+		int largest = this.entryCounts.stream().mapToInt(Integer::intValue).max().orElse(0);
+		for (int number = 0; number < largest; number++) {
+			Wire entry = new Wire(new PeerIdentity("entry", "entry-" + number), ClusterSecret.of(this.secret),
+					new PeerHandler() {
+					}, 1);
+			entry.listen("127.0.0.1:" + (this.firstPort + number));
+			entries.add(entry);
+		}
+		Thread.sleep(SETTLE_MS);
+		measure();
+		entries.parallelStream().forEach(Wire::stop);
+		return 0;
+	}
+
+	private void measure() throws Exception {
+		List<ProcessMeter> meters = this.pids.stream().map(ProcessMeter::new).toList();
+		for (ProcessMeter meter : meters) {
+			meter.start();
+		}
+		Thread.sleep(MEASURE_MS);
+		Table table = new Table("entries", "reports a second", "processor, % of a core", "resident, MB");
+		List<double[]> points = new ArrayList<>();
+		for (int number = 0; number < meters.size(); number++) {
+			double reportsPerS = this.entryCounts.get(number) * MS_A_S / this.intervalMs;
+			double percent = meters.get(number).processorPercent();
+			points.add(new double[] { reportsPerS, percent });
+			table.row(this.entryCounts.get(number), reportsPerS, percent, meters.get(number).residentMb());
+		}
+		System.out.println("### Idle agents, a look at the target every " + this.intervalMs + " ms\n");
+		table.print();
+		Fit fit = Fit.of(points);
+		System.out.printf("processor %%: %.4f + %.5f a report/s (r %.3f)%n%n", fit.intercept(), fit.slope(),
+				fit.correlation());
+	}
+
+}
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/Bench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/Bench.java
@@ -6,8 +6,9 @@
  * The command that runs measurements.
  */
 @CommandLine.Command(name = "zinniatack-bench", mixinStandardHelpOptions = true,
-		description = "Measurements; each ends by itself and loads loopback only.", subcommands = { PolicyBench.class,
-				DecisionBench.class, ControlBench.class, LatencyBench.class, CapacityBench.class })
+		description = "Measurements; each ends by itself and loads loopback only.",
+		subcommands = { PolicyBench.class, DecisionBench.class, ControlBench.class, LatencyBench.class,
+				CapacityBench.class, AgentBench.class, TokenBench.class, ReplicaBench.class })
 public final class Bench {
 
 	private Bench() {
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -1,7 +1,6 @@
 package org.zinniatack.bench;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -50,8 +49,6 @@
 
 	private static final long MEASURE_MS = 8_000;
 
-	private static final double TICKS_A_S = 100;
-
 	private static final double NS_A_US = 1_000;
 
 	private static final int SAMPLE_TEXT_BYTES = 2048;
@@ -178,7 +175,8 @@
 		return records;
 	}
 
-	private static List<UsageFigure> figures(int count) {
+	/** Returns figures of some customers on one route. */
+	static List<UsageFigure> figures(int count) {
 		List<UsageFigure> figures = new ArrayList<>();
 		for (int number = 0; number < count; number++) {
 			figures.add(new UsageFigure("customer-" + number, "draft", 1_000, 200_000, false));
@@ -299,12 +297,12 @@
 		for (int count : counts) {
 			try (FakePeers peers = new FakePeers(role, address, count)) {
 				Thread.sleep(SETTLE_MS);
-				double ticks = ticks(pid);
-				long bytes = loopbackBytes();
+				ProcessMeter meter = new ProcessMeter(pid);
+				meter.start();
 				Thread.sleep(MEASURE_MS);
-				double percent = (ticks(pid) - ticks) / TICKS_A_S / (MEASURE_MS / 1000.0) * 100;
-				double kilobytes = (loopbackBytes() - bytes) / 1024.0 / (MEASURE_MS / 1000.0);
-				double resident = residentMb(pid);
+				double percent = meter.processorPercent();
+				double kilobytes = meter.loopbackKilobytesPerS();
+				double resident = meter.residentMb();
 				table.row(count, percent, resident, kilobytes);
 				processor.add(new double[] { count, percent });
 				traffic.add(new double[] { count, kilobytes });
@@ -322,30 +320,6 @@
 		System.out.println();
 	}
 
-	private static double ticks(long pid) throws IOException {
-		String stat = Files.readString(Path.of("/proc", Long.toString(pid), "stat"));
-		String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-		return Double.parseDouble(fields[11]) + Double.parseDouble(fields[12]);
-	}
-
-	private static double residentMb(long pid) throws IOException {
-		for (String line : Files.readAllLines(Path.of("/proc", Long.toString(pid), "status"))) {
-			if (line.startsWith("VmRSS")) {
-				return Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024;
-			}
-		}
-		return 0;
-	}
-
-	private static long loopbackBytes() throws IOException {
-		for (String line : Files.readAllLines(Path.of("/proc/net/dev"))) {
-			if (line.trim().startsWith("lo:")) {
-				return Long.parseLong(line.trim().split("\\s+")[1]);
-			}
-		}
-		return 0;
-	}
-
 	/** Makes a message for a count. */
 	private interface Sized {
 
