--- a/zinniatack-core/src/test/java/org/zinniatack/core/state/ControlStateTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/state/ControlStateTests.java
@@ -113,7 +113,7 @@
 				apply(new Command.WithdrawRecord("w" + change, kind, name, revision));
 			}
 			else {
-				put("p" + change, kind, name, 2, documentOf(kind, customer, random.nextInt(3)), revision);
+				put("p" + change, kind, name, 2, documentOf(kind, customer, change), revision);
 			}
 			long known = followed.revision();
 			followed = followed.changed(this.index, this.state.records().recordsAfter(known));
@@ -123,12 +123,12 @@
 
 	private static String documentOf(RecordKind kind, String customer, int number) {
 		return switch (kind) {
-			case CUSTOMER -> "{\"weight\":" + (1 + number) + "}";
-			case KEY -> "{\"customer\":\"" + customer + "\",\"digestSha256\":\"" + KeyDigest.of(customer + number).hex()
-					+ "\"}";
+			case CUSTOMER -> "{\"weight\":" + (1 + number % 3) + "}";
+			case KEY -> "{\"customer\":\"" + customer + "\",\"digestSha256\":\""
+					+ KeyDigest.of(customer + number % 3).hex() + "\"}";
 			case ROUTE -> "{\"protocol\":\"engine\",\"pool\":\"" + customer + "\",\"access\":\"keyed\"}";
-			case POLICY -> (number == 0) ? "{\"pool\":\"" + customer + "\",\"minimumTargets\":1}"
-					: "{\"customer\":\"" + customer + "\",\"queueTimeMs\":7000}";
+			case POLICY -> (number % 3 == 0) ? "{\"pool\":\"" + customer + "\",\"minimumTargets\":" + number + "}"
+					: "{\"customer\":\"" + customer + "\",\"queueTimeMs\":" + (1_000 + number) + "}";
 		};
 	}
 
