Report from an entry six times a lease

Cause: an entry reported twice a second whatever its lease, 71 KB/s for a replica with 59 entries (docs/CAPACITY.md). The reports keep the lease; load and presence need one a second (control forgets an entry after 3 s).

Change: the interval is a sixth of authorityLeaseMs, at most 1 s: 667 ms at the examples' 4 s. Worked out from the measured slope of 0.605 KB a report: 54 KB/s at the examples' lease, 36 KB/s from 6 s on. Not measured itself.

--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -46,7 +46,9 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	private static final long REPORT_INTERVAL_MS = 500;
+	private static final long LONGEST_REPORT_INTERVAL_MS = 1_000;
+
+	private static final long REPORTS_A_LEASE = 6;
 
 	private static final long ENFORCE_INTERVAL_MS = 100;
 
@@ -119,7 +121,7 @@
 	public void start() throws ServiceException {
 		this.wire.listen(this.settings.listenAddress());
 		this.control.open();
-		every(REPORT_INTERVAL_MS, this::report);
+		every(Math.min(LONGEST_REPORT_INTERVAL_MS, this.settings.authorityLeaseMs() / REPORTS_A_LEASE), this::report);
 		every(ENFORCE_INTERVAL_MS, this.dispatcher::enforce);
 		every(ENFORCE_INTERVAL_MS, this::tendSteps);
 		every(USAGE_CHECK_MS, this.usage::tend);
