Let an operator go on from the survivor of a lost majority

Cause: when two of three control disks were lost, the third held its state and could never decide again; the operators' page had no way out.

Weighed: an automatic take-over (would found a second system when two VMs are only cut off) and a new system that imports records (loses steps, intents, usage and orders). It appends an entry that names the replica as the sole voter, in a term 1,000 above, so that older orders are fenced. Result code 5105 for a folder without state.

Not proved: disks that come back although they were given up; the page forbids it.

--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/Zinniatack.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/Zinniatack.java
@@ -10,8 +10,8 @@
 		description = "A rollout service for reinforcement learning.",
 		subcommands = { DaemonCommands.Control.class, DaemonCommands.Entry.class, DaemonCommands.Agent.class,
 				StandInCommand.class, RecordCommand.class, KeyCommand.class, ShowCommand.Status.class,
-				ShowCommand.Dump.class, DrainCommand.class, LiftCommand.class, SettingsCommand.class, CodeCommand.class,
-				TourCommand.class, AutoComplete.GenerateCompletion.class })
+				ShowCommand.Dump.class, DrainCommand.class, LiftCommand.class, RecoverCommand.class,
+				SettingsCommand.class, CodeCommand.class, TourCommand.class, AutoComplete.GenerateCompletion.class })
 public final class Zinniatack {
 
 	private Zinniatack() {
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcessTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcessTests.java
@@ -131,6 +131,37 @@
 		assertAllHold(List.of("first", "while-away", "while-away-again"));
 	}
 
+	@Test
+	void theSurvivorOfTwoLostDisksGoesOnWhenAnOperatorSaysSo() throws Exception {
+		String survivor = this.control.leader();
+		long term = this.control.status().path("term").asLong();
+		List<String> lost = this.control.running().stream().filter((name) -> !name.equals(survivor)).toList();
+		for (String name : lost) {
+			this.control.kill(name);
+			this.control.loseDisk(name);
+		}
+		this.control.kill(survivor);
+		assertThat(recover(survivor), is(2));
+		assertThat(recover(survivor, "--accept-loss"), is(0));
+		this.control.start(survivor);
+		this.control.put("after-recovery");
+		for (String name : lost) {
+			this.control.start(name);
+		}
+		LocalSystem.await("all three vote", () -> this.control.status().path("voters").size() == 3);
+		this.control.kill(survivor);
+		this.control.put("after-the-survivor");
+		assertAllHold(List.of("first", "after-recovery", "after-the-survivor"));
+		assertThat(this.control.status().path("term").asLong(), greaterThan(term + 1_000));
+	}
+
+	private int recover(String name, String... options) {
+		List<String> arguments = new ArrayList<>(
+				List.of("recover", "--settings", this.control.settingsFile(name).toString()));
+		arguments.addAll(List.of(options));
+		return Zinniatack.commandLine().execute(arguments.toArray(new String[0]));
+	}
+
 	private void loseDiskOf(String victim, String changedMeanwhile) throws Exception {
 		this.control.kill(victim);
 		this.control.loseDisk(victim);
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcesses.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcesses.java
@@ -55,7 +55,7 @@
 	}
 
 	void start(String name) throws IOException {
-		Path settings = this.folder.resolve(name + ".json");
+		Path settings = settingsFile(name);
 		Map<String, Object> fields = new LinkedHashMap<>();
 		fields.put("name", name);
 		fields.put("dataFolder", dataFolder(name).toString());
@@ -86,6 +86,10 @@
 					.start());
 	}
 
+	Path settingsFile(String name) {
+		return this.folder.resolve(name + ".json");
+	}
+
 	Path dataFolder(String name) {
 		return this.folder.resolve("data-" + name);
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -186,6 +186,9 @@
 	/** The data folder has an unknown format version. */
 	FORMAT_UNKNOWN(5104, 500, Outcome.NOT_RUN, "The data folder was written in an unknown format version."),
 
+	/** The data folder is empty. */
+	FOLDER_EMPTY(5105, 500, Outcome.NOT_RUN, "The data folder holds no state."),
+
 	/** The settings are invalid. */
 	SETTINGS_INVALID(5201, 500, Outcome.NOT_RUN, "The settings file has a missing, unknown or wrong field."),
 
