Split steps, reports and enforcement out of the entry's large classes

EntryService (the entry's wiring) also kept steps and made the reports to control; Dispatcher also decided what may go on. StepRunners, ControlReports and Enforcement take these over; what may go on is now one decision a request in place of five passes over all.

The bench of agents also goes by the time between looks at the target, and that of latency shows the round trip of an empty frame beside its rows.

--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/AgentBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/AgentBench.java
@@ -36,8 +36,9 @@
 	@CommandLine.Option(names = "--pids", required = true, split = ",", description = "process ids of the agents")
 	private List<Long> pids;
 
-	@CommandLine.Option(names = "--interval-ms", required = true, description = "the time between an agent's reports")
-	private long intervalMs;
+	@CommandLine.Option(names = "--intervals-ms", required = true, split = ",",
+			description = "the time between two reports of each agent")
+	private List<Long> intervalsMs;
 
 	@Override
 	public Integer call() throws Exception {
@@ -62,19 +63,24 @@
 			meter.start();
 		}
 		Thread.sleep(MEASURE_MS);
-		Table table = new Table("entries", "reports a second", "processor, % of a core", "resident, MB");
-		List<double[]> points = new ArrayList<>();
+		Table table = new Table("entries", "looks at the target a second", "reports a second", "processor, % of a core",
+				"resident, MB");
+		List<double[]> byLooks = new ArrayList<>();
+		List<double[]> byReports = new ArrayList<>();
 		for (int number = 0; number < meters.size(); number++) {
-			double reportsPerS = this.entryCounts.get(number) * MS_A_S / this.intervalMs;
+			double looksPerS = MS_A_S / this.intervalsMs.get(number);
+			double reportsPerS = this.entryCounts.get(number) * looksPerS;
 			double percent = meters.get(number).processorPercent();
-			points.add(new double[] { reportsPerS, percent });
-			table.row(this.entryCounts.get(number), reportsPerS, percent, meters.get(number).residentMb());
+			byLooks.add(new double[] { looksPerS, percent });
+			byReports.add(new double[] { reportsPerS, percent });
+			table.row(this.entryCounts.get(number), looksPerS, reportsPerS, percent, meters.get(number).residentMb());
 		}
-		System.out.println("### Idle agents, a look at the target every " + this.intervalMs + " ms\n");
+		System.out.println("### Idle agents\n");
 		table.print();
-		Fit fit = Fit.of(points);
-		System.out.printf("processor %%: %.4f + %.5f a report/s (r %.3f)%n%n", fit.intercept(), fit.slope(),
-				fit.correlation());
+		boolean isOneInterval = this.intervalsMs.stream().distinct().count() == 1;
+		Fit fit = Fit.of(isOneInterval ? byReports : byLooks);
+		System.out.printf("processor %%: %.4f + %.5f a %s (r %.3f)%n%n", fit.intercept(), fit.slope(),
+				isOneInterval ? "report/s" : "look/s with its reports", fit.correlation());
 	}
 
 }
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/LatencyBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/LatencyBench.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
@@ -12,6 +13,14 @@
 import org.HdrHistogram.SynchronizedHistogram;
 import picocli.CommandLine;
 
+import org.zinniatack.wire.ClusterSecret;
+import org.zinniatack.wire.Message;
+import org.zinniatack.wire.Peer;
+import org.zinniatack.wire.PeerHandler;
+import org.zinniatack.wire.PeerIdentity;
+import org.zinniatack.wire.Responder;
+import org.zinniatack.wire.Wire;
+
 /**
  * Sends the same calls at a fixed rate to an entry and directly to its target, in turns,
  * and shows what the way through entry and agent adds.
@@ -23,6 +32,8 @@
 
 	private static final int TURNS = 3;
 
+	private static final long TIMEOUT_MS = 5_000;
+
 	@CommandLine.Option(names = "--entry", required = true, description = "the URL of an entry")
 	private URI entry;
 
@@ -57,11 +68,42 @@
 				through.getValueAtPercentile(99));
 		table.row("added", "", through.getValueAtPercentile(50) - direct.getValueAtPercentile(50),
 				through.getValueAtPercentile(99) - direct.getValueAtPercentile(99));
+		Histogram frames = roundTrips();
+		table.row("one round trip of an empty frame", frames.getTotalCount(), frames.getValueAtPercentile(50),
+				frames.getValueAtPercentile(99));
 		table.print();
 		System.out.println("failed calls: " + failed.get());
 		return 0;
 	}
 
+	/**
+	 * Returns the times of round trips between two bare connections, at the same rate.
+	 */
+	private Histogram roundTrips() throws Exception {
+		PeerHandler echo = new PeerHandler() {
+			@Override
+			public void onRequest(Peer peer, Message message, Responder responder) {
+				responder.respond(new Message.Heartbeat(), true);
+			}
+		};
+		ClusterSecret secret = ClusterSecret.of("a secret of the bench");
+		Wire server = new Wire(new PeerIdentity("entry", "server"), secret, echo, 1);
+		Wire client = new Wire(new PeerIdentity("entry", "client"), secret, echo, 1);
+		Peer peer = client.connect("127.0.0.1:" + server.listen("127.0.0.1:0")).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		Histogram latency = new Histogram(3);
+		for (int number = 0; number < 2 * this.rate * this.seconds; number++) {
+			LockSupport.parkNanos(1_000_000_000L / this.rate);
+			long beganNs = System.nanoTime();
+			peer.call(new Message.Heartbeat(), TIMEOUT_MS).get();
+			if (number >= this.rate * this.seconds) {
+				latency.recordValue((System.nanoTime() - beganNs) / 1000);
+			}
+		}
+		client.stop();
+		server.stop();
+		return latency;
+	}
+
 	private void turn(URI url, Histogram latency, AtomicInteger failed) throws InterruptedException {
 		HttpRequest request = HttpRequest.newBuilder(url.resolve("/v1/completions"))
 			.header("Content-Type", "application/json")
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -65,6 +66,8 @@
 
 	private final Suspects suspects;
 
+	private final Enforcement enforcement;
+
 	private final Consumer<Finished> finished;
 
 	private boolean stopping;
@@ -74,6 +77,7 @@
 		this.clockMs = clockMs;
 		this.authority = authority;
 		this.suspects = new Suspects(authority);
+		this.enforcement = new Enforcement(clockMs, authority, this.suspects);
 		this.fleet = new Fleet(routers);
 		this.finished = finished;
 	}
@@ -105,11 +109,11 @@
 		if (this.stopping) {
 			throw ServiceException.retryable(ResultCode.SHUTTING_DOWN, "try another entry", NO_TARGET_RETRY_MS);
 		}
-		if (request.access().key() != null && !this.authority.isValid(now())) {
+		if (this.enforcement.lacksAuthority(request)) {
 			throw ServiceException.retryable(ResultCode.AUTHORITY_EXPIRED, "no word from control",
 					this.authority.retryMs());
 		}
-		if (isWithdrawn(request)) {
+		if (this.enforcement.isWithdrawn(request)) {
 			throw ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn");
 		}
 		if (this.suspects.isQuarantined(request)) {
@@ -400,50 +404,19 @@
 
 	/** Ends what the newest word of control, or the lack of it, no longer lets run. */
 	void enforce() {
-		boolean valid = this.authority.isValid(now());
-		endAll((request) -> request.access().key() != null && !valid,
-				ServiceException.retryable(ResultCode.AUTHORITY_EXPIRED, "no word from control",
-						this.authority.retryMs()),
-				ServiceException.retryable(ResultCode.AUTHORITY_LOST, "no word from control",
-						this.authority.retryMs()));
-		endAll(this::isWithdrawn, ServiceException.of(ResultCode.KEY_WITHDRAWN_QUEUED, "withdrawn"),
-				ServiceException.of(ResultCode.KEY_WITHDRAWN, "withdrawn"));
-		endAll(this.suspects::isQuarantined, ServiceException.of(ResultCode.QUARANTINED, "queued"),
-				ServiceException.of(ResultCode.ANSWER_CUT_SHORT, "quarantined"));
-		long nowMs = now();
-		endAll((request) -> request.target() == null && nowMs >= request.queuedUntilMs(),
-				ServiceException.retryable(ResultCode.DEADLINE_UNREACHABLE, "queue time passed", NO_TARGET_RETRY_MS),
-				ServiceException.of(ResultCode.DEADLINE_EXCEEDED, "queue time passed"));
-		endAll((request) -> nowMs >= request.deadlineMs(),
-				ServiceException.retryable(ResultCode.DEADLINE_UNREACHABLE, "deadline passed", NO_TARGET_RETRY_MS),
-				ServiceException.of(ResultCode.DEADLINE_EXCEEDED, "deadline passed"));
-		pumpAll();
-	}
-
-	/** Returns whether nothing of a request has reached a target yet. */
-	private static boolean isQueuedFirst(CallerRequest request) {
-		return request.target() == null && !request.hasStarted();
-	}
-
-	private boolean isWithdrawn(CallerRequest request) {
-		var key = request.access().key();
-		return key != null && !this.authority.view()
-			.configuration()
-			.customerOf(key)
-			.filter(request.access().customer()::equals)
-			.isPresent();
-	}
-
-	private void endAll(Predicate<CallerRequest> condition, ServiceException queued, ServiceException started) {
-		List<CallerRequest> ended = new ArrayList<>();
+		Map<CallerRequest, ServiceException> ending = new LinkedHashMap<>();
 		synchronized (this) {
-			this.pools.values().forEach((pool) -> ended.addAll(pool.queue().removeIf(condition)));
-			this.suspects.waiting().stream().filter(condition).forEach(ended::add);
-			this.running.stream().filter(condition).forEach(ended::add);
-		}
-		for (CallerRequest request : ended) {
-			endNow(request, isQueuedFirst(request) ? queued : started);
-		}
+			Predicate<CallerRequest> ends = (request) -> {
+				Optional<ServiceException> reason = this.enforcement.reasonToEnd(request);
+				reason.ifPresent((failure) -> ending.put(request, failure));
+				return reason.isPresent();
+			};
+			this.pools.values().forEach((pool) -> pool.queue().removeIf(ends));
+			this.suspects.waiting().forEach(ends::test);
+			this.running.forEach(ends::test);
+		}
+		ending.forEach(this::endNow);
+		pumpAll();
 	}
 
 	private void pumpAll() {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -1,31 +1,21 @@
 package org.zinniatack.entry;
 
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
-import java.util.UUID;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
 import com.google.common.flogger.FluentLogger;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.util.concurrent.Ticker;
-import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.config.Configuration;
-import org.zinniatack.core.presence.TableVersion;
-import org.zinniatack.core.presence.VersionedTable;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
-import org.zinniatack.core.routing.Hashing;
 import org.zinniatack.core.routing.Router;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.process.ProcessView;
@@ -60,8 +50,6 @@
 
 	private static final int WIRE_THREADS = 2;
 
-	private static final int ABANDONED_STEPS_KEPT = 1_024;
-
 	private final EntrySettings settings;
 
 	private final Ticker ticker = Ticker.systemTicker();
@@ -76,21 +64,9 @@
 
 	private final UsageMeter usage;
 
-	private final Map<String, StepRunner> steps = new ConcurrentHashMap<>();
-
-	private final Map<String, ServiceException> abandonedSteps = new LinkedHashMap<>() {
-
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, ServiceException> eldest) {
-			return size() > ABANDONED_STEPS_KEPT;
-		}
-
-	};
-
-	private final VersionedTable<Message.TargetState> firstHeldTargets = VersionedTable
-		.of(UUID.randomUUID().toString());
+	private final StepRunners steps = new StepRunners();
 
-	private volatile Told told = new Told(null, TableVersion.NONE);
+	private final ControlReports reports;
 
 	private final MeterRegistry metrics;
 
@@ -113,6 +89,7 @@
 		this.wire = new Wire(new PeerIdentity("entry", settings.name()), ClusterSecret.of(settings.clusterSecret()),
 				this, WIRE_THREADS);
 		this.control = new ControlLink(this.wire, settings.name(), settings.controlAddresses());
+		this.reports = new ControlReports(settings.name(), settings.listenAddress());
 		this.usage = new UsageMeter(settings.usageWindowMs(), settings.usageIntervalMs(), System::currentTimeMillis,
 				this.control, this::releaseUsage);
 	}
@@ -123,7 +100,7 @@
 		this.control.open();
 		every(Math.min(LONGEST_REPORT_INTERVAL_MS, this.settings.authorityLeaseMs() / REPORTS_A_LEASE), this::report);
 		every(ENFORCE_INTERVAL_MS, this.dispatcher::enforce);
-		every(ENFORCE_INTERVAL_MS, this::tendSteps);
+		every(ENFORCE_INTERVAL_MS, this.steps::tend);
 		every(USAGE_CHECK_MS, this.usage::tend);
 		this.metrics.gauge("zinniatack.requests.open", this.dispatcher, Dispatcher::openRequests);
 		LOGGER.atInfo().log("event=entry_started name=%s", this.settings.name());
@@ -207,34 +184,8 @@
 		return this.authority.view().configuration();
 	}
 
-	/** Returns the runner of a step, made by the first call. */
-	StepRunner stepRunner(String customer, String step, Supplier<StepRunner> maker) {
-		synchronized (this.abandonedSteps) {
-			this.abandonedSteps.remove(customer + '\0' + step);
-		}
-		return this.steps.computeIfAbsent(customer + '\0' + step, (absent) -> maker.get());
-	}
-
-	private void tendSteps() {
-		this.steps.forEach((name, runner) -> runner.abandonment().ifPresent((reason) -> keep(name, reason)));
-		this.steps.values().removeIf(StepRunner::isOver);
-		this.steps.values().forEach(StepRunner::tend);
-	}
-
-	private void keep(String step, ServiceException abandonment) {
-		synchronized (this.abandonedSteps) {
-			this.abandonedSteps.put(step, abandonment);
-		}
-	}
-
-	/**
-	 * Returns why this process gave a step up after it was last submitted here, empty if
-	 * it did not.
-	 */
-	Optional<ServiceException> abandonment(String customer, String step) {
-		synchronized (this.abandonedSteps) {
-			return Optional.ofNullable(this.abandonedSteps.get(customer + '\0' + step));
-		}
+	StepRunners steps() {
+		return this.steps;
 	}
 
 	private void onFinished(Dispatcher.Finished finished) {
@@ -281,45 +232,22 @@
 		dump.put("weights", view.weights());
 		dump.put("suspects", view.suspects());
 		dump.put("quarantined", view.quarantined());
-		dump.put("targets", this.dispatcher.targets().stream().map(EntryService::stateOf).toList());
+		dump.put("targets", this.dispatcher.targets().stream().map(TargetLink::state).toList());
 		dump.put("pools", this.dispatcher.loads());
 		dump.put("usageHeld", this.usage.heldCount());
 		return dump;
 	}
 
-	private static Message.TargetState stateOf(TargetLink target) {
-		return new Message.TargetState(target.targetId(), target.announce().pool(), target.failureDomain(),
-				target.lastLoad().weightVersion(), target.lastLoad().leaving(), target.lastLoad().revision());
-	}
-
 	private void report() {
-		Authority.View view = this.authority.view();
-		Set<String> firstHeld = new HashSet<>();
-		for (TargetLink target : this.dispatcher.targets()) {
-			if (isFirstOf(target.targetId(), view)) {
-				firstHeld.add(target.targetId());
-				this.firstHeldTargets.put(target.targetId(), stateOf(target));
-			}
-		}
-		this.firstHeldTargets.retain(firstHeld);
-		this.control.current().ifPresent((peer) -> {
-			Told told = this.told;
-			TableVersion known = (told.by() == peer) ? told.knownTargets() : TableVersion.NONE;
-			peer.send(new Message.EntryReport(this.settings.name(), this.settings.listenAddress(),
-					view.configuration().revision(), view.crashVersion(), view.entries().hashCode(),
-					this.dispatcher.loads(), this.firstHeldTargets.changesAfter(known)));
-		});
-	}
-
-	private boolean isFirstOf(String targetId, Authority.View view) {
-		return view.entries().isEmpty()
-				|| Hashing.rendezvous(targetId, view.entries().keySet(), 1).contains(this.settings.name());
+		this.control.current()
+			.ifPresent((peer) -> peer.send(this.reports.next(peer, this.authority.view(), this.dispatcher.targets(),
+					this.dispatcher.loads())));
 	}
 
 	@Override
 	public void onNotice(Peer peer, Message message) {
 		if (message instanceof Message.Feed feed) {
-			this.told = new Told(peer, feed.knownTargets());
+			this.reports.confirmed(peer, feed.knownTargets());
 			onFeed(feed);
 		}
 		else if (message instanceof Message.Announce announce) {
@@ -380,13 +308,4 @@
 		this.dispatcher.lost(peer);
 	}
 
-	/**
-	 * How much a process of control knows.
-	 *
-	 * @param by the connection to it, null for none
-	 * @param knownTargets how far its copy of the targets has come
-	 */
-	private record Told(@Nullable Peer by, TableVersion knownTargets) {
-	}
-
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepController.java
@@ -83,8 +83,8 @@
 			List<Integer> missing = ((Reply.Slots) reply.orThrow()).missing();
 			StragglerPolicy stragglers = StragglerPolicy.medianMultiple(slots.size(), STRAGGLER_MULTIPLE,
 					STRAGGLER_SHARE);
-			this.entry
-				.stepRunner(access.customer(), step,
+			this.entry.steps()
+				.runner(access.customer(), step,
 						() -> new StepRunner(access.customer(), step, new SlotSubmitter(access, route, slots),
 								this.entry.control(), stragglers, this.entry::nowMs))
 				.generate(missing);
@@ -108,7 +108,7 @@
 	/** Returns why a step was given up in place of its being incomplete. */
 	private Throwable whyNoBatch(Throwable failure, String customer, String step) {
 		boolean incomplete = failure instanceof ServiceException known && known.code() == ResultCode.STEP_INCOMPLETE;
-		Optional<ServiceException> abandonment = this.entry.abandonment(customer, step);
+		Optional<ServiceException> abandonment = this.entry.steps().abandonment(customer, step);
 		return (incomplete && abandonment.isPresent()) ? abandonment.get() : failure;
 	}
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/TargetLink.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/TargetLink.java
@@ -57,6 +57,12 @@
 		return this.load;
 	}
 
+	/** Returns what this entry tells control of the target. */
+	Message.TargetState state() {
+		return new Message.TargetState(targetId(), this.announce.pool(), failureDomain(), this.load.weightVersion(),
+				this.load.leaving(), this.load.revision());
+	}
+
 	int ownRunning() {
 		return this.ownRunning;
 	}
