--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/CapacityBench.java
@@ -301,20 +301,29 @@
 	}
 
 	private void peers(String title, String role, String address, long pid, int[] counts) throws Exception {
-		Table table = new Table("peers", "processor, % of a core", "resident, MB", "loopback, KB/s");
+		Table table = new Table("peers", "processor, % of a core", "resident, MB", "loopback, KB/s",
+				"joins, ms of a core");
+		List<double[]> joins = new ArrayList<>();
 		List<double[]> processor = new ArrayList<>();
 		List<double[]> traffic = new ArrayList<>();
 		List<double[]> memory = new ArrayList<>();
 		for (int count : counts) {
+			ProcessMeter joining = new ProcessMeter(pid);
+			joining.start();
+			long joinBeganNs = System.nanoTime();
 			try (FakePeers peers = new FakePeers(role, address, count)) {
 				Thread.sleep(SETTLE_MS);
+				double joinMs = joining.processorMs();
+				double joinS = (System.nanoTime() - joinBeganNs) / 1e9;
 				ProcessMeter meter = new ProcessMeter(pid);
 				meter.start();
 				Thread.sleep(MEASURE_MS);
 				double percent = meter.processorPercent();
 				double kilobytes = meter.loopbackKilobytesPerS();
 				double resident = meter.residentMb();
-				table.row(count, percent, resident, kilobytes);
+				joinMs -= percent / 100 * joinS * 1_000;
+				table.row(count, percent, resident, kilobytes, joinMs);
+				joins.add(new double[] { count, joinMs });
 				processor.add(new double[] { count, percent });
 				traffic.add(new double[] { count, kilobytes });
 				memory.add(new double[] { count, resident });
@@ -322,7 +331,8 @@
 		}
 		System.out.println("### " + title + ", idle, a report every " + this.intervalMs + " ms\n");
 		table.print();
-		for (Map.Entry<String, List<double[]>> figure : Map.of("processor %", processor, "KB/s", traffic, "MB", memory)
+		for (Map.Entry<String, List<double[]>> figure : Map
+			.of("processor %", processor, "KB/s", traffic, "MB", memory, "ms of joining", joins)
 			.entrySet()) {
 			Fit fit = Fit.of(figure.getValue());
 			System.out.printf("%s: %.4f + %.5f a peer (r %.3f)%n", figure.getKey(), fit.intercept(), fit.slope(),
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/PolicyBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/PolicyBench.java
@@ -170,16 +170,19 @@
 
 	private void affinity() {
 		Table table = new Table("router", "prefix hits, %", "fullest / mean load");
-		for (String name : List.of("least loaded", "prefix affinity")) {
-			Router<BenchTarget> router = name.startsWith("least") ? Router.leastLoaded()
-					: Router.prefixAffinity("a", new SplittableRandom(3));
-			double[] figures = route(router);
-			table.row(name, 100 * figures[0], figures[1]);
+		row(table, "least loaded", Router.leastLoaded());
+		for (double slack : new double[] { 0, 0.125, 0.25, 0.375 }) {
+			row(table, "prefix affinity, slack " + slack, Router.prefixAffinity("a", new SplittableRandom(3), slack));
 		}
 		System.out.println("### 400 prefixes over 12 targets that cache 48 each\n");
 		table.print();
 	}
 
+	private static void row(Table table, String name, Router<BenchTarget> router) {
+		double[] figures = route(router);
+		table.row(name, 100 * figures[0], figures[1]);
+	}
+
 	private static double[] route(Router<BenchTarget> router) {
 		List<BenchTarget> targets = new ArrayList<>();
 		for (int number = 0; number < 12; number++) {
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/ProcessMeter.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/ProcessMeter.java
@@ -13,6 +13,8 @@
 
 	private static final double NS_A_S = 1e9;
 
+	private static final double MS_A_S = 1_000;
+
 	private static final double TICKS_A_S = 100;
 
 	private static final int USER_TICKS = 11;
@@ -43,6 +45,11 @@
 		return (processorS() - this.processorAtStartS) / elapsedS() * 100;
 	}
 
+	/** Returns the processor time since the start, in milliseconds. */
+	double processorMs() throws IOException {
+		return (processorS() - this.processorAtStartS) * MS_A_S;
+	}
+
 	/** Returns the loopback traffic of all processes since the start, in KB/s. */
 	double loopbackKilobytesPerS() throws IOException {
 		return (loopbackBytes() - this.bytesAtStart) / KB_A_MB / elapsedS();
--- a/zinniatack-core/src/main/java/org/zinniatack/core/routing/PrefixAffinityRouter.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/routing/PrefixAffinityRouter.java
@@ -22,7 +22,7 @@
 
 	private static final int SAMPLE_SIZE = 3;
 
-	private static final double LOAD_SLACK = 0.25;
+	static final double DEFAULT_LOAD_SLACK = 0.25;
 
 	private static final double FAR_PENALTY = 0.05;
 
@@ -30,15 +30,18 @@
 
 	private final RandomGenerator random;
 
+	private final double loadSlack;
+
 	private List<C> targets = List.of();
 
 	private long[] points = new long[0];
 
 	private int[] owners = new int[0];
 
-	PrefixAffinityRouter(String homeFailureDomain, RandomGenerator random) {
+	PrefixAffinityRouter(String homeFailureDomain, RandomGenerator random, double loadSlack) {
 		this.homeFailureDomain = homeFailureDomain;
 		this.random = random;
+		this.loadSlack = loadSlack;
 	}
 
 	@Override
@@ -62,7 +65,7 @@
 		if (prefixHash == 0 || this.targets.isEmpty()) {
 			return sampled.or(this::anyAvailable);
 		}
-		double bound = sampled.map(this::cost).orElse(1.0) + LOAD_SLACK;
+		double bound = sampled.map(this::cost).orElse(1.0) + this.loadSlack;
 		return ringOwner(prefixHash, bound).or(() -> sampled).or(this::anyAvailable);
 	}
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/routing/Router.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/routing/Router.java
@@ -30,7 +30,21 @@
 	 * @return the router
 	 */
 	static <C extends Candidate> Router<C> prefixAffinity(String homeFailureDomain, RandomGenerator random) {
-		return new PrefixAffinityRouter<>(homeFailureDomain, random);
+		return prefixAffinity(homeFailureDomain, random, PrefixAffinityRouter.DEFAULT_LOAD_SLACK);
+	}
+
+	/**
+	 * Returns a router that trades prefix hits for balance.
+	 * @param <C> the type of a target
+	 * @param homeFailureDomain the failure domain whose targets are preferred
+	 * @param random where random samples come from
+	 * @param loadSlack how much fuller than the least loaded of a sample a prefix's
+	 * target may be, as a part of its slots
+	 * @return the router
+	 */
+	static <C extends Candidate> Router<C> prefixAffinity(String homeFailureDomain, RandomGenerator random,
+			double loadSlack) {
+		return new PrefixAffinityRouter<>(homeFailureDomain, random, loadSlack);
 	}
 
 	/**
