Hold one report an interval while control is away

Cause, found in reading: each try to send closed the open report, so that an entry without control made a report every 250 ms for as long as that lasted.

Change: reports are closed when their interval or window has passed, and sent apart from that. A stopping agent waits, within drainTimeoutMs, until another entry has the use that it holds of a lost one.

The agent's wait at its stop has no test of its own but for what the witness says it holds.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -99,14 +99,17 @@
 		LOGGER.atInfo().log("event=agent_started target=%s pool=%s", this.settings.targetId(), this.settings.pool());
 	}
 
-	/** Refuses new work, waits for what runs, then closes. */
+	/**
+	 * Refuses new work, waits for what runs and until other entries have the use of lost
+	 * ones, then closes.
+	 */
 	@Override
 	public void stop() {
 		this.stopping = true;
 		this.admittance.leaving(true);
 		report();
 		long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.drainTimeoutMs());
-		while (this.admittance.runningCount() > 0 && System.nanoTime() < deadlineNs) {
+		while ((this.admittance.runningCount() > 0 || this.heldUsage.holdsOfLost()) && System.nanoTime() < deadlineNs) {
 			sleep();
 		}
 		this.timer.shutdownNow();
--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HeldUsage.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HeldUsage.java
@@ -52,6 +52,11 @@
 		}
 	}
 
+	/** Returns whether this agent may have to report for a lost entry. */
+	synchronized boolean holdsOfLost() {
+		return this.witness.holdsOfLost();
+	}
+
 	synchronized int reportCount() {
 		return this.witness.heldCount();
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageWitness.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageWitness.java
@@ -59,6 +59,14 @@
 		return Optional.ofNullable(held.parts.peek());
 	}
 
+	/**
+	 * Returns whether something is held of a source that is not connected.
+	 * @return true if the witness may have to report it
+	 */
+	public boolean holdsOfLost() {
+		return this.bySource.values().stream().anyMatch((held) -> held.lostAtMs != null);
+	}
+
 	/**
 	 * Returns how many reports are held in part.
 	 * @return the number of reports, 0 if all is counted
--- a/zinniatack-core/src/test/java/org/zinniatack/core/usage/UsageLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/usage/UsageLedgerTests.java
@@ -93,11 +93,13 @@
 		witness.lost("back", 1_000);
 		witness.returned("back");
 		assertThat(witness.due(1_099).isPresent(), is(false));
+		assertThat(witness.holdsOfLost(), is(true));
 		UsagePart due = witness.due(1_100).orElseThrow();
 		assertThat(due, equalTo(new UsagePart("lost", 2, "agent/1", 0, List.of(FIGURE.plus(FIGURE)))));
 		assertThat(witness.due(2_000).orElseThrow(), equalTo(due));
 		witness.settled(due);
 		assertThat(witness.due(2_000).isPresent(), is(false));
+		assertThat(witness.holdsOfLost(), is(false));
 		assertThat(witness.heldCount(), is(1));
 	}
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
@@ -87,24 +87,32 @@
 		return nowMs - Math.floorMod(nowMs, this.windowMs);
 	}
 
-	/** Sends what was counted once it is due, and what control has not acknowledged. */
+	/** Closes the reports that are due, and sends what control has not acknowledged. */
 	void tend() {
-		if (isDue()) {
-			flush();
+		synchronized (this) {
+			if (isDue()) {
+				closeReports();
+			}
 		}
+		send();
 	}
 
-	private synchronized boolean isDue() {
+	private boolean isDue() {
 		boolean windowEnded = this.counting.keySet().stream().anyMatch((startMs) -> startMs < windowStartMs());
-		return windowEnded || !this.unsent.isEmpty()
-				|| this.wallClockMs.getAsLong() - this.closedAtMs >= this.intervalMs;
+		return windowEnded || this.wallClockMs.getAsLong() - this.closedAtMs >= this.intervalMs;
 	}
 
-	/** Sends what was counted, if the last report is acknowledged. */
+	/** Closes all reports and sends them. */
 	void flush() {
-		Command.RecordUsage next;
 		synchronized (this) {
 			closeReports();
+		}
+		send();
+	}
+
+	private void send() {
+		Command.RecordUsage next;
+		synchronized (this) {
 			if (this.sending || this.unsent.isEmpty()) {
 				return;
 			}
@@ -133,11 +141,8 @@
 				return;
 			}
 			this.released.accept(this.unsent.remove().sequence());
-			if (this.unsent.isEmpty()) {
-				return;
-			}
 		}
-		flush();
+		send();
 	}
 
 	synchronized boolean isEmpty() {
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/UsageFaultMatrixTests.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/UsageFaultMatrixTests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Test;
 
@@ -54,6 +55,21 @@
 		assertThat(found, is(true));
 	}
 
+	@Test
+	void whileControlIsAwayOneReportAnIntervalIsHeld() {
+		AtomicLong nowMs = new AtomicLong();
+		UsageMeter meter = new UsageMeter(1_000_000, 10_000, nowMs::get,
+				(command) -> CompletableFuture.failedFuture(new IllegalStateException("no leader")), (sequence) -> {
+				});
+		for (int check = 0; check < 80; check++) {
+			meter.count("customer", "route", 1, (note) -> {
+			});
+			nowMs.addAndGet(250);
+			meter.tend();
+		}
+		assertThat(meter.heldCount(), is(2));
+	}
+
 	/** One entry, three witnesses and control. */
 	private static final class World {
 
