--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -4,17 +4,20 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
@@ -22,6 +25,8 @@
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.consensus.ConsensusMessage;
+import org.zinniatack.core.consensus.Membership;
+import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -30,7 +35,7 @@
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
-import org.zinniatack.process.Link;
+import org.zinniatack.core.table.TableHolder;
 import org.zinniatack.process.ProcessView;
 import org.zinniatack.process.Service;
 import org.zinniatack.store.ReplicaStore;
@@ -58,11 +63,25 @@
 
 	private static final int WIRE_THREADS = 2;
 
-	private final ControlSettings settings;
+	/** How often a waiting read looks for results; a tenth of what a caller notices. */
+	private static final long RESULT_POLL_MS = 50;
+
+	/** Output in one page of results; callers take a megabyte. */
+	private static final long PAGE_BYTES = 900_000;
+
+	private final ControlMembers members;
+
+	private final String listenAddress;
+
+	private final DutySettings dutySettings;
+
+	private final Platform platform;
 
 	private final Wire wire;
 
-	private final Map<String, Link> others = new HashMap<>();
+	private final MemberLinks others;
+
+	private final DirectoryFeeds directoryFeeds;
 
 	private final Presence presence = new Presence(UUID.randomUUID().toString());
 
@@ -79,6 +98,8 @@
 
 	private volatile @Nullable EntryFeeds feeds;
 
+	private final List<Consumer<ControlState>> stateListeners = new CopyOnWriteArrayList<>();
+
 	private volatile boolean stopping;
 
 	/**
@@ -87,32 +108,54 @@
 	 * @throws ServiceException if the data folder cannot be opened
 	 */
 	public ControlService(ControlSettings settings) throws ServiceException {
-		this.settings = settings;
-		this.store = ReplicaStore.open(Path.of(settings.dataFolder()), settings.name());
-		this.wire = new Wire(new PeerIdentity("control", settings.name()), ClusterSecret.of(settings.clusterSecret()),
-				this, WIRE_THREADS);
-		settings.members().forEach((name, address) -> {
-			if (!name.equals(settings.name())) {
-				this.others.put(name, new Link(this.wire, address, (peer) -> {
-				}));
-			}
-		});
+		this(ControlMembers.named(settings.name(), settings.members()), Path.of(settings.dataFolder()),
+				settings.listenAddress(), settings.clusterSecret(), new DutySettings(settings.failureDomains(),
+						settings.usageWindowMs(), settings.usageGraceMs(), settings.shrinkDelayMs()),
+				platform(settings.platformUrl()));
+	}
+
+	/**
+	 * Returns a process that is not started and knows the others only by some seeds.
+	 * @param settings the settings
+	 * @param platform what the platform offers to the process in charge
+	 * @throws ServiceException if the data folder cannot be opened
+	 */
+	public ControlService(SeededControlSettings settings, Platform platform) throws ServiceException {
+		this(ControlMembers.seeded(settings.listenAddress(), settings.clusterAddresses(), settings.firstStart(),
+				settings.voterCount()), Path.of(settings.dataFolder()), settings.listenAddress(),
+				settings.clusterSecret(),
+				new DutySettings(List.of(), settings.usageWindowMs(), settings.usageGraceMs(), 0), platform);
+	}
+
+	private ControlService(ControlMembers members, Path dataFolder, String listenAddress, String clusterSecret,
+			DutySettings dutySettings, Platform platform) throws ServiceException {
+		this.members = members;
+		this.listenAddress = listenAddress;
+		this.dutySettings = dutySettings;
+		this.platform = platform;
+		this.store = ReplicaStore.open(dataFolder, members.ownName());
+		this.wire = new Wire(new PeerIdentity("control", members.ownName()), ClusterSecret.of(clusterSecret), this,
+				WIRE_THREADS);
+		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses);
+		this.others = new MemberLinks(this.wire, members, this.directoryFeeds::subscribeAt);
 	}
 
 	@Override
 	public void start() throws ServiceException {
-		this.wire.listen(this.settings.listenAddress());
-		this.others.values().forEach(Link::open);
+		this.wire.listen(this.listenAddress);
+		this.others.open(Membership.empty());
 		try {
-			new FormationDriver(this.store, this.others).awaitFormation();
+			new FormationDriver(this.store, this.others.links(), this.members.isFounder()).awaitFormation();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 			throw ServiceException.of(ResultCode.SHUTTING_DOWN, "interrupted while forming");
 		}
-		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this::transport, this::onChange);
+		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this.members.maximumVoters(),
+				this::transport, this::onChange);
 		started.start();
-		this.duties = new LeaderDuties(started, this.presence, platform(), this.settings, System::currentTimeMillis);
+		this.duties = new LeaderDuties(started, this.presence, this.platform, this.dutySettings,
+				System::currentTimeMillis);
 		PresenceExchange passing = new PresenceExchange(this.store.replicaId(), started, this.presence, this.duties,
 				this::leaderLink);
 		this.exchange = passing;
@@ -120,14 +163,16 @@
 		this.driver = started;
 		this.duties.start();
 		passing.start();
-		this.timer.scheduleWithFixedDelay(this::askToJoin, JOIN_INTERVAL_MS, JOIN_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this::maintainMembership, JOIN_INTERVAL_MS, JOIN_INTERVAL_MS,
+				TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this.directoryFeeds::tick, DirectoryFeeds.TICK_MS, DirectoryFeeds.TICK_MS,
+				TimeUnit.MILLISECONDS);
 		LOGGER.atInfo().log("event=control_started replica=%s", this.store.replicaId());
 	}
 
-	private Platform platform() throws ServiceException {
+	private static Platform platform(String platformUrl) throws ServiceException {
 		try {
-			return this.settings.platformUrl().isEmpty() ? Platform.none()
-					: new HttpPlatform(URI.create(this.settings.platformUrl()));
+			return platformUrl.isEmpty() ? Platform.none() : new HttpPlatform(URI.create(platformUrl));
 		}
 		catch (MalformedURLException ex) {
 			throw ServiceException.of(ResultCode.SETTINGS_INVALID, "platformUrl must be a URL");
@@ -148,7 +193,7 @@
 		if (this.driver != null) {
 			this.driver.stop();
 		}
-		this.others.values().forEach(Link::close);
+		this.others.close();
 		this.wire.stop();
 		LOGGER.atInfo().log("event=control_stopped replica=%s", this.store.replicaId());
 	}
@@ -164,7 +209,7 @@
 	public Map<String, Object> dump() {
 		Map<String, Object> dump = new LinkedHashMap<>();
 		dump.put("role", "control");
-		dump.put("name", this.settings.name());
+		dump.put("name", this.members.ownName());
 		ReplicaDriver running = this.driver;
 		if (running != null) {
 			dump.put("replica", running.status());
@@ -230,8 +275,7 @@
 
 	private Optional<Peer> leaderLink() {
 		String leaderId = requireDriver().status().leaderId();
-		return leaderId.isEmpty() ? Optional.empty()
-				: Optional.ofNullable(this.others.get(MemberChange.nameOf(leaderId))).flatMap(Link::peer);
+		return leaderId.isEmpty() ? Optional.empty() : this.others.peer(MemberChange.nameOf(leaderId));
 	}
 
 	private static ServiceException noLeader() {
@@ -298,17 +342,21 @@
 	}
 
 	private void transport(ConsensusMessage message) {
-		Optional.ofNullable(this.others.get(MemberChange.nameOf(message.to())))
-			.flatMap(Link::peer)
+		this.others.peer(MemberChange.nameOf(message.to()))
 			.ifPresent((peer) -> peer.send(new Message.Consensus(message)));
 	}
 
-	/** Asks to become a member, on a disk that was lost or is new. */
-	private void askToJoin() {
+	/**
+	 * Keeps connections to all members, and asks to become one on a disk that was lost or
+	 * is new, or where no leader is heard: the others may have gone on without this one.
+	 */
+	private void maintainMembership() {
 		try {
-			if (!isSettledMember(requireDriver().status())) {
+			ReplicaStatus status = requireDriver().status();
+			this.others.open(status.membership());
+			if (!isSettledMember(status) || status.leaderId().isEmpty()) {
 				Message.JoinRequest request = new Message.JoinRequest(this.store.replicaId());
-				this.others.values().forEach((link) -> link.peer().ifPresent((peer) -> peer.send(request)));
+				this.others.peers().forEach((peer) -> peer.send(request));
 			}
 		}
 		catch (RuntimeException ex) {
@@ -320,12 +368,61 @@
 		return status.membership()
 			.voters()
 			.stream()
-			.filter((id) -> MemberChange.nameOf(id).equals(this.settings.name()))
+			.filter((id) -> MemberChange.nameOf(id).equals(this.members.ownName()))
 			.toList()
 			.equals(List.of(this.store.replicaId()));
 	}
 
+	private List<String> controlAddresses() {
+		ReplicaDriver running = this.driver;
+		return (running != null) ? this.members.addresses(running.status().membership()) : List.of();
+	}
+
+	/**
+	 * Returns the term in which this process leads, as long as no other can.
+	 * @return the term, which serves as fencing number, or empty without a lease
+	 */
+	public OptionalLong leaseTerm() {
+		ReplicaDriver running = this.driver;
+		if (running == null || this.stopping) {
+			return OptionalLong.empty();
+		}
+		ReplicaStatus status = running.status();
+		return status.holdsLease(running.nowMs()) ? OptionalLong.of(status.term()) : OptionalLong.empty();
+	}
+
+	/**
+	 * Returns the targets that announced themselves to any control process.
+	 * @return the feeds, which take announcements
+	 */
+	public DirectoryFeeds directory() {
+		return this.directoryFeeds;
+	}
+
+	/**
+	 * Names what to do after each change of the replicated state.
+	 * @param listener the action, called on the replica's thread
+	 */
+	public void onStateChange(Consumer<ControlState> listener) {
+		this.stateListeners.add(listener);
+	}
+
+	/**
+	 * Reads the replicated state as this process has it, which may be behind.
+	 * @param <T> the type of the result
+	 * @param reader what to read
+	 * @return the result
+	 */
+	public <T> CompletableFuture<T> readApplied(Function<ControlState, T> reader) {
+		return requireDriver().read(reader);
+	}
+
 	private void onChange(ControlState state) {
+		TableHolder.Image table = state.table();
+		if (table != null) {
+			this.directoryFeeds.onTable(table.table());
+		}
+		this.stateListeners.forEach((listener) -> listener.accept(state));
 		EntryFeeds started = this.feeds;
 		if (started != null) {
 			started.onChange(state);
@@ -334,6 +431,14 @@
 
 	@Override
 	public void onNotice(Peer peer, Message message) {
+		if (message instanceof Message.Subscribe subscribe) {
+			this.directoryFeeds.onSubscribe(peer, subscribe);
+			return;
+		}
+		if (message instanceof Message.SystemFeed feed) {
+			this.directoryFeeds.onFeed(feed);
+			return;
+		}
 		ReplicaDriver running = this.driver;
 		if (running == null) {
 			return;
@@ -354,6 +459,7 @@
 
 	@Override
 	public void onClosed(Peer peer) {
+		this.directoryFeeds.onClosed(peer);
 		EntryFeeds started = this.feeds;
 		if (started != null) {
 			started.onClosed(peer);
@@ -397,6 +503,12 @@
 		if (message instanceof Message.FetchBatch fetch) {
 			return batch(fetch).thenApply(Message.Batch::new);
 		}
+		if (message instanceof Message.ReadJob read) {
+			return readJob(read).thenApply(Message.class::cast);
+		}
+		if (message instanceof Message.ReadItem read) {
+			return readItem(read).thenApply(Message.ItemBody::new);
+		}
 		if (message instanceof Message.PresenceRequest) {
 			return CompletableFuture.completedFuture(this.presence.whole(this.store.replicaId(), running.nowMs()));
 		}
@@ -415,6 +527,40 @@
 		}
 	}
 
+	private CompletableFuture<Message.JobPage> readJob(Message.ReadJob read) {
+		long untilMs = requireDriver().nowMs() + read.waitMs();
+		return readCurrent((state) -> pageOf(state, read)).thenCompose((page) -> waitForResults(read, page, untilMs));
+	}
+
+	private CompletableFuture<Message.JobPage> waitForResults(Message.ReadJob read, Message.JobPage page,
+			long untilMs) {
+		boolean done = !page.found() || !page.results().isEmpty() || read.position() >= page.itemCount();
+		if (done || requireDriver().nowMs() >= untilMs) {
+			return CompletableFuture.completedFuture(page);
+		}
+		Executor later = CompletableFuture.delayedExecutor(RESULT_POLL_MS, TimeUnit.MILLISECONDS, this.timer);
+		return CompletableFuture.supplyAsync(() -> null, later)
+			.thenCompose((waited) -> readApplied((state) -> pageOf(state, read)))
+			.thenCompose((next) -> waitForResults(read, next, untilMs));
+	}
+
+	private static Message.JobPage pageOf(ControlState state, Message.ReadJob read) {
+		return state.jobs()
+			.job(read.id())
+			.map((job) -> new Message.JobPage(true, job.submission().items().size(),
+					job.resultsFrom(read.position(), PAGE_BYTES)))
+			.orElseGet(() -> new Message.JobPage(false, 0, List.of()));
+	}
+
+	private CompletableFuture<byte @Nullable []> readItem(Message.ReadItem read) {
+		return readCurrent((state) -> state.jobs()
+			.job(read.id())
+			.filter((job) -> !job.isEnded() && !job.isFinished(read.itemId()))
+			.flatMap((job) -> job.item(read.itemId()))
+			.map(JobItem::body)
+			.orElse(null));
+	}
+
 	private CompletableFuture<List<Sample>> batch(Message.FetchBatch fetch) {
 		return readCurrent((state) -> {
 			try {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/FormationDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/FormationDriver.java
@@ -1,8 +1,8 @@
 package org.zinniatack.control;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -28,17 +28,20 @@
 
 	private final ReplicaStore store;
 
-	private final Map<String, Link> others;
+	private final Collection<Link> others;
 
-	FormationDriver(ReplicaStore store, Map<String, Link> others) {
+	private final boolean founder;
+
+	FormationDriver(ReplicaStore store, Collection<Link> others, boolean founder) {
 		this.store = store;
 		this.others = others;
+		this.founder = founder;
 	}
 
 	/** Returns once the folder is formed, or when the thread is interrupted. */
 	void awaitFormation() throws ServiceException, InterruptedException {
 		while (!this.store.isFormed()) {
-			Formation decision = Formation.decide(this.store.replicaId(), this.others.size(), probe());
+			Formation decision = Formation.decide(this.store.replicaId(), this.others.size(), probe(), this.founder);
 			switch (decision.step()) {
 				case FORM -> {
 					LOGGER.atInfo().log("event=system_formed members=%s", decision.membership().voters());
@@ -55,7 +58,7 @@
 
 	private List<Formation.Answer> probe() {
 		List<CompletableFuture<Message>> calls = new ArrayList<>();
-		for (Link other : this.others.values()) {
+		for (Link other : this.others) {
 			other.peer()
 				.ifPresent((peer) -> calls
 					.add(peer.call(new Message.FormationProbe(this.store.replicaId()), PROBE_TIMEOUT_MS)));
--- a/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
@@ -59,7 +59,7 @@
 
 	private final Platform platform;
 
-	private final ControlSettings settings;
+	private final DutySettings settings;
 
 	private final LongSupplier wallClockMs;
 
@@ -78,7 +78,7 @@
 
 	private long dutiesTerm;
 
-	LeaderDuties(ReplicaDriver driver, Presence presence, Platform platform, ControlSettings settings,
+	LeaderDuties(ReplicaDriver driver, Presence presence, Platform platform, DutySettings settings,
 			LongSupplier wallClockMs) {
 		this.driver = driver;
 		this.presence = presence;
--- /dev/null
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/MemberLinks.java
@@ -0,0 +1,67 @@
+package org.zinniatack.control;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.zinniatack.core.consensus.Membership;
+import org.zinniatack.process.Link;
+import org.zinniatack.wire.Peer;
+import org.zinniatack.wire.Wire;
+
+/**
+ * The connections to the other control processes, kept in step with the membership.
+ */
+final class MemberLinks {
+
+	private final Wire wire;
+
+	private final ControlMembers members;
+
+	private final Consumer<Peer> opened;
+
+	private final Map<String, Link> linksByName = new ConcurrentHashMap<>();
+
+	MemberLinks(Wire wire, ControlMembers members, Consumer<Peer> opened) {
+		this.wire = wire;
+		this.members = members;
+		this.opened = opened;
+	}
+
+	/** Opens what is missing and closes the connections to those that have left. */
+	void open(Membership membership) {
+		Map<String, String> addresses = this.members.others(membership);
+		addresses.forEach((name, address) -> this.linksByName.computeIfAbsent(name, (absent) -> {
+			Link link = new Link(this.wire, address, this.opened);
+			link.open();
+			return link;
+		}));
+		this.linksByName.entrySet().removeIf((entry) -> {
+			boolean left = !addresses.containsKey(entry.getKey());
+			if (left) {
+				entry.getValue().close();
+			}
+			return left;
+		});
+	}
+
+	Collection<Link> links() {
+		return List.copyOf(this.linksByName.values());
+	}
+
+	Optional<Peer> peer(String name) {
+		return Optional.ofNullable(this.linksByName.get(name)).flatMap(Link::peer);
+	}
+
+	List<Peer> peers() {
+		return this.linksByName.values().stream().flatMap((link) -> link.peer().stream()).toList();
+	}
+
+	void close() {
+		this.linksByName.values().forEach(Link::close);
+	}
+
+}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/Platform.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/Platform.java
@@ -9,18 +9,36 @@
 /**
  * What the platform offers to the process in charge.
  */
-interface Platform {
-
-	/** Returns the newest weight version of a model, or empty if there is none. */
+public interface Platform {
+
+	/**
+	 * Returns the newest weight version of a model.
+	 * @param model the model
+	 * @return the version, or empty if there is none
+	 * @throws ServiceException if the platform does not answer
+	 */
 	Optional<Long> newestWeights(String model) throws ServiceException;
 
-	/** Sends an order of targets under a fencing number. */
+	/**
+	 * Sends an order of targets.
+	 * @param order the order
+	 * @param fencingNumber the number of the holder of this duty, rising by holder
+	 * @throws ServiceException if the platform does not take it
+	 */
 	void order(TargetOrder order, long fencingNumber) throws ServiceException;
 
-	/** Sends the report of a closed window under a fencing number. */
+	/**
+	 * Sends the report of a closed window.
+	 * @param window the window
+	 * @param fencingNumber the number of the holder of this duty, rising by holder
+	 * @throws ServiceException if the platform does not take it
+	 */
 	void report(UsageWindow window, long fencingNumber) throws ServiceException;
 
-	/** Returns a platform that takes nothing and has no weights. */
+	/**
+	 * Returns a platform that takes nothing and has no weights.
+	 * @return the platform
+	 */
 	static Platform none() {
 		return new Platform() {
 			@Override
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -58,10 +58,15 @@
 
 	private static final long STOP_TIMEOUT_MS = 5_000;
 
+	/** Three elections; a voter that restarts answers sooner. */
+	private static final long VOTER_SILENCE_MS = 2_000;
+
 	private final ReplicaStore store;
 
 	private final Ticker ticker;
 
+	private final int maximumVoters;
+
 	private final Consumer<ConsensusMessage> transport;
 
 	private final Consumer<ControlState> changed;
@@ -96,9 +101,10 @@
 
 	private volatile ReplicaStatus status;
 
-	ReplicaDriver(ReplicaStore store, Ticker ticker, Consumer<ConsensusMessage> transport,
+	ReplicaDriver(ReplicaStore store, Ticker ticker, int maximumVoters, Consumer<ConsensusMessage> transport,
 			Consumer<ControlState> changed) throws ServiceException {
 		this.store = store;
+		this.maximumVoters = maximumVoters;
 		this.ticker = ticker;
 		this.transport = transport;
 		this.changed = changed;
@@ -255,15 +261,19 @@
 		if (asking.isEmpty() || !this.replica.holdsLease(nowMs)) {
 			return;
 		}
-		MemberChange.next(this.replica.membership(), asking, this.replica.caughtUpLearners()).ifPresent((next) -> {
-			try {
-				this.replica.changeMembership(next);
-				LOGGER.atInfo().log("event=membership_changed voters=%s learners=%s", next.voters(), next.learners());
-			}
-			catch (ServiceException ex) {
-				LOGGER.atFine().log("event=membership_change_waits detail=\"%s\"", ex.getMessage());
-			}
-		});
+		List<String> silent = this.replica.silentVoters(nowMs, VOTER_SILENCE_MS);
+		MemberChange
+			.next(this.replica.membership(), asking, this.replica.caughtUpLearners(), silent, this.maximumVoters)
+			.ifPresent((next) -> {
+				try {
+					this.replica.changeMembership(next);
+					LOGGER.atInfo()
+						.log("event=membership_changed voters=%s learners=%s", next.voters(), next.learners());
+				}
+				catch (ServiceException ex) {
+					LOGGER.atFine().log("event=membership_change_waits detail=\"%s\"", ex.getMessage());
+				}
+			});
 	}
 
 	private void flush() throws ServiceException, IOException {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/CoreReplica.java
@@ -108,6 +108,18 @@
 			.toList() : List.of();
 	}
 
+	@Override
+	public List<String> silentVoters(long nowMs, long limitMs) {
+		if (this.role != Role.LEADER || nowMs - this.leadingSinceMs < limitMs) {
+			return List.of();
+		}
+		return membership().voters()
+			.stream()
+			.filter((id) -> !id.equals(this.settings.id()))
+			.filter((id) -> nowMs - this.replication.contactMs(id) > limitMs)
+			.toList();
+	}
+
 	@Override
 	public long commitIndex() {
 		return this.log.commitIndex();
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -111,6 +111,14 @@
 	 */
 	List<String> caughtUpLearners();
 
+	/**
+	 * Returns the voters that have not answered the leader for long.
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @param limitMs the silence that counts, in milliseconds
+	 * @return the ids, empty unless this replica has led for that long
+	 */
+	List<String> silentVoters(long nowMs, long limitMs);
+
 	/**
 	 * Returns the members as of the newest entry.
 	 * @return the membership
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -89,7 +89,7 @@
 			.orElse(Progress.NEVER_MS);
 	}
 
-	private long contactMs(String id) {
+	long contactMs(String id) {
 		Progress progress = this.followers.get(id);
 		return (progress != null) ? progress.acknowledgedSentAtMs() : Progress.NEVER_MS;
 	}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
@@ -0,0 +1,155 @@
+package org.zinniatack.core.directory;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The newest notice of each target, merged from announcements that may arrive late, twice
+ * or in another order. A state only goes from ready to draining to gone within one start
+ * of a target, whatever arrives later.
+ */
+public final class TargetDirectory {
+
+	private final Map<String, Entry> entries = new HashMap<>();
+
+	private final long silenceLimitMs;
+
+	private final long forgetMs;
+
+	/**
+	 * Returns an empty directory.
+	 * @param silenceLimitMs the silence after which a target is not used, in milliseconds
+	 * @param forgetMs the silence after which a target is forgotten, in milliseconds
+	 */
+	public TargetDirectory(long silenceLimitMs, long forgetMs) {
+		this.silenceLimitMs = silenceLimitMs;
+		this.forgetMs = forgetMs;
+	}
+
+	/**
+	 * Takes in a notice.
+	 * @param notice the notice
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return true if something changed that others must learn
+	 */
+	public boolean merge(TargetNotice notice, long nowMs) {
+		Entry known = this.entries.get(notice.id());
+		if (known == null) {
+			this.entries.put(notice.id(), new Entry(notice, nowMs));
+			return true;
+		}
+		TargetNotice before = known.notice;
+		boolean sameStart = notice.bornMs() == before.bornMs();
+		if (sameStart && notice.state() == TargetNotice.State.GONE && before.state() != TargetNotice.State.GONE) {
+			known.notice = before.asGone();
+			return true;
+		}
+		if (!notice.isNewerThan(before)) {
+			return false;
+		}
+		known.heardAtMs = nowMs;
+		TargetNotice merged = (sameStart && before.state().compareTo(notice.state()) > 0)
+				? withState(notice, before.state()) : notice;
+		known.notice = merged;
+		return !sameInSubstance(before, merged);
+	}
+
+	private static TargetNotice withState(TargetNotice notice, TargetNotice.State state) {
+		return new TargetNotice(notice.id(), notice.bornMs(), notice.sequence(), notice.pool(), notice.address(),
+				notice.failureDomain(), state, notice.slotCount(), notice.weightVersions());
+	}
+
+	private static boolean sameInSubstance(TargetNotice one, TargetNotice other) {
+		return one.bornMs() == other.bornMs() && one.state() == other.state() && one.pool().equals(other.pool())
+				&& one.address().equals(other.address()) && one.weightVersions().equals(other.weightVersions());
+	}
+
+	/**
+	 * Notes that another process has heard from targets.
+	 * @param ids the ids of the targets
+	 * @param nowMs the monotonic time, in milliseconds
+	 */
+	public void heard(Collection<String> ids, long nowMs) {
+		ids.forEach((id) -> Optional.ofNullable(this.entries.get(id)).ifPresent((entry) -> entry.heardAtMs = nowMs));
+	}
+
+	/**
+	 * Returns the targets from which something was heard lately.
+	 * @param sinceMs the monotonic time since which it was heard, in milliseconds
+	 * @return the ids
+	 */
+	public List<String> heardSince(long sinceMs) {
+		return this.entries.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().heardAtMs >= sinceMs)
+			.map(Map.Entry::getKey)
+			.toList();
+	}
+
+	/**
+	 * Returns the newest notice of each target that is remembered.
+	 * @return the notices, those of targets that have left among them
+	 */
+	public List<TargetNotice> notices() {
+		return this.entries.values().stream().map((entry) -> entry.notice).toList();
+	}
+
+	/**
+	 * Returns the newest notice of a target.
+	 * @param id the id
+	 * @return the notice, or empty if the target is unknown
+	 */
+	public Optional<TargetNotice> notice(String id) {
+		return Optional.ofNullable(this.entries.get(id)).map((entry) -> entry.notice);
+	}
+
+	/**
+	 * Returns the targets that take requests of a pool. Of several at one address only
+	 * the one that started last counts, since the others must have ended.
+	 * @param pool the pool
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return the notices
+	 */
+	public List<TargetNotice> ready(String pool, long nowMs) {
+		Map<String, TargetNotice> lastByAddress = new HashMap<>();
+		this.entries.values()
+			.forEach((entry) -> lastByAddress.merge(entry.notice.address(), entry.notice,
+					(one, other) -> (one.bornMs() >= other.bornMs()) ? one : other));
+		List<TargetNotice> ready = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			TargetNotice notice = entry.notice;
+			if (notice.state() == TargetNotice.State.READY && notice.pool().equals(pool)
+					&& nowMs - entry.heardAtMs <= this.silenceLimitMs
+					&& notice.equals(lastByAddress.get(notice.address()))) {
+				ready.add(notice);
+			}
+		}
+		return ready;
+	}
+
+	/**
+	 * Forgets the targets that have been silent for long.
+	 * @param nowMs the monotonic time, in milliseconds
+	 */
+	public void forgetSilent(long nowMs) {
+		this.entries.values().removeIf((entry) -> nowMs - entry.heardAtMs > this.forgetMs);
+	}
+
+	private static final class Entry {
+
+		private TargetNotice notice;
+
+		private long heardAtMs;
+
+		Entry(TargetNotice notice, long heardAtMs) {
+			this.notice = notice;
+			this.heardAtMs = heardAtMs;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/directory/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The targets that announce themselves.
+ */
+@NullMarked
+package org.zinniatack.core.directory;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -0,0 +1,85 @@
+package org.zinniatack.core.job;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The jobs of all customers in the order of their acceptance.
+ */
+public final class JobLedger {
+
+	private final Map<JobId, Job> jobs = new LinkedHashMap<>();
+
+	/**
+	 * Returns a ledger from its stored form.
+	 * @param images the stored jobs
+	 * @return the ledger
+	 */
+	public static JobLedger of(List<Job.Image> images) {
+		JobLedger ledger = new JobLedger();
+		images.forEach((image) -> ledger.jobs.put(image.submission().id(), Job.of(image)));
+		return ledger;
+	}
+
+	/**
+	 * Accepts a job, unless it is already accepted.
+	 * @param submission the job
+	 */
+	public void submit(JobSubmission submission) {
+		this.jobs.computeIfAbsent(submission.id(), (absent) -> new Job(submission));
+	}
+
+	/**
+	 * Adds results to a job that is known.
+	 * @param id the job
+	 * @param results the results, which take the next positions in this order
+	 */
+	public void finish(JobId id, List<ItemResult> results) {
+		job(id).ifPresent((job) -> results.forEach(job::finish));
+	}
+
+	/**
+	 * Ends a job.
+	 * @param id the job
+	 */
+	public void end(JobId id) {
+		job(id).ifPresent(Job::end);
+	}
+
+	/**
+	 * Forgets jobs.
+	 * @param ids the jobs
+	 */
+	public void forget(Collection<JobId> ids) {
+		ids.forEach(this.jobs::remove);
+	}
+
+	/**
+	 * Returns a job.
+	 * @param id the job
+	 * @return the job, which only the ledger may change, or empty if it is unknown
+	 */
+	public Optional<Job> job(JobId id) {
+		return Optional.ofNullable(this.jobs.get(id));
+	}
+
+	/**
+	 * Returns all jobs.
+	 * @return the jobs, oldest first, which only the ledger may change
+	 */
+	public List<Job> jobs() {
+		return List.copyOf(this.jobs.values());
+	}
+
+	/**
+	 * Returns the stored form.
+	 * @return the stored jobs, oldest first
+	 */
+	public List<Job.Image> images() {
+		return this.jobs.values().stream().map(Job::image).toList();
+	}
+
+}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/membership/Formation.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/membership/Formation.java
@@ -24,10 +24,23 @@
 	 * @return the decision
 	 */
 	public static Formation decide(String ownId, int otherCount, Collection<Answer> answers) {
+		return decide(ownId, otherCount, answers, true);
+	}
+
+	/**
+	 * Decides on the answers of the founding members, which this process need not be one
+	 * of.
+	 * @param ownId the id of the deciding replica
+	 * @param otherCount the number of other founding members
+	 * @param answers the answers received so far, one a member
+	 * @param founder true if the deciding process may found the system
+	 * @return the decision
+	 */
+	public static Formation decide(String ownId, int otherCount, Collection<Answer> answers, boolean founder) {
 		if (answers.stream().anyMatch(Answer::formed)) {
 			return new Formation(Step.JOIN, Membership.empty());
 		}
-		if (answers.size() < otherCount) {
+		if (!founder || answers.size() < otherCount) {
 			return new Formation(Step.WAIT, Membership.empty());
 		}
 		SortedSet<String> members = new TreeSet<>();
--- a/zinniatack-core/src/main/java/org/zinniatack/core/membership/MemberChange.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/membership/MemberChange.java
@@ -26,17 +26,43 @@
 	 * @return the next membership, or empty if nothing is to change
 	 */
 	public static Optional<Membership> next(Membership current, Collection<String> joining, List<String> caughtUp) {
+		return next(current, joining, caughtUp, List.of(), Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Returns the next membership where the number of voters is bounded. A learner above
+	 * the bound stands by and takes the place of a voter that is silent. It votes before
+	 * the silent one leaves, so that each entry stays on as many disks.
+	 * @param current the current membership
+	 * @param joining the ids that ask to join, at most one a name
+	 * @param caughtUp the learners that hold every committed entry
+	 * @param silent the voters that have not answered for long
+	 * @param maximumVoters the largest number of voters
+	 * @return the next membership, or empty if nothing is to change
+	 */
+	public static Optional<Membership> next(Membership current, Collection<String> joining, List<String> caughtUp,
+			Collection<String> silent, int maximumVoters) {
 		Optional<String> replaced = current.all().stream().filter((id) -> isReplaced(current, id, joining)).findFirst();
 		if (replaced.isPresent()) {
 			return replaced.map(current::without);
 		}
-		Optional<String> promoted = caughtUp.stream().filter(joining::contains).findFirst();
+		if (current.voters().size() > maximumVoters) {
+			return silent.stream().filter(current.voters()::contains).findFirst().map(current::without);
+		}
+		Optional<String> promoted = caughtUp.stream()
+			.filter(joining::contains)
+			.filter((id) -> current.voters().size() < maximumVoters || !silent.isEmpty() || succeedsVoter(current, id))
+			.findFirst();
 		if (promoted.isPresent()) {
 			return promoted.map(current::withVoter);
 		}
 		return joining.stream().filter((id) -> !current.all().contains(id)).findFirst().map(current::withLearner);
 	}
 
+	private static boolean succeedsVoter(Membership current, String id) {
+		return current.voters().stream().anyMatch((voter) -> nameOf(voter).equals(nameOf(id)));
+	}
+
 	private static boolean isReplaced(Membership current, String id, Collection<String> joining) {
 		return joining.stream()
 			.filter((successor) -> !successor.equals(id) && nameOf(successor).equals(nameOf(id)))
@@ -49,7 +75,7 @@
 	 * @return the name
 	 */
 	public static String nameOf(String replicaId) {
-		return replicaId.substring(0, replicaId.indexOf(SEPARATOR));
+		return replicaId.substring(0, replicaId.lastIndexOf(SEPARATOR));
 	}
 
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -7,7 +7,11 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 
 import org.zinniatack.core.config.RecordKind;
+import org.zinniatack.core.job.ItemResult;
+import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.JobSubmission;
 import org.zinniatack.core.sample.Sample;
+import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.core.usage.UsageFigure;
 import org.zinniatack.core.usage.UsagePart;
 
@@ -32,7 +36,12 @@
 		@JsonSubTypes.Type(value = Command.ReportCrash.class, name = "crash"),
 		@JsonSubTypes.Type(value = Command.ClearSuspect.class, name = "clear"),
 		@JsonSubTypes.Type(value = Command.LiftQuarantine.class, name = "lift"),
-		@JsonSubTypes.Type(value = Command.DrainTarget.class, name = "drain") })
+		@JsonSubTypes.Type(value = Command.DrainTarget.class, name = "drain"),
+		@JsonSubTypes.Type(value = Command.ReplaceTable.class, name = "table"),
+		@JsonSubTypes.Type(value = Command.SubmitJob.class, name = "job"),
+		@JsonSubTypes.Type(value = Command.FinishItems.class, name = "items"),
+		@JsonSubTypes.Type(value = Command.EndJob.class, name = "end"),
+		@JsonSubTypes.Type(value = Command.ForgetJobs.class, name = "forget") })
 public sealed interface Command {
 
 	/**
@@ -215,4 +224,46 @@
 	record DrainTarget(String targetId, boolean leaving) implements Command {
 	}
 
+	/**
+	 * Puts a routing table in force, unless one with the same or a higher number is.
+	 *
+	 * @param table the table
+	 * @param document the operator's text of it
+	 */
+	record ReplaceTable(RoutingTable table, byte[] document) implements Command {
+	}
+
+	/**
+	 * Accepts a job, once.
+	 *
+	 * @param submission the job
+	 */
+	record SubmitJob(JobSubmission submission) implements Command {
+	}
+
+	/**
+	 * Adds results to a job.
+	 *
+	 * @param id the job
+	 * @param results the results in the order of their positions
+	 */
+	record FinishItems(JobId id, List<ItemResult> results) implements Command {
+	}
+
+	/**
+	 * Ends a job; nothing of it is to run from then on.
+	 *
+	 * @param id the job
+	 */
+	record EndJob(JobId id) implements Command {
+	}
+
+	/**
+	 * Forgets jobs that need not be read any more.
+	 *
+	 * @param ids the jobs
+	 */
+	record ForgetJobs(List<JobId> ids) implements Command {
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -4,14 +4,20 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.jspecify.annotations.Nullable;
+
 import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.config.RecordTable;
+import org.zinniatack.core.job.Job;
+import org.zinniatack.core.job.JobLedger;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.sample.Step;
 import org.zinniatack.core.sample.StepLedger;
+import org.zinniatack.core.table.TableHolder;
 import org.zinniatack.core.usage.UsageLedger;
 
 /**
@@ -36,6 +42,10 @@
 
 	private CrashTable crashes = new CrashTable();
 
+	private TableHolder table = new TableHolder();
+
+	private JobLedger jobs = new JobLedger();
+
 	private final Map<String, TargetOrder> orders = new TreeMap<>();
 
 	private final Map<String, Long> weights = new TreeMap<>();
@@ -56,6 +66,8 @@
 		state.steps = StepLedger.of(image.steps());
 		state.usage = UsageLedger.of(image.usage());
 		state.crashes = CrashTable.of(image.crashes());
+		state.table = TableHolder.of(image.table());
+		state.jobs = JobLedger.of(image.jobs());
 		image.orders().forEach((order) -> state.orders.put(order.pool(), order));
 		state.weights.putAll(image.weights());
 		state.draining.addAll(image.draining());
@@ -132,7 +144,7 @@
 		else if (command instanceof Command.DrainTarget drain) {
 			drain(drain);
 		}
-		else if (!applyUsage(command)) {
+		else if (!applyUsage(command) && !applyJob(command)) {
 			return applyStep(index, command);
 		}
 		return new Reply.Accepted(index);
@@ -167,6 +179,28 @@
 		return true;
 	}
 
+	private boolean applyJob(Command command) {
+		if (command instanceof Command.ReplaceTable replace) {
+			this.table.replace(replace.table(), replace.document());
+		}
+		else if (command instanceof Command.SubmitJob submit) {
+			this.jobs.submit(submit.submission());
+		}
+		else if (command instanceof Command.FinishItems finish) {
+			this.jobs.finish(finish.id(), finish.results());
+		}
+		else if (command instanceof Command.EndJob end) {
+			this.jobs.end(end.id());
+		}
+		else if (command instanceof Command.ForgetJobs forget) {
+			this.jobs.forget(forget.ids());
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
 	private Reply applyStep(long index, Command command) throws ServiceException {
 		if (command instanceof Command.OpenStep open) {
 			return new Reply.Slots(this.steps.open(new StepLedger.StepId(open.customer(), open.step()), open.model(),
@@ -217,7 +251,24 @@
 	public Image image() {
 		return new Image(this.appliedIndex, this.records.revision(), this.records.records(), this.history.images(),
 				this.intents.images(), this.steps.images(), this.usage.image(), this.crashes.image(),
-				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining));
+				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining),
+				this.table.image(), this.jobs.images());
+	}
+
+	/**
+	 * Returns the jobs of all customers.
+	 * @return the ledger, which only this state may change
+	 */
+	public JobLedger jobs() {
+		return this.jobs;
+	}
+
+	/**
+	 * Returns the routing table in force.
+	 * @return the table and its text, or null if none was accepted yet
+	 */
+	public TableHolder.@Nullable Image table() {
+		return this.table.image();
 	}
 
 	/**
@@ -283,11 +334,21 @@
 	 * @param orders the newest order of each pool
 	 * @param weights the newest weight version of each model
 	 * @param draining the ids of targets that must leave, oldest first
+	 * @param table the routing table, or null if none was accepted yet
+	 * @param jobs the jobs, oldest first
 	 */
 	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
 			List<RequestHistory.Answered> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
 			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights,
-			List<String> draining) {
+			List<String> draining, TableHolder.@Nullable Image table, List<Job.Image> jobs) {
+
+		/**
+		 * Takes an image without jobs, as earlier versions stored it, for one with none.
+		 */
+		public Image {
+			jobs = Objects.requireNonNullElse(jobs, List.of());
+		}
+
 	}
 
 }
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteIndex.java
@@ -0,0 +1,78 @@
+package org.zinniatack.core.table;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.zinniatack.core.key.KeyDigest;
+
+/**
+ * Finds the route of a request and the customer of a key in one routing table.
+ */
+public final class RouteIndex {
+
+	private final RoutingTable table;
+
+	private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+	private final Map<String, Customer> customersByDigest = new HashMap<>();
+
+	/**
+	 * Returns the index of a table.
+	 * @param table the table
+	 */
+	public RouteIndex(RoutingTable table) {
+		this.table = table;
+		table.routes()
+			.forEach(
+					(route) -> this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route));
+		this.routesByHost.values()
+			.forEach((routes) -> routes
+				.sort(Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed()));
+		table.customers()
+			.forEach((customer) -> customer.keyDigests()
+				.forEach((digest) -> this.customersByDigest.put(digest, customer)));
+	}
+
+	/**
+	 * Returns the customer that holds a key.
+	 * @param key the key as the caller sent it
+	 * @return the customer, or empty if no customer holds it
+	 */
+	public Optional<Customer> customerOf(String key) {
+		return Optional.ofNullable(this.customersByDigest.get(KeyDigest.of(key).hex()));
+	}
+
+	/**
+	 * Returns the route with the longest prefix that begins a path.
+	 * @param host the host without a port
+	 * @param path the path, with or without a query
+	 * @return the route, or empty if none matches
+	 */
+	public Optional<Route> routeOf(String host, String path) {
+		return this.routesByHost.getOrDefault(host, List.of())
+			.stream()
+			.filter((route) -> path.startsWith(route.pathPrefix()))
+			.findFirst();
+	}
+
+	/**
+	 * Returns whether requests of routes that are not open need a key.
+	 * @return true if the table names customers
+	 */
+	public boolean needsKeys() {
+		return !this.table.customers().isEmpty();
+	}
+
+	/**
+	 * Returns the indexed table.
+	 * @return the table
+	 */
+	public RoutingTable table() {
+		return this.table;
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/RoutingTable.java
@@ -0,0 +1,81 @@
+package org.zinniatack.core.table;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
+/**
+ * All routes, pools, customers and limits in force. A table is replaced as a whole; the
+ * highest number is in force.
+ *
+ * @param number the operator's number of the table
+ * @param routes the routes
+ * @param pools the pools by name
+ * @param customers the customers, empty if requests need no key
+ * @param limits what callers may send
+ */
+public record RoutingTable(long number, List<Route> routes, Map<String, Pool> pools, List<Customer> customers,
+		CallerLimits limits) {
+
+	/**
+	 * Copies the arguments.
+	 */
+	public RoutingTable {
+		routes = List.copyOf(routes);
+		pools = Map.copyOf(pools);
+		customers = List.copyOf(customers);
+	}
+
+	/**
+	 * Checks that the table can be put in force.
+	 * @return this table
+	 * @throws ServiceException with RECORD_INVALID and the reason
+	 */
+	public RoutingTable requireValid() throws ServiceException {
+		Set<String> places = new HashSet<>();
+		for (Route route : this.routes) {
+			requireValid(route);
+			if (!places.add(route.host() + ' ' + route.pathPrefix())) {
+				throw invalid("two routes share host %s and prefix %s".formatted(route.host(), route.pathPrefix()));
+			}
+		}
+		Set<String> digests = new HashSet<>();
+		for (Customer customer : this.customers) {
+			for (String digest : customer.keyDigests()) {
+				if (!digests.add(digest)) {
+					throw invalid("customer %s has a key that is listed twice".formatted(customer.name()));
+				}
+			}
+		}
+		return this;
+	}
+
+	private void requireValid(Route route) throws ServiceException {
+		for (PoolShare share : route.shares()) {
+			if (!this.pools.containsKey(share.pool())) {
+				throw invalid("route %s names the unknown pool %s".formatted(route.name(), share.pool()));
+			}
+			if (share.weight() < 0) {
+				throw invalid("route %s has a negative weight".formatted(route.name()));
+			}
+		}
+		if (route.shares().stream().mapToInt(PoolShare::weight).sum() <= 0) {
+			throw invalid("the weights of route %s add up to 0".formatted(route.name()));
+		}
+		if (route.timeoutMs() <= 0) {
+			throw invalid("route %s has no positive timeout".formatted(route.name()));
+		}
+		if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
+			throw invalid("the prefix of route %s does not begin and end with a slash".formatted(route.name()));
+		}
+	}
+
+	private static ServiceException invalid(String detail) {
+		return ServiceException.of(ResultCode.RECORD_INVALID, detail);
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallDispatcher.java
@@ -0,0 +1,463 @@
+package org.zinniatack.direct.call;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.direct.http.AnswerListener;
+import org.zinniatack.direct.http.SendFailure;
+import org.zinniatack.direct.http.TargetClient;
+import org.zinniatack.direct.target.TargetDialect;
+import org.zinniatack.direct.target.TargetDialect.Verdict;
+import org.zinniatack.direct.target.TargetStats;
+import org.zinniatack.direct.target.Targets;
+
+/**
+ * Sends calls to targets. A call that may be repeated is tried at further targets when
+ * one is lost, fails or is slow; any other only when the target says that it did not run
+ * it. All methods must be called on the event loop.
+ */
+public final class CallDispatcher {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	/** The shortest wait before a second target is asked; most answers are faster. */
+	private static final long SHORTEST_HEDGE_MS = 150;
+
+	/** How long a target that refused is left alone, and callers with it. */
+	private static final long REFUSAL_PAUSE_MS = 200;
+
+	/** A target answers at its own deadline; its answer keeps the connection in use. */
+	private static final long ANSWER_MARGIN_MS = 80;
+
+	/** The way back to the caller. */
+	private static final long RETURN_MS = 20;
+
+	private final EventLoop loop;
+
+	private final TargetClient client;
+
+	private final TargetDialect dialect;
+
+	private final Targets targets;
+
+	/**
+	 * Returns a dispatcher.
+	 * @param loop the event loop
+	 * @param client the connections to targets
+	 * @param dialect how targets are spoken to
+	 * @param targets the choice of targets
+	 */
+	public CallDispatcher(EventLoop loop, TargetClient client, TargetDialect dialect, Targets targets) {
+		this.loop = loop;
+		this.client = client;
+		this.dialect = dialect;
+		this.targets = targets;
+	}
+
+	/**
+	 * Runs a call.
+	 * @param call the call
+	 * @param sink who receives the outcome
+	 * @return an action that gives the call up; the sink hears nothing more
+	 */
+	public Runnable dispatch(Call call, CallSink sink) {
+		Run run = new Run(call, sink);
+		run.start();
+		return run::cancel;
+	}
+
+	private long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(this.loop.ticker().nanoTime());
+	}
+
+	/** One call with all its attempts. */
+	private final class Run {
+
+		private final Call call;
+
+		private final CallSink sink;
+
+		private final long startedAtMs = nowMs();
+
+		/** When targets are to stop. */
+		private final long endsAtMs;
+
+		/** When the call is given up. */
+		private final long givenUpAtMs;
+
+		private final Set<String> tried = new HashSet<>();
+
+		private final Set<Attempt> running = new LinkedHashSet<>();
+
+		private int sentCount;
+
+		private boolean mayHaveRun;
+
+		private boolean over;
+
+		private boolean streaming;
+
+		private boolean begun;
+
+		private @Nullable Answer lastFailure;
+
+		private @Nullable Future<?> timeout;
+
+		private @Nullable Future<?> hedge;
+
+		Run(Call call, CallSink sink) {
+			this.call = call;
+			this.sink = sink;
+			this.endsAtMs = this.startedAtMs
+					+ Math.min(Math.max(1, call.deadlineMs() - RETURN_MS), call.route().timeoutMs());
+			this.givenUpAtMs = this.startedAtMs
+					+ Math.min(call.deadlineMs(), call.route().timeoutMs() + ANSWER_MARGIN_MS);
+		}
+
+		void start() {
+			this.timeout = CallDispatcher.this.loop.schedule(this::timeOut, Math.max(0, this.givenUpAtMs - nowMs()),
+					TimeUnit.MILLISECONDS);
+			if (!sendNext()) {
+				refuse(ResultCode.NO_TARGET, REFUSAL_PAUSE_MS);
+			}
+		}
+
+		/**
+		 * Sends to a further target; returns false if there is none or no attempt left.
+		 */
+		private boolean sendNext() {
+			if (this.sentCount >= this.call.route().maximumAttempts() || nowMs() >= this.endsAtMs) {
+				return false;
+			}
+			double point = (this.call.requestId().hashCode() & 0xffff) / (double) 0x10000;
+			Optional<TargetNotice> target = CallDispatcher.this.targets.choose(this.call.route().poolAt(point),
+					this.tried, nowMs());
+			target.ifPresent(this::send);
+			return target.isPresent();
+		}
+
+		private void send(TargetNotice target) {
+			this.tried.add(target.id());
+			this.sentCount++;
+			Attempt attempt = new Attempt(this, target);
+			this.running.add(attempt);
+			attempt.start();
+			planHedge();
+		}
+
+		private void planHedge() {
+			if (this.hedge != null) {
+				this.hedge.cancel(false);
+			}
+			if (this.call.route().kind() == RouteKind.IDEMPOTENT) {
+				long delayMs = Math.max(SHORTEST_HEDGE_MS, this.call.route().targetLatencyMs());
+				this.hedge = CallDispatcher.this.loop.schedule(this::sendHedge, delayMs, TimeUnit.MILLISECONDS);
+			}
+		}
+
+		private void sendHedge() {
+			if (!this.over && !this.streaming && sendNext()) {
+				log("hedged", ResultCode.OK);
+			}
+		}
+
+		private void timeOut() {
+			if (this.over) {
+				return;
+			}
+			this.running.forEach((attempt) -> attempt.stats.unreachable(nowMs()));
+			if (this.streaming) {
+				breakStream();
+				return;
+			}
+			refuse((this.mayHaveRun || !this.running.isEmpty()) ? ResultCode.DEADLINE_EXCEEDED : ResultCode.NO_TARGET,
+					REFUSAL_PAUSE_MS);
+		}
+
+		void began() {
+			if (!this.begun) {
+				this.begun = true;
+				this.sink.began();
+			}
+		}
+
+		void onNotRun(Attempt attempt) {
+			this.running.remove(attempt);
+			if (!this.over && this.running.isEmpty() && !sendNext()) {
+				giveUp();
+			}
+		}
+
+		void onLost(Attempt attempt, boolean ranMaybe) {
+			this.running.remove(attempt);
+			this.mayHaveRun |= ranMaybe;
+			if (this.over) {
+				return;
+			}
+			boolean repeatable = !this.mayHaveRun || this.call.route().kind().isRepeatable();
+			if (this.running.isEmpty() && !(repeatable && sendNext())) {
+				giveUp();
+			}
+		}
+
+		void onFailed(Attempt attempt, Answer answer) {
+			this.running.remove(attempt);
+			this.mayHaveRun = true;
+			if (this.over) {
+				answer.body().release();
+				return;
+			}
+			if (!this.call.route().kind().isRepeatable()) {
+				finish(answer);
+				return;
+			}
+			keepFailure(answer);
+			if (this.running.isEmpty() && !sendNext()) {
+				giveUp();
+			}
+		}
+
+		private void keepFailure(Answer answer) {
+			if (this.lastFailure != null) {
+				this.lastFailure.body().release();
+			}
+			this.lastFailure = answer;
+		}
+
+		void onAnswered(Attempt attempt, Answer answer) {
+			this.running.remove(attempt);
+			if (this.over) {
+				answer.body().release();
+				return;
+			}
+			finish(answer);
+		}
+
+		/** Ends the call with what is known once no target is left to ask. */
+		private void giveUp() {
+			Answer failure = this.lastFailure;
+			if (failure != null) {
+				this.lastFailure = null;
+				finish(failure);
+			}
+			else if (this.mayHaveRun) {
+				refuse(ResultCode.OUTCOME_UNKNOWN, 0);
+			}
+			else {
+				refuse((this.sentCount > 0) ? ResultCode.TARGET_BUSY : ResultCode.NO_TARGET, REFUSAL_PAUSE_MS);
+			}
+		}
+
+		private void finish(Answer answer) {
+			end();
+			log("answered", ResultCode.OK);
+			this.sink.answer(answer.head(), answer.body());
+		}
+
+		private void refuse(ResultCode code, long retryAfterMs) {
+			end();
+			log("refused", code);
+			this.sink.refuse(code, retryAfterMs);
+		}
+
+		/** Passes a stream on from the only attempt that may be running. */
+		void beginStream(HttpResponse head) {
+			this.streaming = true;
+			this.sink.beginStream(head);
+		}
+
+		void endStream() {
+			end();
+			log("answered", ResultCode.OK);
+			this.sink.endStream();
+		}
+
+		void breakStream() {
+			end();
+			log("broken", ResultCode.ANSWER_CUT_SHORT);
+			this.sink.breakStream();
+		}
+
+		void cancel() {
+			if (!this.over) {
+				end();
+				log("abandoned", ResultCode.OUTCOME_UNKNOWN);
+			}
+		}
+
+		private void end() {
+			this.over = true;
+			if (this.timeout != null) {
+				this.timeout.cancel(false);
+			}
+			if (this.hedge != null) {
+				this.hedge.cancel(false);
+			}
+			if (this.lastFailure != null) {
+				this.lastFailure.body().release();
+				this.lastFailure = null;
+			}
+			List.copyOf(this.running).forEach(Attempt::cancel);
+			this.running.clear();
+		}
+
+		private void log(String outcome, ResultCode code) {
+			LOGGER.atInfo()
+				.log("event=call_%s request=%s route=%s customer=%s code=%d sent=%d targets=%s elapsed_ms=%d", outcome,
+						this.call.requestId(), this.call.route().name(), this.call.customer(), code.number(),
+						this.sentCount, this.tried, nowMs() - this.startedAtMs);
+		}
+
+	}
+
+	/**
+	 * A target's whole answer.
+	 *
+	 * @param head the status and headers
+	 * @param body the body
+	 */
+	private record Answer(HttpResponse head, ByteBuf body) {
+	}
+
+	/** One sending of a call to one target. */
+	private final class Attempt implements AnswerListener {
+
+		private final Run run;
+
+		private final TargetNotice target;
+
+		private final TargetStats stats;
+
+		private final CompositeByteBuf body = Unpooled.compositeBuffer();
+
+		private @Nullable Verdict verdict;
+
+		private Runnable canceller = () -> {
+		};
+
+		private boolean over;
+
+		Attempt(Run run, TargetNotice target) {
+			this.run = run;
+			this.target = target;
+			this.stats = CallDispatcher.this.targets.stats(target.id());
+		}
+
+		void start() {
+			Call call = this.run.call;
+			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
+					Unpooled.wrappedBuffer(call.body()));
+			request.headers().set(call.headers());
+			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+			CallDispatcher.this.dialect.stamp(request.headers(), new TargetDialect.Stamp(this.target.id(),
+					call.customer(), Math.max(1, this.run.endsAtMs - nowMs()), 0));
+			this.stats.sent();
+			this.canceller = CallDispatcher.this.client.send(this.target.address(), request, this);
+		}
+
+		void cancel() {
+			if (!this.over) {
+				end();
+				this.body.release();
+				this.canceller.run();
+			}
+		}
+
+		private void end() {
+			this.over = true;
+			this.stats.over();
+		}
+
+		@Override
+		public void onHead(HttpResponse head) {
+			this.verdict = CallDispatcher.this.dialect.verdict(head);
+			CallDispatcher.this.dialect.load(head).ifPresent((load) -> this.stats.stated(load, nowMs()));
+			if (this.verdict == Verdict.ANSWERED || this.verdict == Verdict.FAILED) {
+				this.run.began();
+			}
+			if (this.verdict == Verdict.ANSWERED && this.run.call.route().kind() == RouteKind.STREAM) {
+				this.run.beginStream(head);
+			}
+		}
+
+		@Override
+		public void onContent(ByteBuf content) {
+			if (this.run.streaming) {
+				this.run.sink.continueStream(content);
+			}
+			else {
+				this.body.addComponent(true, content.retain());
+			}
+		}
+
+		@Override
+		public void onEnd(HttpResponse head) {
+			end();
+			if (this.run.streaming) {
+				this.stats.answered();
+				this.body.release();
+				this.run.endStream();
+				return;
+			}
+			Verdict said = (this.verdict != null) ? this.verdict : Verdict.FAILED;
+			switch (said) {
+				case ANSWERED -> {
+					this.stats.answered();
+					this.run.onAnswered(this, new Answer(head, this.body));
+				}
+				case FAILED -> {
+					this.stats.failed();
+					this.run.onFailed(this, new Answer(head, this.body));
+				}
+				case NOT_RUN -> {
+					this.body.release();
+					this.stats.busyUntil(nowMs() + REFUSAL_PAUSE_MS);
+					this.run.onNotRun(this);
+				}
+				case OTHER_TARGET -> {
+					this.body.release();
+					this.stats.unreachable(nowMs());
+					this.run.onNotRun(this);
+				}
+			}
+		}
+
+		@Override
+		public void onFailure(SendFailure failure) {
+			end();
+			this.body.release();
+			LOGGER.atInfo()
+				.log("event=attempt_lost request=%s target=%s may_have_run=%s detail=\"%s\"", this.run.call.requestId(),
+						this.target.id(), failure.mayHaveRun(), failure.detail());
+			this.stats.unreachable(nowMs());
+			if (this.run.streaming) {
+				this.run.breakStream();
+			}
+			else {
+				this.run.onLost(this, failure.mayHaveRun());
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallSink.java
@@ -0,0 +1,49 @@
+package org.zinniatack.direct.call;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+import org.zinniatack.core.result.ResultCode;
+
+/**
+ * Receives the outcome of a call: a whole answer, a stream, or a refusal.
+ */
+public interface CallSink {
+
+	/**
+	 * Receives a target's whole answer.
+	 * @param head the status and headers
+	 * @param body the body, which this call releases
+	 */
+	void answer(HttpResponse head, ByteBuf body);
+
+	/**
+	 * Learns that the call has no target's answer.
+	 * @param code why
+	 * @param retryAfterMs the time after which to come back, in milliseconds, 0 if that
+	 * is not known to help
+	 */
+	void refuse(ResultCode code, long retryAfterMs);
+
+	/**
+	 * Receives the head of a stream.
+	 * @param head the status and headers
+	 */
+	void beginStream(HttpResponse head);
+
+	/**
+	 * Receives a piece of a stream.
+	 * @param content the piece, which the caller releases
+	 */
+	void continueStream(ByteBuf content);
+
+	/** Learns that the stream is whole. */
+	void endStream();
+
+	/** Learns that the stream ends before it is whole. */
+	void breakStream();
+
+	/** Learns that a target has begun to run the call. */
+	void began();
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/GatewaySettings.java
@@ -0,0 +1,78 @@
+package org.zinniatack.direct.gateway;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+import org.zinniatack.process.Checks;
+
+/**
+ * The settings of an entry process whose targets have no agents.
+ *
+ * @param name the name of this process
+ * @param failureDomain the failure domain in which it stands
+ * @param callerAddress the address for callers
+ * @param readinessAddress the address at which the balancer asks whether it is ready
+ * @param metricsAddress the address of metrics and the state dump
+ * @param seedAddresses the addresses of some control processes, of which only the host
+ * counts
+ * @param clusterPort the port at which control processes listen for other processes
+ * @param clusterSecret the secret that all processes share
+ * @param usageWindowS the length of a usage window, in seconds
+ * @param usageIntervalMs the time between two reports of use to control, in milliseconds
+ * @param stopTimeoutS the time after a stop signal in which it must end, in seconds
+ * @param closeWithoutControl true if it takes no requests while control is out of reach
+ */
+public record GatewaySettings(String name, String failureDomain, String callerAddress, String readinessAddress,
+		String metricsAddress, List<String> seedAddresses, int clusterPort, String clusterSecret, double usageWindowS,
+		long usageIntervalMs, double stopTimeoutS, boolean closeWithoutControl) {
+
+	private static final long LONGEST_INTERVAL_MS = 60_000;
+
+	/**
+	 * Checks the fields.
+	 */
+	@JsonCreator
+	public GatewaySettings(@JsonProperty("name") String name, @JsonProperty("failureDomain") String failureDomain,
+			@JsonProperty("callerAddress") String callerAddress,
+			@JsonProperty("readinessAddress") String readinessAddress,
+			@JsonProperty("metricsAddress") String metricsAddress,
+			@JsonProperty("seedAddresses") List<String> seedAddresses, @JsonProperty("clusterPort") int clusterPort,
+			@JsonProperty("clusterSecret") String clusterSecret, @JsonProperty("usageWindowS") double usageWindowS,
+			@JsonProperty("usageIntervalMs") long usageIntervalMs, @JsonProperty("stopTimeoutS") double stopTimeoutS,
+			@JsonProperty("closeWithoutControl") boolean closeWithoutControl) {
+		this.name = Checks.name("name", name);
+		this.failureDomain = Checks.present("failureDomain", failureDomain);
+		this.callerAddress = Checks.address("callerAddress", callerAddress);
+		this.readinessAddress = Checks.address("readinessAddress", readinessAddress);
+		this.metricsAddress = Checks.address("metricsAddress", metricsAddress);
+		this.seedAddresses = List.copyOf(Checks.present("seedAddresses", seedAddresses));
+		this.seedAddresses.forEach((seed) -> Checks.address("seedAddresses", seed));
+		this.clusterSecret = Checks.secret("clusterSecret", clusterSecret);
+		this.clusterPort = Checks.port("clusterPort", clusterPort);
+		this.usageWindowS = Checks.seconds("usageWindowS", usageWindowS);
+		this.usageIntervalMs = Checks.range("usageIntervalMs", usageIntervalMs, 100, LONGEST_INTERVAL_MS);
+		this.stopTimeoutS = Checks.seconds("stopTimeoutS", stopTimeoutS);
+		this.closeWithoutControl = closeWithoutControl;
+	}
+
+	/** Returns where the seeds listen for other processes. */
+	List<String> clusterAddresses() {
+		return Checks.withPort(this.seedAddresses, this.clusterPort);
+	}
+
+	/**
+	 * Returns the time in which the process must end after a stop signal.
+	 * @return the time in milliseconds
+	 */
+	public long stopTimeoutMs() {
+		return Math.round(1_000 * this.stopTimeoutS);
+	}
+
+	@Override
+	public String toString() {
+		return "GatewaySettings[" + this.name + "]";
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/http/AnswerListener.java
@@ -0,0 +1,36 @@
+package org.zinniatack.direct.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Receives the answer to a request that was sent to a target. After
+ * {@link #onEnd(HttpResponse)} or {@link #onFailure(SendFailure)} nothing follows.
+ */
+public interface AnswerListener {
+
+	/**
+	 * Receives the head.
+	 * @param head the status and headers
+	 */
+	void onHead(HttpResponse head);
+
+	/**
+	 * Receives a piece of the body.
+	 * @param content the piece, which the caller releases
+	 */
+	void onContent(ByteBuf content);
+
+	/**
+	 * Learns that the answer is whole.
+	 * @param head the status and headers
+	 */
+	void onEnd(HttpResponse head);
+
+	/**
+	 * Learns that there is no whole answer.
+	 * @param failure what happened
+	 */
+	void onFailure(SendFailure failure);
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/EventText.java
@@ -0,0 +1,153 @@
+package org.zinniatack.direct.job;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.Function;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * The output of an item, read from event streams of one or more targets. Each stream goes
+ * on after the last whole event of the one before.
+ */
+final class EventText {
+
+	private final Function<String, OptionalLong> versionOfLine;
+
+	private final List<String> data = new ArrayList<>();
+
+	private final List<Long> versions = new ArrayList<>();
+
+	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
+	private final List<String> eventData = new ArrayList<>();
+
+	private OptionalLong eventId = OptionalLong.empty();
+
+	private OptionalLong eventVersion = OptionalLong.empty();
+
+	private long lastId;
+
+	private long currentVersion;
+
+	private boolean outOfOrder;
+
+	EventText(Function<String, OptionalLong> versionOfLine) {
+		this.versionOfLine = versionOfLine;
+	}
+
+	/** Begins a further stream under a version. */
+	void beginStream(long version) {
+		this.line.reset();
+		clearEvent();
+		this.currentVersion = version;
+	}
+
+	void read(ByteBuf content) {
+		content.forEachByte((value) -> {
+			if (value == '\n') {
+				endLine();
+			}
+			else {
+				this.line.write(value);
+			}
+			return true;
+		});
+	}
+
+	private void endLine() {
+		String text = this.line.toString(StandardCharsets.UTF_8);
+		this.line.reset();
+		if (text.endsWith("\r")) {
+			text = text.substring(0, text.length() - 1);
+		}
+		if (text.isEmpty()) {
+			endEvent();
+		}
+		else if (text.startsWith("data:")) {
+			this.eventData.add(valueOf(text));
+		}
+		else if (text.startsWith("id:")) {
+			this.eventId = parse(valueOf(text));
+		}
+		else {
+			OptionalLong version = this.versionOfLine.apply(text);
+			if (version.isPresent()) {
+				this.eventVersion = version;
+			}
+		}
+	}
+
+	private static String valueOf(String line) {
+		String value = line.substring(line.indexOf(':') + 1);
+		return value.startsWith(" ") ? value.substring(1) : value;
+	}
+
+	private static OptionalLong parse(String number) {
+		return number.matches("\\d{1,18}") ? OptionalLong.of(Long.parseLong(number)) : OptionalLong.empty();
+	}
+
+	private void endEvent() {
+		if (this.eventId.isEmpty() && this.eventData.isEmpty()) {
+			clearEvent();
+			return;
+		}
+		boolean first = this.data.isEmpty();
+		if (this.eventId.isEmpty() || (!first && this.eventId.getAsLong() != this.lastId + 1)) {
+			this.outOfOrder = true;
+		}
+		else {
+			this.lastId = this.eventId.getAsLong();
+			this.currentVersion = this.eventVersion.orElse(this.currentVersion);
+			if (this.versions.isEmpty() || this.versions.get(this.versions.size() - 1) != this.currentVersion) {
+				this.versions.add(this.currentVersion);
+			}
+			this.data.add(String.join("\n", this.eventData));
+		}
+		clearEvent();
+	}
+
+	private void clearEvent() {
+		this.eventData.clear();
+		this.eventId = OptionalLong.empty();
+		this.eventVersion = OptionalLong.empty();
+	}
+
+	/** Forgets all events, to begin again. */
+	void reset() {
+		this.data.clear();
+		this.versions.clear();
+		this.lastId = 0;
+		this.outOfOrder = false;
+	}
+
+	/** Returns whether an event was missing, came twice or had no id. */
+	boolean isOutOfOrder() {
+		return this.outOfOrder;
+	}
+
+	/** Returns whether bytes of an event came without its end. */
+	boolean isMidEvent() {
+		return this.line.size() > 0 || !this.eventData.isEmpty() || this.eventId.isPresent();
+	}
+
+	int eventCount() {
+		return this.data.size();
+	}
+
+	long lastId() {
+		return this.lastId;
+	}
+
+	List<Long> versions() {
+		return this.versions.stream().distinct().toList();
+	}
+
+	String text() {
+		return String.join("\n", this.data);
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -0,0 +1,728 @@
+package org.zinniatack.direct.job;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.control.ControlService;
+import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.ItemResult;
+import org.zinniatack.core.job.Job;
+import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.job.Scoring;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.table.Route;
+import org.zinniatack.core.table.RouteIndex;
+import org.zinniatack.core.table.TableHolder;
+import org.zinniatack.direct.call.Call;
+import org.zinniatack.direct.call.CallDispatcher;
+import org.zinniatack.direct.call.CallSink;
+import org.zinniatack.direct.http.AnswerListener;
+import org.zinniatack.direct.http.SendFailure;
+import org.zinniatack.direct.http.TargetClient;
+import org.zinniatack.direct.target.LoadedVersions;
+import org.zinniatack.direct.target.TargetDialect;
+import org.zinniatack.direct.target.TargetDialect.Verdict;
+import org.zinniatack.direct.target.Targets;
+import org.zinniatack.process.Service;
+
+/**
+ * Runs the items of all open jobs while this process leads: generates, scores, and
+ * commits each result. A new leader begins the items again that have no result.
+ */
+public final class JobRunner implements Service {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long TICK_MS = 50;
+
+	/** Results that arrive together go into the log together. */
+	private static final long COMMIT_DELAY_MS = 10;
+
+	private static final long COMMIT_RETRY_MS = 200;
+
+	/** A target that loads weights or reads a long prompt may be silent this long. */
+	private static final long FIRST_EVENT_LIMIT_MS = 2_500;
+
+	/** Events come every few tens of milliseconds, also from a slow target. */
+	private static final long EVENT_LIMIT_MS = 1_000;
+
+	/**
+	 * Below this, no target is slow enough to be worth a second reading of the prompt.
+	 */
+	private static final double SLOW_EVENT_MS = 55;
+
+	/** How much faster another target must be for an item to move there. */
+	private static final double MOVE_FACTOR = 1.7;
+
+	/** How much a target that is twice as slow as the fastest looks fuller. */
+	private static final double SLOWNESS_PRESSURE = 0.5;
+
+	private static final long REFUSAL_PAUSE_MS = 100;
+
+	/** A lost item waits longer each time, since it may be what brings targets down. */
+	private static final int LOSSES_WITHOUT_PAUSE = 3;
+
+	private static final long LOSS_PAUSE_MS = 1_000;
+
+	private static final long SCORING_DEADLINE_MS = 2_000;
+
+	private static final long SCORING_PAUSE_MS = 100;
+
+	/** The longest time that a target may work on one item, in milliseconds. */
+	private static final long ITEM_DEADLINE_MS = 30_000;
+
+	/** Clocks of control processes differ by less. */
+	private static final long CLOCK_MARGIN_MS = 6_000;
+
+	private final EventLoop loop;
+
+	private final ControlService control;
+
+	private final TargetClient client;
+
+	private final TargetDialect dialect;
+
+	private final Targets targets;
+
+	private final LoadedVersions versions;
+
+	private final CallDispatcher dispatcher;
+
+	private final Map<JobId, Map<String, ItemRun>> runsByJob = new LinkedHashMap<>();
+
+	private final Map<JobId, List<ItemResult>> uncommitted = new HashMap<>();
+
+	private final AtomicBoolean refreshing = new AtomicBoolean();
+
+	private RouteIndex index = new RouteIndex(emptyTable());
+
+	private long term;
+
+	private boolean commitPlanned;
+
+	private @Nullable Future<?> ticking;
+
+	/**
+	 * Returns a runner that is not started.
+	 * @param loop the event loop
+	 * @param control the control process
+	 * @param client the connections to targets
+	 * @param dialect how targets are spoken to
+	 * @param targets the choice of targets
+	 * @param versions the weight versions of targets
+	 */
+	public JobRunner(EventLoop loop, ControlService control, TargetClient client, TargetDialect dialect,
+			Targets targets, LoadedVersions versions) {
+		this.loop = loop;
+		this.control = control;
+		this.client = client;
+		this.dialect = dialect;
+		this.targets = targets;
+		this.versions = versions;
+		this.dispatcher = new CallDispatcher(loop, client, dialect, targets);
+	}
+
+	private static org.zinniatack.core.table.RoutingTable emptyTable() {
+		return new org.zinniatack.core.table.RoutingTable(0, List.of(), Map.of(), List.of(),
+				new org.zinniatack.core.table.CallerLimits(0, 0, 0, 0));
+	}
+
+	@Override
+	public void start() {
+		this.control.onStateChange((state) -> planRefresh());
+		this.ticking = this.loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void stop() {
+		if (this.ticking != null) {
+			this.ticking.cancel(false);
+		}
+		this.loop.execute(this::dropAll);
+	}
+
+	private long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(this.loop.ticker().nanoTime());
+	}
+
+	private boolean leads() {
+		OptionalLong current = this.control.leaseTerm();
+		return current.isPresent() && current.getAsLong() == this.term;
+	}
+
+	private void planRefresh() {
+		if (this.control.leaseTerm().isPresent() && this.refreshing.compareAndSet(false, true)) {
+			this.control.readApplied(JobRunner::openJobs).whenComplete((open, failure) -> {
+				this.refreshing.set(false);
+				if (open != null) {
+					this.loop.execute(() -> refresh(open));
+				}
+			});
+		}
+	}
+
+	private static View openJobs(ControlState state) {
+		List<OpenJob> open = new ArrayList<>();
+		for (Job job : state.jobs().jobs()) {
+			if (job.isOpen()) {
+				Set<String> finished = new HashSet<>();
+				job.resultsFrom(0, Long.MAX_VALUE).forEach((result) -> finished.add(result.itemId()));
+				open.add(new OpenJob(job.submission(), finished));
+			}
+		}
+		return new View(open, state.table());
+	}
+
+	private void refresh(View view) {
+		OptionalLong current = this.control.leaseTerm();
+		if (current.isEmpty()) {
+			dropAll();
+			return;
+		}
+		if (current.getAsLong() != this.term) {
+			dropAll();
+			this.term = current.getAsLong();
+			LOGGER.atInfo().log("event=jobs_taken_over term=%d jobs=%d", this.term, view.jobs().size());
+		}
+		if (view.table() != null && view.table().table().number() != this.index.table().number()) {
+			this.index = new RouteIndex(view.table().table());
+		}
+		Set<JobId> open = new HashSet<>();
+		for (OpenJob job : view.jobs()) {
+			open.add(job.submission().id());
+			addItems(job);
+		}
+		this.runsByJob.entrySet().removeIf((entry) -> {
+			boolean ended = !open.contains(entry.getKey());
+			if (ended) {
+				drop(entry.getValue());
+				LOGGER.atInfo()
+					.log("event=job_over job=%s customer=%s items=%d", entry.getKey().name(), entry.getKey().customer(),
+							entry.getValue().size());
+			}
+			return ended;
+		});
+		dispatch();
+	}
+
+	private void addItems(OpenJob job) {
+		Map<String, ItemRun> runs = this.runsByJob.get(job.submission().id());
+		if (runs == null) {
+			runs = new LinkedHashMap<>();
+			this.runsByJob.put(job.submission().id(), runs);
+			int position = 0;
+			for (JobItem item : job.submission().items()) {
+				runs.put(item.id(),
+						new ItemRun(job.submission(), item, position++, new EventText(this.dialect::weightVersion)));
+			}
+			LOGGER.atInfo()
+				.log("event=job_opened job=%s customer=%s items=%d finished=%d model=%s oldest_version=%d",
+						job.submission().id().name(), job.submission().id().customer(), runs.size(),
+						job.finishedIds().size(), job.submission().model(), job.submission().oldestVersion());
+		}
+		for (String id : job.finishedIds()) {
+			ItemRun run = runs.get(id);
+			if (run != null && run.phase != ItemRun.Phase.FINISHED) {
+				run.canceller.run();
+				run.phase = ItemRun.Phase.FINISHED;
+			}
+		}
+	}
+
+	private void drop(Map<String, ItemRun> runs) {
+		runs.values().forEach((run) -> {
+			run.phase = ItemRun.Phase.FINISHED;
+			run.canceller.run();
+		});
+	}
+
+	private void dropAll() {
+		this.runsByJob.values().forEach(this::drop);
+		this.runsByJob.clear();
+		this.uncommitted.clear();
+		this.term = 0;
+	}
+
+	private void tick() {
+		try {
+			if (this.control.leaseTerm().isEmpty()) {
+				if (this.term != 0) {
+					LOGGER.atInfo().log("event=jobs_given_up term=%d", this.term);
+					dropAll();
+				}
+				return;
+			}
+			if (!leads()) {
+				planRefresh();
+				return;
+			}
+			moveSilent();
+			moveSlow();
+			dispatch();
+		}
+		catch (RuntimeException ex) {
+			LOGGER.atSevere().withCause(ex).log("event=job_round_failed code=%d", ResultCode.INTERNAL.number());
+		}
+	}
+
+	/** Moves items on whose targets have fallen silent. */
+	private void moveSilent() {
+		long nowMs = nowMs();
+		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
+			for (ItemRun run : List.copyOf(runs.values())) {
+				long limitMs = (run.text.eventCount() > 0) ? EVENT_LIMIT_MS : FIRST_EVENT_LIMIT_MS;
+				TargetNotice target = run.target;
+				if (run.phase == ItemRun.Phase.GENERATING && target != null && nowMs - run.heardAtMs > limitMs
+						&& !this.versions.isLoading(target.id(), run.job.model())) {
+					run.canceller.run();
+					this.targets.stats(target.id()).unreachable(nowMs);
+					lose(run, "silent for " + (nowMs - run.heardAtMs) + " ms");
+				}
+			}
+		}
+	}
+
+	/**
+	 * Moves items from targets that have turned slow to free ones that are much faster.
+	 */
+	private void moveSlow() {
+		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
+			for (ItemRun run : List.copyOf(runs.values())) {
+				TargetNotice target = run.target;
+				if (run.phase == ItemRun.Phase.GENERATING && target != null && run.text.eventCount() > 0
+						&& this.targets.stats(target.id()).eventMs() > SLOW_EVENT_MS) {
+					moveIfFasterIsFree(run, target);
+				}
+			}
+		}
+	}
+
+	private void moveIfFasterIsFree(ItemRun run, TargetNotice slow) {
+		double eventMs = this.targets.stats(slow.id()).eventMs();
+		Optional<TargetNotice> faster = place(run, slow.pool(), nowMs());
+		double fasterMs = faster.map((target) -> this.targets.stats(target.id()).eventMs()).orElse(0.0);
+		if (fasterMs > 0 && fasterMs * MOVE_FACTOR < eventMs) {
+			run.canceller.run();
+			LOGGER.atInfo()
+				.log("event=item_moved job=%s item=%s from=%s event_ms=%.0f to_event_ms=%.0f events=%d",
+						run.job.id().name(), run.item.id(), slow.id(), eventMs, fasterMs, run.text.eventCount());
+			waitAgain(run, 0);
+		}
+	}
+
+	private void dispatch() {
+		long nowMs = nowMs();
+		List<ItemRun> waiting = new ArrayList<>();
+		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
+			for (ItemRun run : runs.values()) {
+				if (run.phase == ItemRun.Phase.WAITING && run.notBeforeMs <= nowMs) {
+					waiting.add(run);
+				}
+			}
+		}
+		if (waiting.isEmpty() || !leads()) {
+			return;
+		}
+		waiting.sort(ItemOrder.byGroup());
+		Set<String> fullPools = new HashSet<>();
+		for (ItemRun run : waiting) {
+			Optional<Route> route = this.index.routeOf(run.job.host(), run.item.path());
+			if (route.isEmpty() || isExpired(run)) {
+				finish(run, ItemResult.givenUp(run.item.id()), route.isEmpty() ? "no route" : "too old");
+				continue;
+			}
+			String pool = route.get().poolAt((run.item.id().hashCode() & 0xffff) / (double) 0x10000);
+			String need = pool + ' ' + run.job.oldestVersion() + ' ' + run.job.model();
+			if (!fullPools.contains(need)) {
+				place(run, pool, nowMs).ifPresentOrElse((target) -> generate(run, route.get(), target),
+						() -> fullPools.add(need));
+			}
+		}
+	}
+
+	private boolean isExpired(ItemRun run) {
+		return System.currentTimeMillis() > run.job.submittedAtMs() + run.job.itemLifetimeMs() + CLOCK_MARGIN_MS;
+	}
+
+	private Optional<TargetNotice> place(ItemRun run, String pool, long nowMs) {
+		List<TargetNotice> ready = this.targets.ready(pool);
+		double fastestMs = ready.stream()
+			.mapToDouble((target) -> this.targets.stats(target.id()).eventMs())
+			.filter((eventMs) -> eventMs > 0)
+			.min()
+			.orElse(0);
+		return ready.stream()
+			.filter((target) -> this.targets.stats(target.id()).isUsable(nowMs))
+			.filter((target) -> !this.versions.isLoading(target.id(), run.job.model()))
+			.filter((target) -> this.versions.version(target, run.job.model()).orElse(0) >= run.job.oldestVersion())
+			.filter((target) -> this.targets.stats(target.id()).outstandingCount() < target.slotCount())
+			.min(Comparator
+				.<TargetNotice>comparingDouble((target) -> this.targets.stats(target.id()).pressure(target, nowMs)
+						+ slowness(target, fastestMs) - affinity(run, target))
+				.thenComparing(TargetNotice::id));
+	}
+
+	private double slowness(TargetNotice target, double fastestMs) {
+		double eventMs = this.targets.stats(target.id()).eventMs();
+		return (eventMs > 0 && fastestMs > 0) ? SLOWNESS_PRESSURE * (eventMs / fastestMs - 1) : 0;
+	}
+
+	/** Returns how much a target gains by running items with the same prompt already. */
+	private double affinity(ItemRun run, TargetNotice target) {
+		if (run.item.promptKey().isEmpty()) {
+			return 0;
+		}
+		boolean together = this.runsByJob.getOrDefault(run.job.id(), Map.of())
+			.values()
+			.stream()
+			.anyMatch((other) -> other.target != null && other.target.id().equals(target.id())
+					&& other.item.promptKey().equals(run.item.promptKey()));
+		return together ? 1 : 0;
+	}
+
+	private void generate(ItemRun run, Route route, TargetNotice target) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, run.item.path(),
+				Unpooled.wrappedBuffer(run.item.body()));
+		run.item.headers().forEach(request.headers()::set);
+		request.headers().set(HttpHeaderNames.HOST, run.job.host());
+		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, run.item.body().length);
+		this.dialect.identify(request.headers(), run.item.id());
+		this.dialect.stamp(request.headers(),
+				new TargetDialect.Stamp(target.id(), run.job.id().customer(), ITEM_DEADLINE_MS, run.text.lastId()));
+		run.phase = ItemRun.Phase.GENERATING;
+		run.target = target;
+		run.heardAtMs = nowMs();
+		this.targets.stats(target.id()).sent();
+		ItemAttempt attempt = new ItemAttempt(run, route, target);
+		Runnable cancelSending = this.client.send(target.address(), request, attempt);
+		run.canceller = () -> {
+			attempt.end();
+			cancelSending.run();
+		};
+	}
+
+	private void lose(ItemRun run, String detail) {
+		TargetNotice target = run.target;
+		LOGGER.atInfo()
+			.log("event=item_lost job=%s item=%s target=%s events=%d losses=%d detail=\"%s\"", run.job.id().name(),
+					run.item.id(), (target != null) ? target.id() : "", run.text.eventCount(), run.lossCount, detail);
+		run.lossCount++;
+		long pauseMs = (run.lossCount > LOSSES_WITHOUT_PAUSE) ? LOSS_PAUSE_MS : 0;
+		waitAgain(run, pauseMs);
+	}
+
+	private void waitAgain(ItemRun run, long pauseMs) {
+		run.phase = ItemRun.Phase.WAITING;
+		run.target = null;
+		run.canceller = () -> {
+		};
+		run.notBeforeMs = nowMs() + pauseMs;
+		this.loop.execute(this::dispatchIfLeading);
+	}
+
+	private void dispatchIfLeading() {
+		if (leads()) {
+			dispatch();
+		}
+	}
+
+	private void generated(ItemRun run, Route route) {
+		run.target = null;
+		Scoring scoring = run.item.scoring();
+		if (scoring == null) {
+			finish(run, resultOf(run, ""), "generated");
+			return;
+		}
+		run.phase = ItemRun.Phase.SCORING;
+		score(run, scoring);
+		dispatchIfLeading();
+	}
+
+	private static ItemResult resultOf(ItemRun run, String score) {
+		return new ItemResult(run.item.id(), true, run.text.text(), run.text.versions(), score);
+	}
+
+	private void score(ItemRun run, Scoring scoring) {
+		if (run.phase != ItemRun.Phase.SCORING || !leads()) {
+			return;
+		}
+		Optional<Route> route = this.index.routeOf(scoring.host(), scoring.path());
+		if (route.isEmpty()) {
+			retryScore(run, scoring);
+			return;
+		}
+		HttpHeaders headers = new DefaultHttpHeaders();
+		headers.set(HttpHeaderNames.HOST, scoring.host());
+		this.dialect.identify(headers, scoring.id());
+		Call call = new Call(scoring.id(), route.get(), null, HttpMethod.POST, scoring.path(), headers, scoring.body(),
+				SCORING_DEADLINE_MS);
+		run.canceller = this.dispatcher.dispatch(call, new ScoreSink(run, scoring, route.get()));
+	}
+
+	private void retryScore(ItemRun run, Scoring scoring) {
+		this.loop.schedule(() -> score(run, scoring), SCORING_PAUSE_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void finish(ItemRun run, ItemResult result, String reason) {
+		run.phase = ItemRun.Phase.COMMITTING;
+		run.target = null;
+		run.canceller = () -> {
+		};
+		LOGGER.atInfo()
+			.log("event=item_%s job=%s item=%s customer=%s events=%d versions=%s failures=%d losses=%d reason=\"%s\"",
+					result.completed() ? "completed" : "given_up", run.job.id().name(), run.item.id(),
+					run.job.id().customer(), run.text.eventCount(), result.versions(), run.failureCount, run.lossCount,
+					reason);
+		this.uncommitted.computeIfAbsent(run.job.id(), (absent) -> new ArrayList<>()).add(result);
+		planCommit(COMMIT_DELAY_MS);
+	}
+
+	private void planCommit(long delayMs) {
+		if (!this.commitPlanned) {
+			this.commitPlanned = true;
+			this.loop.schedule(this::commit, delayMs, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void commit() {
+		this.commitPlanned = false;
+		if (!leads()) {
+			return;
+		}
+		Map<JobId, List<ItemResult>> batch = new HashMap<>(this.uncommitted);
+		this.uncommitted.clear();
+		long committingTerm = this.term;
+		batch.forEach((id, results) -> this.control.propose(new Command.FinishItems(id, results))
+			.whenComplete((reply, failure) -> this.loop.execute(() -> {
+				if (failure != null && this.term == committingTerm) {
+					LOGGER.atWarning().log("event=results_not_committed job=%s detail=\"%s\"", id.name(), failure);
+					this.uncommitted.computeIfAbsent(id, (absent) -> new ArrayList<>()).addAll(results);
+					planCommit(COMMIT_RETRY_MS);
+				}
+			})));
+	}
+
+	/**
+	 * What the runner reads of the replicated state.
+	 *
+	 * @param jobs the open jobs
+	 * @param table the routing table, or null if there is none yet
+	 */
+	private record View(List<OpenJob> jobs, TableHolder.@Nullable Image table) {
+	}
+
+	/** One generation of an item at one target. */
+	private final class ItemAttempt implements AnswerListener {
+
+		private final ItemRun run;
+
+		private final Route route;
+
+		private final TargetNotice target;
+
+		private boolean over;
+
+		private @Nullable Verdict verdict;
+
+		ItemAttempt(ItemRun run, Route route, TargetNotice target) {
+			this.run = run;
+			this.route = route;
+			this.target = target;
+		}
+
+		void end() {
+			if (!this.over) {
+				this.over = true;
+				JobRunner.this.targets.stats(this.target.id()).over();
+			}
+		}
+
+		@Override
+		public void onHead(HttpResponse head) {
+			this.run.heardAtMs = nowMs();
+			this.verdict = JobRunner.this.dialect.verdict(head);
+			JobRunner.this.dialect.load(head)
+				.ifPresent((load) -> JobRunner.this.targets.stats(this.target.id()).stated(load, nowMs()));
+			if (this.verdict != Verdict.ANSWERED) {
+				return;
+			}
+			OptionalLong version = JobRunner.this.dialect.weightVersion(head);
+			version.ifPresent((value) -> JobRunner.this.versions.note(this.target, this.run.job.model(), value));
+			if (version.isEmpty() || version.getAsLong() < this.run.job.oldestVersion()) {
+				this.run.canceller.run();
+				lose(this.run, "generated under version " + version);
+				return;
+			}
+			if (this.route.singleVersion() && this.run.text.eventCount() > 0
+					&& !this.run.text.versions().equals(List.of(version.getAsLong()))) {
+				this.run.canceller.run();
+				this.run.text.reset();
+				lose(this.run, "another version than that of the events before");
+				return;
+			}
+			this.run.text.beginStream(version.getAsLong());
+		}
+
+		@Override
+		public void onContent(ByteBuf content) {
+			long sinceMs = nowMs() - this.run.heardAtMs;
+			this.run.heardAtMs = nowMs();
+			if (this.verdict != Verdict.ANSWERED) {
+				return;
+			}
+			int before = this.run.text.eventCount();
+			this.run.text.read(content);
+			if (before > 0 && this.run.text.eventCount() > before) {
+				JobRunner.this.targets.stats(this.target.id()).produced(this.run.text.eventCount() - before, sinceMs);
+			}
+			if (this.run.text.isOutOfOrder()) {
+				this.run.canceller.run();
+				this.run.text.reset();
+				lose(this.run, "events out of order");
+			}
+		}
+
+		@Override
+		public void onEnd(HttpResponse head) {
+			end();
+			Verdict said = (this.verdict != null) ? this.verdict : Verdict.FAILED;
+			switch (said) {
+				case ANSWERED -> onWhole();
+				case FAILED -> onFailed(head.status().code());
+				case NOT_RUN -> {
+					JobRunner.this.targets.stats(this.target.id()).busyUntil(nowMs() + REFUSAL_PAUSE_MS);
+					waitAgain(this.run, 0);
+				}
+				case OTHER_TARGET -> {
+					JobRunner.this.targets.stats(this.target.id()).unreachable(nowMs());
+					waitAgain(this.run, 0);
+				}
+			}
+		}
+
+		private void onWhole() {
+			boolean mixed = this.route.singleVersion() && this.run.text.versions().size() != 1;
+			if (this.run.text.isMidEvent() || this.run.text.eventCount() == 0 || mixed) {
+				if (mixed) {
+					this.run.text.reset();
+				}
+				lose(this.run, mixed ? "several versions" : "the last event is not whole");
+				return;
+			}
+			JobRunner.this.targets.stats(this.target.id()).answered();
+			generated(this.run, this.route);
+		}
+
+		private void onFailed(int status) {
+			JobRunner.this.targets.stats(this.target.id()).failed();
+			this.run.failureCount++;
+			boolean impossible = status == ResultCode.QUARANTINED.httpStatus();
+			if (impossible || this.run.failureCount >= this.route.maximumAttempts()) {
+				finish(this.run, ItemResult.givenUp(this.run.item.id()), "status " + status);
+			}
+			else {
+				waitAgain(this.run, 0);
+			}
+		}
+
+		@Override
+		public void onFailure(SendFailure failure) {
+			end();
+			JobRunner.this.targets.stats(this.target.id()).unreachable(nowMs());
+			lose(this.run, failure.detail());
+		}
+
+	}
+
+	/** Takes the answer of a scoring call. */
+	private final class ScoreSink implements CallSink {
+
+		private final ItemRun run;
+
+		private final Scoring scoring;
+
+		private final Route route;
+
+		ScoreSink(ItemRun run, Scoring scoring, Route route) {
+			this.run = run;
+			this.scoring = scoring;
+			this.route = route;
+		}
+
+		@Override
+		public void answer(HttpResponse head, ByteBuf body) {
+			body.release();
+			Optional<String> seal = JobRunner.this.dialect.seal(head);
+			if (head.status().code() / 100 == 2 && seal.isPresent()) {
+				finish(this.run, resultOf(this.run, seal.get()), "scored");
+				return;
+			}
+			this.run.scoringFailureCount += this.route.maximumAttempts();
+			if (head.status().code() == 500 && this.run.scoringFailureCount >= 2 * this.route.maximumAttempts()) {
+				finish(this.run, ItemResult.givenUp(this.run.item.id()), "scoring failed");
+				return;
+			}
+			retryScore(this.run, this.scoring);
+		}
+
+		@Override
+		public void refuse(ResultCode code, long retryAfterMs) {
+			retryScore(this.run, this.scoring);
+		}
+
+		@Override
+		public void beginStream(HttpResponse head) {
+			refuse(ResultCode.TARGET_FAILED, 0);
+		}
+
+		@Override
+		public void continueStream(ByteBuf content) {
+			// A score is the head's seal; a stream has none that counts.
+		}
+
+		@Override
+		public void endStream() {
+			// See continueStream.
+		}
+
+		@Override
+		public void breakStream() {
+			// See continueStream.
+		}
+
+		@Override
+		public void began() {
+			// Scoring calls are not use of a customer.
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/target/Targets.java
@@ -0,0 +1,77 @@
+package org.zinniatack.direct.target;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+import org.zinniatack.core.directory.TargetNotice;
+
+/**
+ * Chooses among the targets of a pool. All methods must be called on one thread.
+ */
+public final class Targets {
+
+	/** A target elsewhere is chosen when those nearby are fuller by a third. */
+	private static final double DISTANCE_PRESSURE = 0.34;
+
+	private final Function<String, List<TargetNotice>> readyByPool;
+
+	private final String failureDomain;
+
+	private final Map<String, TargetStats> statsById = new HashMap<>();
+
+	/**
+	 * Returns a choice among targets.
+	 * @param readyByPool returns the targets of a pool that take requests
+	 * @param failureDomain the failure domain of this process
+	 */
+	public Targets(Function<String, List<TargetNotice>> readyByPool, String failureDomain) {
+		this.readyByPool = readyByPool;
+		this.failureDomain = failureDomain;
+	}
+
+	/**
+	 * Returns what is known of a target.
+	 * @param targetId the id of the target
+	 * @return its figures, new ones if nothing is known
+	 */
+	public TargetStats stats(String targetId) {
+		return this.statsById.computeIfAbsent(targetId, (absent) -> new TargetStats());
+	}
+
+	/**
+	 * Returns the targets of a pool that take requests.
+	 * @param pool the pool
+	 * @return their notices
+	 */
+	public List<TargetNotice> ready(String pool) {
+		return this.readyByPool.apply(pool);
+	}
+
+	/**
+	 * Chooses the target with the least pressure, near ones first. Targets that do not
+	 * answer are chosen only if there is no other.
+	 * @param pool the pool
+	 * @param tried the ids of targets that must not be chosen
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return the target, or empty if there is none
+	 */
+	public Optional<TargetNotice> choose(String pool, Set<String> tried, long nowMs) {
+		return this.readyByPool.apply(pool)
+			.stream()
+			.filter((notice) -> !tried.contains(notice.id()))
+			.min(Comparator.<TargetNotice, Boolean>comparing((notice) -> !stats(notice.id()).isUsable(nowMs))
+				.thenComparingDouble((notice) -> cost(notice, nowMs))
+				.thenComparing(TargetNotice::id));
+	}
+
+	private double cost(TargetNotice notice, long nowMs) {
+		double distance = notice.failureDomain().equals(this.failureDomain) ? 0 : DISTANCE_PRESSURE;
+		return stats(notice.id()).pressure(notice, nowMs) + distance;
+	}
+
+}
--- a/zinniatack-process/src/main/java/org/zinniatack/process/Checks.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Checks.java
@@ -18,6 +18,10 @@
 
 	private static final int SHORTEST_SECRET = 16;
 
+	private static final int HIGHEST_PORT = 65_535;
+
+	private static final double SECONDS_A_DAY = 86_400;
+
 	private Checks() {
 	}
 
@@ -102,4 +106,37 @@
 		return value;
 	}
 
+	/**
+	 * Checks a port.
+	 * @param field the name of the field
+	 * @param value the port
+	 * @return the port
+	 */
+	public static int port(String field, int value) {
+		return (int) range(field, value, 1, HIGHEST_PORT);
+	}
+
+	/**
+	 * Checks a time that must be positive and shorter than a day.
+	 * @param field the name of the field
+	 * @param value the time, in seconds
+	 * @return the time, in seconds
+	 */
+	public static double seconds(String field, double value) {
+		if (!(value > 0 && value <= SECONDS_A_DAY)) {
+			throw new IllegalArgumentException(field + " must be above 0 and at most " + SECONDS_A_DAY);
+		}
+		return value;
+	}
+
+	/**
+	 * Returns addresses with another port.
+	 * @param addresses the addresses as host and port
+	 * @param port the port
+	 * @return the hosts with the port
+	 */
+	public static List<String> withPort(List<String> addresses, int port) {
+		return addresses.stream().map((address) -> address.substring(0, address.lastIndexOf(':') + 1) + port).toList();
+	}
+
 }
--- a/zinniatack-process/src/main/java/org/zinniatack/process/Link.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Link.java
@@ -16,7 +16,7 @@
 
 	private static final long FIRST_DELAY_MS = 50;
 
-	private static final long LONGEST_DELAY_MS = 2_000;
+	private static final long LONGEST_DELAY_MS = 600;
 
 	private final Wire wire;
 
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Handshake.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Handshake.java
@@ -28,9 +28,10 @@
 
 	private static final long HANDSHAKE_TIMEOUT_MS = 5_000;
 
-	private static final int HEARTBEAT_INTERVAL_S = 2;
+	private static final long HEARTBEAT_INTERVAL_MS = 700;
 
-	private static final int SILENCE_LIMIT_S = 6;
+	/** Three heartbeats and some delay; a connection may fall silent without closing. */
+	private static final long SILENCE_LIMIT_MS = 2_500;
 
 	private static final int LENGTH_BYTES = 4;
 
@@ -136,7 +137,8 @@
 		context.pipeline()
 			.replace(LengthFieldBasedFrameDecoder.class, "frames",
 					new LengthFieldBasedFrameDecoder(this.maximumFrameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-		context.pipeline().addLast(new IdleStateHandler(SILENCE_LIMIT_S, HEARTBEAT_INTERVAL_S, 0), peer);
+		context.pipeline()
+			.addLast(new IdleStateHandler(SILENCE_LIMIT_MS, HEARTBEAT_INTERVAL_MS, 0, TimeUnit.MILLISECONDS), peer);
 		context.pipeline().remove(this);
 		this.handler.onOpen(peer);
 		this.opened.accept(peer);
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -5,9 +5,13 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.consensus.ConsensusMessage;
+import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.ItemResult;
+import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.presence.TableChanges;
 import org.zinniatack.core.presence.TableVersion;
 import org.zinniatack.core.result.ResultCode;
@@ -15,6 +19,7 @@
 import org.zinniatack.core.sample.VersionSpan;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.core.usage.UsageFigure;
 import org.zinniatack.core.usage.UsagePart;
 
@@ -55,7 +60,13 @@
 		@JsonSubTypes.Type(value = Message.TargetCrash.class, name = "tc"),
 		@JsonSubTypes.Type(value = Message.UsageNote.class, name = "un"),
 		@JsonSubTypes.Type(value = Message.UsageRelease.class, name = "ur"),
-		@JsonSubTypes.Type(value = Message.HeldUsage.class, name = "hu") })
+		@JsonSubTypes.Type(value = Message.HeldUsage.class, name = "hu"),
+		@JsonSubTypes.Type(value = Message.Subscribe.class, name = "sb"),
+		@JsonSubTypes.Type(value = Message.SystemFeed.class, name = "sf"),
+		@JsonSubTypes.Type(value = Message.ReadJob.class, name = "rj"),
+		@JsonSubTypes.Type(value = Message.JobPage.class, name = "jp"),
+		@JsonSubTypes.Type(value = Message.ReadItem.class, name = "rb"),
+		@JsonSubTypes.Type(value = Message.ItemBody.class, name = "ib") })
 public sealed interface Message {
 
 	/**
@@ -434,4 +445,61 @@
 	record HeldUsage(UsagePart part) implements Message {
 	}
 
+	/**
+	 * Asks a control process for its feed, again and again while it is wanted.
+	 *
+	 * @param tableNumber the number of the routing table that the asker holds, 0 for none
+	 */
+	record Subscribe(long tableNumber) implements Message {
+	}
+
+	/**
+	 * What a control process knows that its subscriber may not.
+	 *
+	 * @param controlAddresses the addresses of all control processes that are known
+	 * @param table the routing table, or null if the subscriber holds it
+	 * @param targets the notices of targets that changed
+	 * @param heardTargetIds the targets from which something was heard lately
+	 */
+	record SystemFeed(List<String> controlAddresses, @Nullable RoutingTable table, List<TargetNotice> targets,
+			List<String> heardTargetIds) implements Message {
+	}
+
+	/**
+	 * Asks for results of a job.
+	 *
+	 * @param id the job
+	 * @param position the first position wanted
+	 * @param waitMs how long to wait for a result, in milliseconds
+	 */
+	record ReadJob(JobId id, int position, long waitMs) implements Message {
+	}
+
+	/**
+	 * Answers with results of a job.
+	 *
+	 * @param found false if there is no such job
+	 * @param itemCount the number of items of the job
+	 * @param results the results from the position on
+	 */
+	record JobPage(boolean found, int itemCount, List<ItemResult> results) implements Message {
+	}
+
+	/**
+	 * Asks for the body of an item.
+	 *
+	 * @param id the job
+	 * @param itemId the item
+	 */
+	record ReadItem(JobId id, String itemId) implements Message {
+	}
+
+	/**
+	 * Answers with the body of an item.
+	 *
+	 * @param body the body, or null if there is no such item that still waits
+	 */
+	record ItemBody(byte @Nullable [] body) implements Message {
+	}
+
 }
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
@@ -35,7 +35,7 @@
 
 	private static final int LENGTH_BYTES = 4;
 
-	private static final int CONNECT_TIMEOUT_MS = 2_000;
+	private static final int CONNECT_TIMEOUT_MS = 1_000;
 
 	private static final long STOP_TIMEOUT_MS = 2_000;
 
