--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -108,7 +108,7 @@
 	 * @throws ServiceException if the data folder cannot be opened
 	 */
 	public ControlService(ControlSettings settings) throws ServiceException {
-		this(ControlMembers.named(settings.name(), settings.members()), Path.of(settings.dataFolder()),
+		this(ControlMembers.named(settings.name(), settings.members()), settings.name(), Path.of(settings.dataFolder()),
 				settings.listenAddress(), settings.clusterSecret(), new DutySettings(settings.failureDomains(),
 						settings.usageWindowMs(), settings.usageGraceMs(), settings.shrinkDelayMs()),
 				platform(settings.platformUrl()));
@@ -122,13 +122,13 @@
 	 */
 	public ControlService(SeededControlSettings settings, Platform platform) throws ServiceException {
 		this(ControlMembers.seeded(settings.listenAddress(), settings.clusterAddresses(), settings.firstStart(),
-				settings.voterCount()), Path.of(settings.dataFolder()), settings.listenAddress(),
+				settings.voterCount()), settings.name(), Path.of(settings.dataFolder()), settings.listenAddress(),
 				settings.clusterSecret(),
 				new DutySettings(List.of(), settings.usageWindowMs(), settings.usageGraceMs(), 0), platform);
 	}
 
-	private ControlService(ControlMembers members, Path dataFolder, String listenAddress, String clusterSecret,
-			DutySettings dutySettings, Platform platform) throws ServiceException {
+	private ControlService(ControlMembers members, String operatorsName, Path dataFolder, String listenAddress,
+			String clusterSecret, DutySettings dutySettings, Platform platform) throws ServiceException {
 		this.members = members;
 		this.listenAddress = listenAddress;
 		this.dutySettings = dutySettings;
@@ -136,7 +136,7 @@
 		this.store = ReplicaStore.open(dataFolder, members.ownName());
 		this.wire = new Wire(new PeerIdentity("control", members.ownName()), ClusterSecret.of(clusterSecret), this,
 				WIRE_THREADS);
-		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses);
+		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses, members.ownName(), operatorsName);
 		this.others = new MemberLinks(this.wire, members, this.directoryFeeds::subscribeAt);
 	}
 
@@ -378,6 +378,60 @@
 		return (running != null) ? this.members.addresses(running.status().membership()) : List.of();
 	}
 
+	/**
+	 * Has a control process leave the members once another has taken its place.
+	 * @param name the name that operators use for it
+	 * @return nothing once the order is accepted; it fails with RECORD_UNKNOWN for an
+	 * unknown process and with REVISION_CONFLICT if too few would remain
+	 */
+	public CompletableFuture<Void> retire(String name) {
+		Optional<String> address = this.directoryFeeds.addressOf(name);
+		if (address.isEmpty()) {
+			return CompletableFuture
+				.failedFuture(ServiceException.of(ResultCode.RECORD_UNKNOWN, "no control process is named " + name));
+		}
+		return readCurrent(ControlState::retiring).thenCompose((retiring) -> {
+			if (retiring.contains(address.get())) {
+				return CompletableFuture.<Void>completedFuture(null);
+			}
+			long remaining = requireDriver().status()
+				.membership()
+				.all()
+				.stream()
+				.map(MemberChange::nameOf)
+				.filter((member) -> !member.equals(address.get()) && !retiring.contains(member))
+				.distinct()
+				.count();
+			if (remaining < this.members.maximumVoters()) {
+				return CompletableFuture.failedFuture(ServiceException.of(ResultCode.REVISION_CONFLICT,
+						"only " + remaining + " control processes would remain"));
+			}
+			LOGGER.atInfo().log("event=retirement_ordered member=%s name=%s", address.get(), name);
+			return propose(new Command.RetireMember(address.get())).thenApply((reply) -> null);
+		});
+	}
+
+	/**
+	 * Returns whether a control process has left the members for good.
+	 * @param name the name that operators use for it
+	 * @return true once it has left, false while it is leaving; it fails with
+	 * RECORD_UNKNOWN if it was not asked to
+	 */
+	public CompletableFuture<Boolean> isRetired(String name) {
+		String address = this.directoryFeeds.addressOf(name).orElse("");
+		return readCurrent(ControlState::retiring).thenCompose((retiring) -> {
+			if (!retiring.contains(address)) {
+				return CompletableFuture
+					.failedFuture(ServiceException.of(ResultCode.RECORD_UNKNOWN, name + " does not retire"));
+			}
+			return CompletableFuture.completedFuture(requireDriver().status()
+				.membership()
+				.all()
+				.stream()
+				.noneMatch((id) -> MemberChange.nameOf(id).equals(address)));
+		});
+	}
+
 	/**
 	 * Returns the term in which this process leads, as long as no other can.
 	 * @return the term, which serves as fencing number, or empty without a lease
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -47,8 +49,12 @@
 
 	private long lastTickMs = nowMs();
 
-	DirectoryFeeds(Supplier<List<String>> controlAddresses) {
+	/** The names that operators use for control processes, by address. */
+	private final Map<String, String> namesByAddress = new TreeMap<>();
+
+	DirectoryFeeds(Supplier<List<String>> controlAddresses, String ownAddress, String ownName) {
 		this.controlAddresses = controlAddresses;
+		this.namesByAddress.put(ownAddress, ownName);
 	}
 
 	private static long nowMs() {
@@ -87,6 +93,15 @@
 		return this.directory.ready(pool, nowMs());
 	}
 
+	/** Returns the address of the control process that operators call by a name. */
+	synchronized Optional<String> addressOf(String name) {
+		return this.namesByAddress.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().equals(name))
+			.map(Map.Entry::getKey)
+			.findFirst();
+	}
+
 	synchronized void onSubscribe(Peer peer, Message.Subscribe subscribe) {
 		boolean known = this.subscribers.containsKey(peer);
 		this.subscribers.put(peer, subscribe.tableNumber());
@@ -108,6 +123,7 @@
 			}
 		}
 		this.directory.heard(feed.heardTargetIds(), nowMs());
+		this.namesByAddress.putAll(feed.namesByAddress());
 		if (!changed.isEmpty()) {
 			push(changed);
 		}
@@ -144,7 +160,8 @@
 		if (behind) {
 			this.subscribers.put(peer, newest.number());
 		}
-		peer.send(new Message.SystemFeed(this.controlAddresses.get(), behind ? newest : null, changed, heard));
+		peer.send(new Message.SystemFeed(this.controlAddresses.get(), Map.copyOf(this.namesByAddress),
+				behind ? newest : null, changed, heard));
 	}
 
 }
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -258,12 +259,14 @@
 	private void admit() {
 		long nowMs = nowMs();
 		Collection<String> asking = this.joining.current(nowMs);
-		if (asking.isEmpty() || !this.replica.holdsLease(nowMs)) {
+		MemberChange.Leaving leaving = new MemberChange.Leaving(
+				Set.copyOf(this.replica.silentVoters(nowMs, VOTER_SILENCE_MS)), this.state.retiring());
+		boolean nothingToDo = asking.isEmpty() && leaving.retiringNames().isEmpty();
+		if (nothingToDo || !this.replica.holdsLease(nowMs) || handsOver(leaving, nowMs)) {
 			return;
 		}
-		List<String> silent = this.replica.silentVoters(nowMs, VOTER_SILENCE_MS);
 		MemberChange
-			.next(this.replica.membership(), asking, this.replica.caughtUpLearners(), silent, this.maximumVoters)
+			.next(this.replica.membership(), asking, this.replica.caughtUpLearners(), leaving, this.maximumVoters)
 			.ifPresent((next) -> {
 				try {
 					this.replica.changeMembership(next);
@@ -276,6 +279,13 @@
 			});
 	}
 
+	/** Gives leadership up where this process itself retires and its successor votes. */
+	private boolean handsOver(MemberChange.Leaving leaving, long nowMs) {
+		boolean ownTurn = leaving.retiringNames().contains(MemberChange.nameOf(this.store.replicaId()))
+				&& this.replica.membership().voters().size() > this.maximumVoters;
+		return ownTurn && this.replica.transferLeadership(nowMs);
+	}
+
 	private void flush() throws ServiceException, IOException {
 		if (!this.writable && nowMs() < this.diskRetryAtMs) {
 			return;
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaSettings.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaSettings.java
@@ -16,11 +16,11 @@
 public record ReplicaSettings(String id, long heartbeatIntervalMs, long electionTimeoutMs, long leaseDurationMs,
 		int maximumBatchEntries) {
 
-	private static final long DEFAULT_HEARTBEAT_INTERVAL_MS = 150;
+	private static final long DEFAULT_HEARTBEAT_INTERVAL_MS = 100;
 
-	private static final long DEFAULT_ELECTION_TIMEOUT_MS = 600;
+	private static final long DEFAULT_ELECTION_TIMEOUT_MS = 450;
 
-	private static final long DEFAULT_LEASE_DURATION_MS = 500;
+	private static final long DEFAULT_LEASE_DURATION_MS = 380;
 
 	private static final int DEFAULT_MAXIMUM_BATCH_ENTRIES = 256;
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/membership/MemberChange.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/membership/MemberChange.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.zinniatack.core.consensus.Membership;
 
@@ -26,37 +27,46 @@
 	 * @return the next membership, or empty if nothing is to change
 	 */
 	public static Optional<Membership> next(Membership current, Collection<String> joining, List<String> caughtUp) {
-		return next(current, joining, caughtUp, List.of(), Integer.MAX_VALUE);
+		return next(current, joining, caughtUp, Leaving.none(), Integer.MAX_VALUE);
 	}
 
 	/**
 	 * Returns the next membership where the number of voters is bounded. A learner above
-	 * the bound stands by and takes the place of a voter that is silent. It votes before
-	 * the silent one leaves, so that each entry stays on as many disks.
+	 * the bound stands by and takes the place of a voter that is silent or retires. It
+	 * votes before the other leaves, so that each entry stays on as many disks.
 	 * @param current the current membership
 	 * @param joining the ids that ask to join, at most one a name
 	 * @param caughtUp the learners that hold every committed entry
-	 * @param silent the voters that have not answered for long
+	 * @param leaving the members whose place others may take
 	 * @param maximumVoters the largest number of voters
 	 * @return the next membership, or empty if nothing is to change
 	 */
 	public static Optional<Membership> next(Membership current, Collection<String> joining, List<String> caughtUp,
-			Collection<String> silent, int maximumVoters) {
+			Leaving leaving, int maximumVoters) {
 		Optional<String> replaced = current.all().stream().filter((id) -> isReplaced(current, id, joining)).findFirst();
 		if (replaced.isPresent()) {
 			return replaced.map(current::without);
 		}
+		Optional<String> retired = current.learners().stream().filter(leaving::isRetiring).findFirst();
+		if (retired.isPresent()) {
+			return retired.map(current::without);
+		}
 		if (current.voters().size() > maximumVoters) {
-			return silent.stream().filter(current.voters()::contains).findFirst().map(current::without);
+			return current.voters().stream().filter(leaving::mayLeave).findFirst().map(current::without);
 		}
+		boolean placeIsFree = current.voters().size() < maximumVoters
+				|| current.voters().stream().anyMatch(leaving::mayLeave);
 		Optional<String> promoted = caughtUp.stream()
 			.filter(joining::contains)
-			.filter((id) -> current.voters().size() < maximumVoters || !silent.isEmpty() || succeedsVoter(current, id))
+			.filter((id) -> placeIsFree || succeedsVoter(current, id))
 			.findFirst();
 		if (promoted.isPresent()) {
 			return promoted.map(current::withVoter);
 		}
-		return joining.stream().filter((id) -> !current.all().contains(id)).findFirst().map(current::withLearner);
+		return joining.stream()
+			.filter((id) -> !current.all().contains(id) && !leaving.isRetiring(id))
+			.findFirst()
+			.map(current::withLearner);
 	}
 
 	private static boolean succeedsVoter(Membership current, String id) {
@@ -78,4 +88,38 @@
 		return replicaId.substring(0, replicaId.lastIndexOf(SEPARATOR));
 	}
 
+	/**
+	 * The members whose place others may take.
+	 *
+	 * @param silentIds the ids of voters that have not answered for long
+	 * @param retiringNames the names of members that leave for good
+	 */
+	public record Leaving(Set<String> silentIds, Set<String> retiringNames) {
+
+		/**
+		 * Copies the arguments.
+		 */
+		public Leaving {
+			silentIds = Set.copyOf(silentIds);
+			retiringNames = Set.copyOf(retiringNames);
+		}
+
+		/**
+		 * Returns that no member leaves.
+		 * @return nobody
+		 */
+		public static Leaving none() {
+			return new Leaving(Set.of(), Set.of());
+		}
+
+		boolean isRetiring(String id) {
+			return this.retiringNames.contains(nameOf(id));
+		}
+
+		boolean mayLeave(String id) {
+			return this.silentIds.contains(id) || isRetiring(id);
+		}
+
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -41,7 +41,8 @@
 		@JsonSubTypes.Type(value = Command.SubmitJob.class, name = "job"),
 		@JsonSubTypes.Type(value = Command.FinishItems.class, name = "items"),
 		@JsonSubTypes.Type(value = Command.EndJob.class, name = "end"),
-		@JsonSubTypes.Type(value = Command.ForgetJobs.class, name = "forget") })
+		@JsonSubTypes.Type(value = Command.ForgetJobs.class, name = "forget"),
+		@JsonSubTypes.Type(value = Command.RetireMember.class, name = "retire") })
 public sealed interface Command {
 
 	/**
@@ -266,4 +267,12 @@
 	record ForgetJobs(List<JobId> ids) implements Command {
 	}
 
+	/**
+	 * Has a control process leave the members once another has taken its place.
+	 *
+	 * @param memberName its name among the members
+	 */
+	record RetireMember(String memberName) implements Command {
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -46,6 +46,8 @@
 
 	private JobLedger jobs = new JobLedger();
 
+	private final Set<String> retiring = new LinkedHashSet<>();
+
 	private final Map<String, TargetOrder> orders = new TreeMap<>();
 
 	private final Map<String, Long> weights = new TreeMap<>();
@@ -68,6 +70,7 @@
 		state.crashes = CrashTable.of(image.crashes());
 		state.table = TableHolder.of(image.table());
 		state.jobs = JobLedger.of(image.jobs());
+		state.retiring.addAll(image.retiring());
 		image.orders().forEach((order) -> state.orders.put(order.pool(), order));
 		state.weights.putAll(image.weights());
 		state.draining.addAll(image.draining());
@@ -195,6 +198,9 @@
 		else if (command instanceof Command.ForgetJobs forget) {
 			this.jobs.forget(forget.ids());
 		}
+		else if (command instanceof Command.RetireMember retire) {
+			this.retiring.add(retire.memberName());
+		}
 		else {
 			return false;
 		}
@@ -252,7 +258,7 @@
 		return new Image(this.appliedIndex, this.records.revision(), this.records.records(), this.history.images(),
 				this.intents.images(), this.steps.images(), this.usage.image(), this.crashes.image(),
 				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining),
-				this.table.image(), this.jobs.images());
+				this.table.image(), this.jobs.images(), List.copyOf(this.retiring));
 	}
 
 	/**
@@ -263,6 +269,14 @@
 		return this.jobs;
 	}
 
+	/**
+	 * Returns the control processes that leave or have left for good.
+	 * @return their names among the members
+	 */
+	public Set<String> retiring() {
+		return Set.copyOf(this.retiring);
+	}
+
 	/**
 	 * Returns the routing table in force.
 	 * @return the table and its text, or null if none was accepted yet
@@ -336,17 +350,19 @@
 	 * @param draining the ids of targets that must leave, oldest first
 	 * @param table the routing table, or null if none was accepted yet
 	 * @param jobs the jobs, oldest first
+	 * @param retiring the names of control processes that leave or have left
 	 */
 	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
 			List<RequestHistory.Answered> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
 			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights,
-			List<String> draining, TableHolder.@Nullable Image table, List<Job.Image> jobs) {
+			List<String> draining, TableHolder.@Nullable Image table, List<Job.Image> jobs, List<String> retiring) {
 
 		/**
 		 * Takes an image without jobs, as earlier versions stored it, for one with none.
 		 */
 		public Image {
 			jobs = Objects.requireNonNullElse(jobs, List.of());
+			retiring = Objects.requireNonNullElse(retiring, List.of());
 		}
 
 	}
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/directory/TargetDirectoryTests.java
@@ -0,0 +1,102 @@
+package org.zinniatack.core.directory;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.directory.TargetNotice.State;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link TargetDirectory}.
+ */
+class TargetDirectoryTests {
+
+	private static final long SILENCE_MS = 5_000;
+
+	private final TargetDirectory directory = new TargetDirectory(SILENCE_MS, 60_000);
+
+	private static TargetNotice notice(String id, long bornMs, long sequence, String address, State state) {
+		return new TargetNotice(id, bornMs, sequence, "pool", address, "a", state, 8, Map.of("m", 1L));
+	}
+
+	private List<String> readyIds(long nowMs) {
+		return this.directory.ready("pool", nowMs).stream().map(TargetNotice::id).sorted().toList();
+	}
+
+	@Test
+	void aLateAnnouncementDoesNotBringADrainingTargetBack() {
+		this.directory.merge(notice("t", 1, 1, "10.0.0.1:1", State.READY), 0);
+		this.directory.merge(notice("t", 1, 3, "10.0.0.1:1", State.DRAINING), 10);
+		assertThat(this.directory.merge(notice("t", 1, 2, "10.0.0.1:1", State.READY), 20), is(false));
+		assertThat(readyIds(20), empty());
+	}
+
+	@Test
+	void aNewerAnnouncementOfTheSameStartDoesNotEndDraining() {
+		this.directory.merge(notice("t", 1, 3, "10.0.0.1:1", State.DRAINING), 0);
+		this.directory.merge(notice("t", 1, 4, "10.0.0.1:1", State.READY), 10);
+		assertThat(readyIds(10), empty());
+	}
+
+	@Test
+	void aTargetThatHasLeftStaysAwayUntilItStartsAgain() {
+		TargetNotice first = notice("t", 1, 5, "10.0.0.1:1", State.READY);
+		this.directory.merge(first, 0);
+		this.directory.merge(first.asGone(), 10);
+		this.directory.merge(notice("t", 1, 6, "10.0.0.1:1", State.READY), 20);
+		assertThat(readyIds(20), empty());
+		this.directory.merge(notice("t", 2, 1, "10.0.0.1:1", State.READY), 30);
+		assertThat(readyIds(30), contains("t"));
+	}
+
+	@Test
+	void anAnnouncementFromBeforeARestartUnderTheSameIdChangesNothing() {
+		this.directory.merge(notice("t", 2, 1, "10.0.0.1:1", State.READY), 0);
+		assertThat(this.directory.merge(notice("t", 1, 99, "10.0.0.9:1", State.DRAINING), 10), is(false));
+		assertThat(readyIds(10), contains("t"));
+	}
+
+	@Test
+	void ofTwoTargetsAtOneAddressOnlyTheOneThatStartedLastIsUsed() {
+		this.directory.merge(notice("new", 2, 1, "10.0.0.1:1", State.READY), 0);
+		this.directory.merge(notice("ghost", 1, 50, "10.0.0.1:1", State.READY), 10);
+		assertThat(readyIds(10), contains("new"));
+	}
+
+	@Test
+	void aSilentTargetIsNotUsedUntilSomeProcessHearsFromIt() {
+		this.directory.merge(notice("t", 1, 1, "10.0.0.1:1", State.READY), 0);
+		assertThat(readyIds(SILENCE_MS + 1), empty());
+		this.directory.heard(List.of("t"), SILENCE_MS + 1);
+		assertThat(readyIds(SILENCE_MS + 1), contains("t"));
+	}
+
+	@Test
+	void onlyWhatMattersToOthersIsPassedOn() {
+		this.directory.merge(notice("t", 1, 1, "10.0.0.1:1", State.READY), 0);
+		assertThat(this.directory.merge(notice("t", 1, 2, "10.0.0.1:1", State.READY), 10), is(false));
+		assertThat(this.directory.heardSince(5), contains("t"));
+		assertThat(this.directory.merge(notice("t", 1, 3, "10.0.0.1:1", State.DRAINING), 20), is(true));
+	}
+
+	@Test
+	void theOrderInWhichNoticesArriveDoesNotMatter() {
+		List<TargetNotice> said = List.of(notice("t", 1, 1, "10.0.0.1:1", State.READY),
+				notice("t", 1, 2, "10.0.0.1:1", State.DRAINING), notice("t", 2, 1, "10.0.0.2:1", State.READY));
+		int[][] orders = { { 0, 1, 2 }, { 0, 2, 1 }, { 1, 0, 2 }, { 1, 2, 0 }, { 2, 0, 1 }, { 2, 1, 0 } };
+		for (int[] order : orders) {
+			TargetDirectory other = new TargetDirectory(SILENCE_MS, 60_000);
+			for (int position : order) {
+				other.merge(said.get(position), 0);
+			}
+			assertThat(other.ready("pool", 0), contains(said.get(2)));
+		}
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -0,0 +1,91 @@
+package org.zinniatack.core.job;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link JobLedger}.
+ */
+class JobLedgerTests {
+
+	private static final JobId ID = new JobId("customer", "job");
+
+	private final JobLedger ledger = new JobLedger();
+
+	private static JobSubmission submission(String... itemIds) {
+		List<JobItem> items = Arrays.stream(itemIds)
+			.map((id) -> new JobItem(id, "g", "/p/", Map.of(), new byte[] { 1 }, "", 0, null))
+			.toList();
+		return new JobSubmission(ID, "h.example", "m", 1, 1_000, 7_000, 40_000, items);
+	}
+
+	private static ItemResult result(String id, String text) {
+		return new ItemResult(id, true, text, List.of(1L), "score");
+	}
+
+	private List<String> listed(int position) {
+		return this.ledger.job(ID)
+			.orElseThrow()
+			.resultsFrom(position, Long.MAX_VALUE)
+			.stream()
+			.map(ItemResult::itemId)
+			.toList();
+	}
+
+	@Test
+	void aJobIsAcceptedOnceHoweverOftenItIsSubmitted() {
+		this.ledger.submit(submission("a", "b"));
+		this.ledger.finish(ID, List.of(result("a", "x")));
+		this.ledger.submit(submission("a", "b"));
+		assertThat(listed(0), contains("a"));
+	}
+
+	@Test
+	void aResultKeepsItsPositionAndIsNeverReplaced() {
+		this.ledger.submit(submission("a", "b", "c"));
+		this.ledger.finish(ID, List.of(result("b", "first"), result("a", "x")));
+		this.ledger.finish(ID, List.of(result("b", "second"), result("c", "y"), result("stranger", "z")));
+		assertThat(listed(0), contains("b", "a", "c"));
+		assertThat(this.ledger.job(ID).orElseThrow().resultsFrom(0, 1).get(0).text(), is("first"));
+		assertThat(this.ledger.job(ID).orElseThrow().isOpen(), is(false));
+	}
+
+	@Test
+	void aPageHoldsAtLeastOneResultAndNoMoreThanItsLimit() {
+		this.ledger.submit(submission("a", "b", "c"));
+		this.ledger.finish(ID, List.of(result("a", "1234"), result("b", "1234"), result("c", "1234")));
+		Job job = this.ledger.job(ID).orElseThrow();
+		assertThat(job.resultsFrom(0, 1), hasSize(1));
+		assertThat(job.resultsFrom(0, 8), hasSize(2));
+		assertThat(job.resultsFrom(2, 8), hasSize(1));
+		assertThat(job.resultsFrom(9, 8), hasSize(0));
+	}
+
+	@Test
+	void anEndedJobKeepsWhatIsListedAndRunsNothing() {
+		this.ledger.submit(submission("a", "b"));
+		this.ledger.finish(ID, List.of(result("a", "x")));
+		this.ledger.end(ID);
+		assertThat(this.ledger.job(ID).orElseThrow().isOpen(), is(false));
+		assertThat(listed(0), contains("a"));
+	}
+
+	@Test
+	void aLedgerFromItsStoredFormIsTheSame() {
+		this.ledger.submit(submission("a", "b"));
+		this.ledger.finish(ID, List.of(result("b", "x")));
+		JobLedger restored = JobLedger.of(this.ledger.images());
+		assertThat(restored.images(), is(this.ledger.images()));
+		assertThat(restored.job(ID).orElseThrow().isFinished("b"), is(true));
+		assertThat(restored.job(ID).orElseThrow().isOpen(), is(true));
+	}
+
+}
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/table/RoutingTableTests.java
@@ -0,0 +1,104 @@
+package org.zinniatack.core.table;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.key.KeyDigest;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+
+/**
+ * Tests of {@link RoutingTable}, {@link RouteIndex} and {@link TableHolder}.
+ */
+class RoutingTableTests {
+
+	private static final CallerLimits LIMITS = new CallerLimits(1024, 1024, 1_000, 1_000);
+
+	private static Route route(String name, String prefix, long timeoutMs, PoolShare... shares) {
+		return new Route(name, "h.example", prefix, RouteKind.IDEMPOTENT, false, false, timeoutMs, 100, 0, 2,
+				List.of(shares), 0, 0, false);
+	}
+
+	private static RoutingTable table(long number, List<Route> routes, Customer... customers) {
+		return new RoutingTable(number, routes,
+				Map.of("p", new Pool("p", 10, 0, List.of()), "q", new Pool("q", 10, 0, List.of())), List.of(customers),
+				LIMITS);
+	}
+
+	private static void assertInvalid(RoutingTable table, String reason) {
+		try {
+			table.requireValid();
+		}
+		catch (ServiceException ex) {
+			assertThat(ex.code(), is(ResultCode.RECORD_INVALID));
+			assertThat(ex.getMessage(), containsString(reason));
+			return;
+		}
+		throw new AssertionError("a table was accepted though " + reason);
+	}
+
+	@Test
+	void aTableThatCannotBePutInForceIsRefusedWithTheReason() {
+		PoolShare share = new PoolShare("p", 1);
+		assertInvalid(table(1, List.of(route("r", "/a/", 10, new PoolShare("x", 1)))), "unknown pool x");
+		assertInvalid(table(1, List.of(route("r", "/a/", 10, new PoolShare("p", 0)))), "add up to 0");
+		assertInvalid(table(1, List.of(route("r", "/a/", 0, share))), "no positive timeout");
+		assertInvalid(table(1, List.of(route("r", "/a", 10, share))), "slash");
+		assertInvalid(table(1, List.of(route("r", "/a/", 10, share), route("s", "/a/", 10, share))), "share host");
+		String digest = KeyDigest.of("k").hex();
+		assertInvalid(table(1, List.of(), new Customer("c", List.of(digest), 0), new Customer("d", List.of(digest), 0)),
+				"listed twice");
+	}
+
+	@Test
+	void theLongestPrefixThatBeginsThePathSelectsTheRoute() throws ServiceException {
+		PoolShare share = new PoolShare("p", 1);
+		RouteIndex index = new RouteIndex(
+				table(1, List.of(route("short", "/a/", 10, share), route("long", "/a/b/", 10, share))).requireValid());
+		assertThat(index.routeOf("h.example", "/a/b/c?x=1").orElseThrow().name(), is("long"));
+		assertThat(index.routeOf("h.example", "/a/bc").orElseThrow().name(), is("short"));
+		assertThat(index.routeOf("h.example", "/b/").isPresent(), is(false));
+		assertThat(index.routeOf("other.example", "/a/").isPresent(), is(false));
+	}
+
+	@Test
+	void aKeySelectsItsCustomerOnly() {
+		RouteIndex index = new RouteIndex(
+				table(1, List.of(), new Customer("c", List.of(KeyDigest.of("key-c").hex()), 0),
+						new Customer("d", List.of(KeyDigest.of("key-d").hex()), 0)));
+		assertThat(index.customerOf("key-c").orElseThrow().name(), is("c"));
+		assertThat(index.customerOf("key-x").isPresent(), is(false));
+	}
+
+	@Test
+	void aSplitRouteSendsEachPoolItsShare() {
+		Route split = route("r", "/a/", 10, new PoolShare("p", 90), new PoolShare("q", 10), new PoolShare("z", 0));
+		double atQ = 0;
+		int points = 10_000;
+		for (int i = 0; i < points; i++) {
+			atQ += split.poolAt(i / (double) points).equals("q") ? 1 : 0;
+		}
+		assertThat(atQ / points, closeTo(0.1, 0.001));
+	}
+
+	@Test
+	void onlyAHigherNumberReplacesTheTable() {
+		TableHolder holder = new TableHolder();
+		holder.replace(table(5, List.of()), new byte[] { 5 });
+		holder.replace(table(4, List.of()), new byte[] { 4 });
+		holder.replace(table(5, List.of(route("r", "/a/", 1, new PoolShare("p", 1)))), new byte[] { 55 });
+		assertThat(holder.image(), notNullValue());
+		assertThat(holder.image().document(), is(new byte[] { 5 }));
+		holder.replace(table(9, List.of()), new byte[] { 9 });
+		assertThat(holder.image().table().number(), is(9L));
+	}
+
+}
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/GatewayService.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/GatewayService.java
@@ -74,6 +74,8 @@
 
 	private volatile boolean stopping;
 
+	private volatile long startedMs;
+
 	private volatile long lastFeedMs = Long.MIN_VALUE / 2;
 
 	private long useSequence;
@@ -106,6 +108,7 @@
 
 	@Override
 	public void start() {
+		this.startedMs = nowMs();
 		this.control.learn(this.settings.clusterAddresses());
 		this.reporting = this.loop.scheduleWithFixedDelay(this::reportUse, this.settings.usageIntervalMs(),
 				this.settings.usageIntervalMs(), TimeUnit.MILLISECONDS);
@@ -130,6 +133,14 @@
 		LOGGER.atInfo().log("event=gateway_draining name=%s", this.settings.name());
 	}
 
+	/**
+	 * Returns how long the process has been running.
+	 * @return the time since its start in milliseconds
+	 */
+	public long uptimeMs() {
+		return nowMs() - this.startedMs;
+	}
+
 	@Override
 	public boolean isReady() {
 		return !this.stopping && this.index != null && (!this.settings.closeWithoutControl() || hearsControl());
--- /dev/null
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/call/CallDispatcherTests.java
@@ -0,0 +1,271 @@
+package org.zinniatack.direct.call;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.result.Outcome;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.table.PoolShare;
+import org.zinniatack.core.table.Route;
+import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.direct.http.ScriptedTarget;
+import org.zinniatack.direct.http.TargetClient;
+import org.zinniatack.direct.target.TargetDialect;
+import org.zinniatack.direct.target.Targets;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Tests of {@link CallDispatcher}: what is sent again, and what a refusal says.
+ */
+class CallDispatcherTests {
+
+	private static final long WAIT_S = 10;
+
+	private static final String GOOD = ScriptedTarget.answer("r", "seal: s\r\n", "fine");
+
+	private static final String NOT_RUN = "HTTP/1.1 503 Full\r\nid: r\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+	private static final String FAILED = "HTTP/1.1 500 Bad\r\nid: r\r\nseal: f\r\nContent-Length: 3\r\n\r\nbad";
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	private final List<TargetNotice> ready = new ArrayList<>();
+
+	private final TestDialect dialect = new TestDialect();
+
+	private final CallDispatcher dispatcher = new CallDispatcher(this.loop, new TargetClient(this.loop, this.dialect),
+			this.dialect, new Targets((pool) -> this.ready, "a"));
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	private ScriptedTarget target(String id, String... script) throws IOException {
+		ScriptedTarget target = new ScriptedTarget(script);
+		this.ready.add(new TargetNotice(id, 1, 1, "p", target.address(), "a", TargetNotice.State.READY, 4, Map.of()));
+		return target;
+	}
+
+	private String run(RouteKind kind, long timeoutMs) throws Exception {
+		Route route = new Route("r", "h", "/", kind, false, true, timeoutMs, 100, 0, 2, List.of(new PoolShare("p", 1)),
+				0, 0, false);
+		Call call = new Call("r", route, "customer", HttpMethod.POST, "/x",
+				new DefaultHttpHeaders().set("id", "r").set("key", "secret"), new byte[0], 5_000);
+		CompletableFuture<String> outcome = new CompletableFuture<>();
+		this.loop.execute(() -> this.dispatcher.dispatch(call, new Sink(outcome)));
+		return outcome.get(WAIT_S, TimeUnit.SECONDS);
+	}
+
+	@Test
+	void aCallThatMayBeRepeatedGoesToAnotherTargetAfterALoss() throws Exception {
+		try (ScriptedTarget first = target("t1", ScriptedTarget.HANG_UP); ScriptedTarget second = target("t2", GOOD)) {
+			assertThat(run(RouteKind.IDEMPOTENT, 5_000), is("200 fine"));
+			assertThat(first.requests().size(), is(1));
+		}
+	}
+
+	@Test
+	void aCallThatMayNotBeRepeatedIsSentOnceAndIsNotCalledNotRun() throws Exception {
+		try (ScriptedTarget first = target("t1", ScriptedTarget.HANG_UP); ScriptedTarget second = target("t2", GOOD)) {
+			String outcome = run(RouteKind.AT_MOST_ONCE, 5_000);
+			assertThat(outcome, is("refused " + ResultCode.OUTCOME_UNKNOWN));
+			assertThat(ResultCode.OUTCOME_UNKNOWN.outcome(), is(Outcome.UNKNOWN));
+			assertThat(second.requests().size(), is(0));
+		}
+	}
+
+	@Test
+	void aCallThatATargetDidNotRunGoesToAnotherWhateverItsKind() throws Exception {
+		try (ScriptedTarget first = target("t1", NOT_RUN); ScriptedTarget second = target("t2", GOOD)) {
+			assertThat(run(RouteKind.AT_MOST_ONCE, 5_000), is("200 fine"));
+		}
+	}
+
+	@Test
+	void aCallThatNoTargetRanIsRefusedAtOnceAsNotRun() throws Exception {
+		try (ScriptedTarget first = target("t1", NOT_RUN); ScriptedTarget second = target("t2", NOT_RUN)) {
+			long startedNs = System.nanoTime();
+			assertThat(run(RouteKind.AT_MOST_ONCE, 5_000), is("refused " + ResultCode.TARGET_BUSY));
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs), lessThan(2_000L));
+			assertThat(ResultCode.TARGET_BUSY.outcome(), is(Outcome.NOT_RUN));
+		}
+	}
+
+	@Test
+	void withoutTargetsACallIsRefusedAtOnce() throws Exception {
+		assertThat(run(RouteKind.IDEMPOTENT, 5_000), is("refused " + ResultCode.NO_TARGET));
+	}
+
+	@Test
+	void aFailureIsTriedElsewhereAndPassedOnIfAllFail() throws Exception {
+		try (ScriptedTarget first = target("t1", FAILED); ScriptedTarget second = target("t2", FAILED)) {
+			assertThat(run(RouteKind.IDEMPOTENT, 5_000), is("500 bad"));
+			assertThat(first.requests().size() + second.requests().size(), is(2));
+		}
+	}
+
+	@Test
+	void aSilentTargetIsHedgedAndTheFirstAnswerCounts() throws Exception {
+		try (ScriptedTarget first = target("t1", ScriptedTarget.SILENCE); ScriptedTarget second = target("t2", GOOD)) {
+			assertThat(run(RouteKind.IDEMPOTENT, 5_000), is("200 fine"));
+		}
+	}
+
+	@Test
+	void aCallThatMayNotBeRepeatedIsNeverHedgedAndEndsAtItsTimeout() throws Exception {
+		try (ScriptedTarget first = target("t1", ScriptedTarget.SILENCE); ScriptedTarget second = target("t2", GOOD)) {
+			assertThat(run(RouteKind.AT_MOST_ONCE, 400), is("refused " + ResultCode.DEADLINE_EXCEEDED));
+			assertThat(second.requests().size(), is(0));
+		}
+	}
+
+	@Test
+	void noTargetSeesAKey() throws Exception {
+		try (ScriptedTarget first = target("t1", GOOD)) {
+			run(RouteKind.IDEMPOTENT, 5_000);
+			assertThat(first.requests().get(0), not(containsString("secret")));
+			assertThat(first.requests().get(0), containsString("expect: t1"));
+		}
+	}
+
+	/** Speaks with short header names. */
+	private static final class TestDialect implements TargetDialect {
+
+		@Override
+		public boolean answers(FullHttpRequest request, HttpResponse response) {
+			return request.headers().get("id").equals(response.headers().get("id"));
+		}
+
+		@Override
+		public void stamp(HttpHeaders headers, Stamp stamp) {
+			headers.remove("key");
+			headers.set("expect", stamp.targetId());
+		}
+
+		@Override
+		public void identify(HttpHeaders headers, String requestId) {
+			headers.set("id", requestId);
+		}
+
+		@Override
+		public Verdict verdict(HttpResponse response) {
+			if (response.headers().contains("not-run")) {
+				return Verdict.NOT_RUN;
+			}
+			return (response.status().code() == 200) ? Verdict.ANSWERED : Verdict.FAILED;
+		}
+
+		@Override
+		public Optional<String> seal(HttpResponse response) {
+			return Optional.ofNullable(response.headers().get("seal"));
+		}
+
+		@Override
+		public OptionalLong weightVersion(HttpResponse response) {
+			return OptionalLong.empty();
+		}
+
+		@Override
+		public OptionalLong weightVersion(String line) {
+			return OptionalLong.empty();
+		}
+
+		@Override
+		public Optional<StatedLoad> load(HttpResponse response) {
+			return Optional.empty();
+		}
+
+		@Override
+		public FullHttpRequest reportRequest(String targetId) {
+			throw new IllegalStateException("no reports here");
+		}
+
+		@Override
+		public TargetReport report(byte[] body) {
+			throw new IllegalStateException("no reports here");
+		}
+
+		@Override
+		public FullHttpRequest loadRequest(LoadOrder order) {
+			throw new IllegalStateException("no orders here");
+		}
+
+	}
+
+	/** Turns the outcome into a text. */
+	private static final class Sink implements CallSink {
+
+		private final CompletableFuture<String> outcome;
+
+		Sink(CompletableFuture<String> outcome) {
+			this.outcome = outcome;
+		}
+
+		@Override
+		public void answer(HttpResponse head, ByteBuf body) {
+			this.outcome.complete(head.status().code() + " " + body.toString(StandardCharsets.ISO_8859_1));
+			body.release();
+		}
+
+		@Override
+		public void refuse(ResultCode code, long retryAfterMs) {
+			this.outcome.complete("refused " + code);
+		}
+
+		@Override
+		public void beginStream(HttpResponse head) {
+			this.outcome.complete("stream");
+		}
+
+		@Override
+		public void continueStream(ByteBuf content) {
+			// The head is enough here.
+		}
+
+		@Override
+		public void endStream() {
+			// See continueStream.
+		}
+
+		@Override
+		public void breakStream() {
+			this.outcome.complete("broken");
+		}
+
+		@Override
+		public void began() {
+			// Not counted here.
+		}
+
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/http/ScriptedTarget.java
@@ -0,0 +1,139 @@
+package org.zinniatack.direct.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A target on loopback that answers each request with the next bytes of its script.
+ */
+public final class ScriptedTarget implements AutoCloseable {
+
+	/** Closes the connection in place of an answer. */
+	public static final String HANG_UP = "";
+
+	/** At the end of an answer, closes the connection after it. */
+	public static final String THEN_HANG_UP = "\u0000";
+
+	/** Leaves the request without an answer. */
+	public static final String SILENCE = "silence";
+
+	private final ServerSocket server;
+
+	private final List<String> script;
+
+	private final AtomicInteger position = new AtomicInteger();
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	private final List<String> requests = new CopyOnWriteArrayList<>();
+
+	/**
+	 * Starts a target.
+	 * @param script the answers in the order of the requests, the last for all further
+	 * ones
+	 * @throws IOException if no port is free
+	 */
+	public ScriptedTarget(String... script) throws IOException {
+		this.script = List.of(script);
+		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		Thread accepting = new Thread(this::accept, "scripted-target");
+		accepting.setDaemon(true);
+		accepting.start();
+	}
+
+	/**
+	 * Returns a whole answer.
+	 * @param requestId the id that it states
+	 * @param more further header lines, each with its line end
+	 * @param body the body
+	 * @return the bytes as text
+	 */
+	public static String answer(String requestId, String more, String body) {
+		return "HTTP/1.1 200 OK\r\nid: %s\r\nKeep-Alive: timeout=10\r\n%sContent-Length: %d\r\n\r\n%s"
+			.formatted(requestId, more, body.length(), body);
+	}
+
+	/**
+	 * Returns the address.
+	 * @return host and port
+	 */
+	public String address() {
+		return "127.0.0.1:" + this.server.getLocalPort();
+	}
+
+	/**
+	 * Returns the number of connections so far.
+	 * @return the number
+	 */
+	public int connectionCount() {
+		return this.connections.get();
+	}
+
+	/**
+	 * Returns the heads of the requests so far.
+	 * @return the heads in order of their arrival
+	 */
+	public List<String> requests() {
+		return List.copyOf(this.requests);
+	}
+
+	private void accept() {
+		try {
+			while (true) {
+				Socket socket = this.server.accept();
+				this.connections.incrementAndGet();
+				Thread serving = new Thread(() -> serve(socket), "scripted-connection");
+				serving.setDaemon(true);
+				serving.start();
+			}
+		}
+		catch (IOException ex) {
+			// The server was closed.
+			return;
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			InputStream input = socket.getInputStream();
+			StringBuilder head = new StringBuilder();
+			for (int next = input.read(); next >= 0; next = input.read()) {
+				head.append((char) next);
+				if (head.toString().endsWith("\r\n\r\n")) {
+					this.requests.add(head.toString());
+					head.setLength(0);
+					String reply = this.script.get(Math.min(this.position.getAndIncrement(), this.script.size() - 1));
+					if (reply.equals(HANG_UP)) {
+						return;
+					}
+					if (!reply.equals(SILENCE)) {
+						boolean last = reply.endsWith(THEN_HANG_UP);
+						String bytes = reply.replace(THEN_HANG_UP, "");
+						socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+						socket.getOutputStream().flush();
+						if (last) {
+							return;
+						}
+					}
+				}
+			}
+		}
+		catch (IOException ex) {
+			// The other side closed the connection.
+			return;
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.server.close();
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/http/TargetClientTests.java
@@ -0,0 +1,190 @@
+package org.zinniatack.direct.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.startsWith;
+
+/**
+ * Tests of {@link TargetClient} against targets that misbehave.
+ */
+class TargetClientTests {
+
+	private static final long WAIT_S = 10;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	private final TargetClient client = new TargetClient(this.loop, TargetClientTests::hasSameId);
+
+	private static boolean hasSameId(FullHttpRequest request, HttpResponse response) {
+		return request.headers().get("id").equals(response.headers().get("id"));
+	}
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	/**
+	 * Sends a request and returns its body, or what failed after "not run:" or "lost:".
+	 */
+	private String send(String address, String id) throws Exception {
+		CompletableFuture<String> outcome = new CompletableFuture<>();
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		request.headers().set("id", id);
+		this.loop.execute(() -> this.client.send(address, request, new Collector(outcome)));
+		String answered = outcome.get(WAIT_S, TimeUnit.SECONDS);
+		// Lets the connection return to the idle ones before the next request.
+		this.loop.submit(() -> {
+		}).get(WAIT_S, TimeUnit.SECONDS);
+		return answered;
+	}
+
+	@Test
+	void aConnectionServesOneRequestAfterTheOther() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.answer("1", "", "one"),
+				ScriptedTarget.answer("2", "", "two"))) {
+			assertThat(send(target.address(), "1"), is("one"));
+			assertThat(send(target.address(), "2"), is("two"));
+			assertThat(target.connectionCount(), is(1));
+		}
+	}
+
+	@Test
+	void aSurplusAnswerReachesNoOtherRequest() throws Exception {
+		String surplus = ScriptedTarget.answer("1", "", "one") + ScriptedTarget.answer("2", "", "stray");
+		try (ScriptedTarget target = new ScriptedTarget(surplus, ScriptedTarget.answer("2", "", "two"))) {
+			assertThat(send(target.address(), "1"), is("one"));
+			TimeUnit.MILLISECONDS.sleep(50);
+			assertThat(send(target.address(), "2"), is("two"));
+			assertThat(target.connectionCount(), is(2));
+		}
+	}
+
+	@Test
+	void anAnswerToAnotherRequestIsLostAndEndsTheConnection() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.answer("9", "", "other"),
+				ScriptedTarget.answer("2", "", "two"))) {
+			assertThat(send(target.address(), "1"), startsWith("lost: the answer belongs to another request"));
+			assertThat(send(target.address(), "2"), is("two"));
+			assertThat(target.connectionCount(), is(2));
+		}
+	}
+
+	@Test
+	void anAnswerThatEndsEarlyIsNotWhole() throws Exception {
+		String cut = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 50\r\n\r\nhalf";
+		String chunked = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+		for (String answer : new String[] { cut, chunked }) {
+			try (ScriptedTarget target = new ScriptedTarget(answer + ScriptedTarget.THEN_HANG_UP)) {
+				assertThat(send(target.address(), "1"), startsWith("lost: "));
+			}
+		}
+	}
+
+	@Test
+	void aTargetThatHangsUpMayHaveRunTheRequest() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.HANG_UP)) {
+			assertThat(send(target.address(), "1"), startsWith("lost: "));
+		}
+	}
+
+	@Test
+	void bytesThatAreNoAnswerAreLost() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget("garbage that is no answer\r\n\r\n")) {
+			assertThat(send(target.address(), "1"), startsWith("lost: "));
+		}
+	}
+
+	@Test
+	void aTargetThatCannotBeReachedHasNotRunTheRequest() throws Exception {
+		String address;
+		try (ScriptedTarget gone = new ScriptedTarget(ScriptedTarget.HANG_UP)) {
+			address = gone.address();
+		}
+		assertThat(send(address, "1"), startsWith("not run: "));
+	}
+
+	@Test
+	void aConnectionIsNotUsedNearTheEndOfItsIdleTime() throws Exception {
+		String brief = ScriptedTarget.answer("1", "", "one").replace("timeout=10", "timeout=0");
+		try (ScriptedTarget target = new ScriptedTarget(brief, ScriptedTarget.answer("2", "", "two"))) {
+			assertThat(send(target.address(), "1"), is("one"));
+			assertThat(send(target.address(), "2"), is("two"));
+			assertThat(target.connectionCount(), is(2));
+		}
+	}
+
+	@Test
+	void aRequestThatIsGivenUpClosesItsConnectionAtOnce() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.SILENCE,
+				ScriptedTarget.answer("2", "", "two"))) {
+			CompletableFuture<Runnable> canceller = new CompletableFuture<>();
+			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+			request.headers().set("id", "1");
+			CompletableFuture<String> outcome = new CompletableFuture<>();
+			this.loop
+				.execute(() -> canceller.complete(this.client.send(target.address(), request, new Collector(outcome))));
+			TimeUnit.MILLISECONDS.sleep(50);
+			this.loop.submit(canceller.get(WAIT_S, TimeUnit.SECONDS)).get(WAIT_S, TimeUnit.SECONDS);
+			long startedNs = System.nanoTime();
+			assertThat(send(target.address(), "2"), is("two"));
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs), lessThan(2_000L));
+			assertThat(outcome.isDone(), is(false));
+			assertThat(target.connectionCount(), is(2));
+		}
+	}
+
+	/** Collects an answer. */
+	private static final class Collector implements AnswerListener {
+
+		private final CompletableFuture<String> outcome;
+
+		private final StringBuilder body = new StringBuilder();
+
+		Collector(CompletableFuture<String> outcome) {
+			this.outcome = outcome;
+		}
+
+		@Override
+		public void onHead(HttpResponse head) {
+			// The body tells the answers apart.
+		}
+
+		@Override
+		public void onContent(ByteBuf content) {
+			this.body.append(content.toString(StandardCharsets.ISO_8859_1));
+		}
+
+		@Override
+		public void onEnd(HttpResponse head) {
+			this.outcome.complete(this.body.toString());
+		}
+
+		@Override
+		public void onFailure(SendFailure failure) {
+			this.outcome.complete((failure.mayHaveRun() ? "lost: " : "not run: ") + failure.detail());
+		}
+
+	}
+
+}
--- a/zinniatack-process/src/main/java/org/zinniatack/process/Metrics.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Metrics.java
@@ -20,11 +20,27 @@
 	 * @return the registry
 	 */
 	public static PrometheusMeterRegistry registry() {
-		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		PrometheusMeterRegistry registry = emptyRegistry();
+		bindRuntime(registry);
+		return registry;
+	}
+
+	/**
+	 * Returns a registry that counts nothing yet.
+	 * @return the registry
+	 */
+	public static PrometheusMeterRegistry emptyRegistry() {
+		return new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+	}
+
+	/**
+	 * Lets a registry count the process's memory, collections and processor time.
+	 * @param registry the registry
+	 */
+	public static void bindRuntime(PrometheusMeterRegistry registry) {
 		new JvmMemoryMetrics().bindTo(registry);
 		new JvmThreadMetrics().bindTo(registry);
 		new ProcessorMetrics().bindTo(registry);
-		return registry;
 	}
 
 }
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -457,12 +457,13 @@
 	 * What a control process knows that its subscriber may not.
 	 *
 	 * @param controlAddresses the addresses of all control processes that are known
+	 * @param namesByAddress the names that operators use for control processes
 	 * @param table the routing table, or null if the subscriber holds it
 	 * @param targets the notices of targets that changed
 	 * @param heardTargetIds the targets from which something was heard lately
 	 */
-	record SystemFeed(List<String> controlAddresses, @Nullable RoutingTable table, List<TargetNotice> targets,
-			List<String> heardTargetIds) implements Message {
+	record SystemFeed(List<String> controlAddresses, Map<String, String> namesByAddress, @Nullable RoutingTable table,
+			List<TargetNotice> targets, List<String> heardTargetIds) implements Message {
 	}
 
 	/**
