Give a score up only after as many failures as its route allows

Cause: the runner took each dispatch of a scoring call for as many answers of 500 as the route allows attempts. With one target ready (three of them replaced at once) a dispatch made one attempt, and the item was listed as given up after two failures of four.

Ruled out: results of other items, a lost answer counted twice (the log has losses=0 and two answers of 500 for each of the three items).

The dispatcher now reports each failed answer and the runner counts them. Shares of targets follow the work of each model; the line of a finished item says how long it waited, was generated and was scored.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/weight/ModelShares.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/weight/ModelShares.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Divides the targets of a pool among the models that are trained there, so that a new
@@ -11,17 +12,31 @@
  */
 public final class ModelShares {
 
+	private static final int LEAST_TARGETS = 2;
+
 	private ModelShares() {
 	}
 
 	/**
-	 * Returns how many targets keep up with each model.
+	 * Returns how many targets keep up with each model: as many in all as there are
+	 * targets, by need, but at least two each where there are enough, so that one may be
+	 * lost.
 	 * @param targetCount the number of targets
-	 * @param modelCount the number of models that are trained
-	 * @return the number, at least 1
+	 * @param needs how much work each model has, in any unit
+	 * @return the number of targets by model, at least 1 each
 	 */
-	public static int targetsAModel(int targetCount, int modelCount) {
-		return Math.max(1, (targetCount + modelCount - 1) / Math.max(1, modelCount));
+	public static Map<String, Integer> targetsByModel(int targetCount, Map<String, Long> needs) {
+		Map<String, Integer> shares = new TreeMap<>();
+		int least = (targetCount >= LEAST_TARGETS * needs.size()) ? LEAST_TARGETS : 1;
+		needs.keySet().forEach((model) -> shares.put(model, least));
+		for (int left = targetCount - least * needs.size(); left > 0; left--) {
+			shares.entrySet()
+				.stream()
+				.max(Comparator.comparingDouble(
+						(Map.Entry<String, Integer> share) -> needs.get(share.getKey()) / (double) share.getValue()))
+				.ifPresent((neediest) -> neediest.setValue(neediest.getValue() + 1));
+		}
+		return shares;
 	}
 
 	/**
--- a/zinniatack-core/src/test/java/org/zinniatack/core/weight/ModelSharesTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/weight/ModelSharesTests.java
@@ -24,10 +24,17 @@
 	}
 
 	@Test
-	void eachModelGetsItsShareOfTheTargets() {
-		assertThat(ModelShares.targetsAModel(6, 2), is(3));
-		assertThat(ModelShares.targetsAModel(31, 4), is(8));
-		assertThat(ModelShares.targetsAModel(2, 5), is(1));
+	void eachModelGetsTargetsByItsNeed() {
+		assertThat(ModelShares.targetsByModel(6, Map.of("a", 5L, "b", 5L)), is(Map.of("a", 3, "b", 3)));
+		assertThat(ModelShares.targetsByModel(31, Map.of("a", 60L, "b", 160L, "c", 140L, "d", 20L)),
+				is(Map.of("a", 5, "b", 13, "c", 11, "d", 2)));
+	}
+
+	@Test
+	void aModelWithoutWorkKeepsTargetsForItsNextStep() {
+		assertThat(ModelShares.targetsByModel(6, Map.of("a", 100L, "b", 0L)), is(Map.of("a", 4, "b", 2)));
+		assertThat(ModelShares.targetsByModel(2, Map.of("a", 9L, "b", 1L, "c", 1L)),
+				is(Map.of("a", 1, "b", 1, "c", 1)));
 	}
 
 	@Test
@@ -58,7 +65,7 @@
 			models.forEach((model) -> held.put(model, 1L));
 			versions.add(held);
 		}
-		int share = ModelShares.targetsAModel(targetCount, models.size());
+		int share = ModelShares.targetsByModel(targetCount, Map.of("a", 1L, "b", 1L, "c", 1L, "d", 1L)).get("d");
 		int loads = 0;
 		for (long version = 2; version <= 10; version++) {
 			for (String model : models) {
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallDispatcher.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallDispatcher.java
@@ -227,6 +227,7 @@
 				answer.body().release();
 				return;
 			}
+			this.sink.failed(answer.head().status().code());
 			if (!this.call.route().kind().isRepeatable()) {
 				finish(answer);
 				return;
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallSink.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallSink.java
@@ -43,6 +43,13 @@
 	/** Learns that the stream ends before it is whole. */
 	void breakStream();
 
+	/**
+	 * Learns that a target ran the call and failed; further targets may be asked.
+	 * @param status the status code that the target gave
+	 */
+	default void failed(int status) {
+	}
+
 	/** Learns that a target has begun to run the call. */
 	void began();
 
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
@@ -37,7 +37,16 @@
 
 	long notBeforeMs;
 
-	ItemRun(JobSubmission job, JobItem item, int position, EventText text) {
+	final long openedAtMs;
+
+	/** When a target first got it, 0 before. */
+	long startedAtMs;
+
+	/** When its output was whole, 0 before. */
+	long generatedAtMs;
+
+	ItemRun(JobSubmission job, JobItem item, int position, EventText text, long openedAtMs) {
+		this.openedAtMs = openedAtMs;
 		this.job = job;
 		this.item = item;
 		this.position = position;
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -74,16 +74,14 @@
 	/** Events come every few tens of milliseconds, also from a slow target. */
 	private static final long EVENT_LIMIT_MS = 1_000;
 
-	/**
-	 * Below this, no target is slow enough to be worth a second reading of the prompt.
-	 */
-	private static final double SLOW_EVENT_MS = 55;
+	/** Before this many events a target's pace says little about the item. */
+	private static final int EVENTS_BEFORE_MOVE = 10;
 
-	/** How much faster another target must be for an item to move there. */
+	/** How much faster a target must be for an item to move there and be read again. */
 	private static final double MOVE_FACTOR = 1.7;
 
 	/** How much a target that is twice as slow as the fastest looks fuller. */
-	private static final double SLOWNESS_PRESSURE = 0.5;
+	private static final double SLOWNESS_PRESSURE = 1;
 
 	private static final long REFUSAL_PAUSE_MS = 100;
 
@@ -96,6 +94,9 @@
 
 	private static final long SCORING_PAUSE_MS = 100;
 
+	/** The only failures of a scoring call after which an item may be given up. */
+	private static final int FAILED_STATUS = 500;
+
 	/** The longest time that a target may work on one item, in milliseconds. */
 	private static final long ITEM_DEADLINE_MS = 30_000;
 
@@ -240,8 +241,8 @@
 			this.runsByJob.put(job.submission().id(), runs);
 			int position = 0;
 			for (JobItem item : job.submission().items()) {
-				runs.put(item.id(),
-						new ItemRun(job.submission(), item, position++, new EventText(this.dialect::weightVersion)));
+				runs.put(item.id(), new ItemRun(job.submission(), item, position++,
+						new EventText(this.dialect::weightVersion), nowMs()));
 			}
 			LOGGER.atInfo()
 				.log("event=job_opened job=%s customer=%s items=%d finished=%d model=%s oldest_version=%d",
@@ -317,8 +318,8 @@
 		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
 			for (ItemRun run : List.copyOf(runs.values())) {
 				TargetNotice target = run.target;
-				if (run.phase == ItemRun.Phase.GENERATING && target != null && run.text.eventCount() > 0
-						&& this.targets.stats(target.id()).eventMs() > SLOW_EVENT_MS) {
+				if (run.phase == ItemRun.Phase.GENERATING && target != null
+						&& run.text.eventCount() > EVENTS_BEFORE_MOVE) {
 					moveIfFasterIsFree(run, target);
 				}
 			}
@@ -420,6 +421,7 @@
 		run.phase = ItemRun.Phase.GENERATING;
 		run.target = target;
 		run.heardAtMs = nowMs();
+		run.startedAtMs = (run.startedAtMs == 0) ? run.heardAtMs : run.startedAtMs;
 		this.targets.stats(target.id()).sent();
 		ItemAttempt attempt = new ItemAttempt(run, route, target);
 		Runnable cancelSending = this.client.send(target.address(), request, attempt);
@@ -455,6 +457,7 @@
 	}
 
 	private void generated(ItemRun run, Route route) {
+		run.generatedAtMs = nowMs();
 		run.target = null;
 		Scoring scoring = run.item.scoring();
 		if (scoring == null) {
@@ -497,10 +500,11 @@
 		run.canceller = () -> {
 		};
 		LOGGER.atInfo()
-			.log("event=item_%s job=%s item=%s customer=%s events=%d versions=%s failures=%d losses=%d reason=\"%s\"",
+			.log("event=item_%s job=%s item=%s customer=%s events=%d expected_tokens=%d versions=%s failures=%d losses=%d waited_ms=%d generated_ms=%d scored_ms=%d reason=\"%s\"",
 					result.completed() ? "completed" : "given_up", run.job.id().name(), run.item.id(),
-					run.job.id().customer(), run.text.eventCount(), result.versions(), run.failureCount, run.lossCount,
-					reason);
+					run.job.id().customer(), run.text.eventCount(), run.item.expectedTokens(), result.versions(),
+					run.failureCount, run.lossCount, run.startedAtMs - run.openedAtMs,
+					run.generatedAtMs - run.startedAtMs, nowMs() - run.generatedAtMs, reason);
 		this.uncommitted.computeIfAbsent(run.job.id(), (absent) -> new ArrayList<>()).add(result);
 		planCommit(COMMIT_DELAY_MS);
 	}
@@ -685,14 +689,21 @@
 				finish(this.run, resultOf(this.run, seal.get()), "scored");
 				return;
 			}
-			this.run.scoringFailureCount += this.route.maximumAttempts();
-			if (head.status().code() == 500 && this.run.scoringFailureCount >= 2 * this.route.maximumAttempts()) {
-				finish(this.run, ItemResult.givenUp(this.run.item.id()), "scoring failed");
+			if (this.run.scoringFailureCount >= this.route.maximumAttempts()) {
+				finish(this.run, ItemResult.givenUp(this.run.item.id()),
+						"scoring failed " + this.run.scoringFailureCount + " times");
 				return;
 			}
 			retryScore(this.run, this.scoring);
 		}
 
+		@Override
+		public void failed(int status) {
+			if (status == FAILED_STATUS) {
+				this.run.scoringFailureCount++;
+			}
+		}
+
 		@Override
 		public void refuse(ResultCode code, long retryAfterMs) {
 			retryScore(this.run, this.scoring);
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
@@ -3,11 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -22,6 +21,8 @@
 
 import org.zinniatack.control.ControlService;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.Job;
+import org.zinniatack.core.job.JobSubmission;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.ControlState;
@@ -66,6 +67,9 @@
 
 	private static final long RETRY_MS = 500;
 
+	/** Enough jobs that one unusual step moves no targets. */
+	private static final int JOBS_A_MODEL = 3;
+
 	private static final int ACCEPTED = 202;
 
 	private static final int HOLDS_ALREADY = 200;
@@ -157,9 +161,10 @@
 			return;
 		}
 		for (Pool pool : table.pools().values()) {
-			List<String> trained = pool.models().stream().filter(announced.trainedModels()::contains).toList();
-			if (!trained.isEmpty()) {
-				orderPool(pool, trained, announced.weights(), keepsRunning(table, pool));
+			Map<String, Long> needs = new TreeMap<>(announced.needs());
+			needs.keySet().retainAll(pool.models());
+			if (!needs.isEmpty()) {
+				orderPool(pool, needs, announced.weights(), keepsRunning(table, pool));
 			}
 		}
 	}
@@ -175,20 +180,20 @@
 			.noneMatch(Route::singleVersion);
 	}
 
-	private void orderPool(Pool pool, List<String> trained, Map<String, Long> weights, boolean keepRunning) {
+	private void orderPool(Pool pool, Map<String, Long> needs, Map<String, Long> weights, boolean keepRunning) {
 		Map<String, TargetNotice> ready = new HashMap<>();
 		this.targets.ready(pool.name()).forEach((target) -> ready.put(target.id(), target));
 		this.loadsByTarget.values().removeIf((load) -> isOver(load, pool, ready.values()));
 		int limit = Math.max(FEWEST_LOADING, (int) (LOADING_SHARE * ready.size()));
-		int share = ModelShares.targetsAModel(ready.size(), trained.size());
-		for (String model : trained) {
+		Map<String, Integer> shares = ModelShares.targetsByModel(ready.size(), needs);
+		for (String model : needs.keySet()) {
 			long newest = weights.getOrDefault(model, 0L);
 			List<ModelShares.Holder> holders = ready.values()
 				.stream()
 				.filter((target) -> this.targets.stats(target.id()).isUsable(nowMs()))
-				.map((target) -> holder(target, trained))
+				.map((target) -> holder(target, needs.keySet()))
 				.toList();
-			for (String id : ModelShares.toLoad(model, newest, holders, share)) {
+			for (String id : ModelShares.toLoad(model, newest, holders, shares.get(model))) {
 				long loading = this.loadsByTarget.values()
 					.stream()
 					.filter((load) -> load.pool.equals(pool.name()))
@@ -200,7 +205,7 @@
 		}
 	}
 
-	private ModelShares.Holder holder(TargetNotice target, List<String> models) {
+	private ModelShares.Holder holder(TargetNotice target, Collection<String> models) {
 		Map<String, Long> held = new HashMap<>();
 		models
 			.forEach((model) -> this.versions.version(target, model).ifPresent((version) -> held.put(model, version)));
@@ -441,15 +446,29 @@
 	 * What was announced.
 	 *
 	 * @param weights the newest version by model
-	 * @param trainedModels the models of which versions or jobs are known
+	 * @param needs the work of each model of which versions or jobs are known
 	 * @param table the routing table, or null if there is none yet
 	 */
-	private record Announced(Map<String, Long> weights, Set<String> trainedModels, @Nullable RoutingTable table) {
+	private record Announced(Map<String, Long> weights, Map<String, Long> needs, @Nullable RoutingTable table) {
 
 		static Announced of(ControlState state) {
-			Set<String> trained = new HashSet<>(state.weights().keySet());
-			state.jobs().jobs().forEach((job) -> trained.add(job.submission().model()));
-			return new Announced(state.weights(), trained, (state.table() != null) ? state.table().table() : null);
+			return new Announced(state.weights(), needs(state), (state.table() != null) ? state.table().table() : null);
+		}
+
+		/** Returns the tokens that the newest jobs of each model expect. */
+		private static Map<String, Long> needs(ControlState state) {
+			Map<String, Long> needs = new HashMap<>();
+			state.weights().keySet().forEach((model) -> needs.put(model, 0L));
+			Map<String, Integer> counted = new HashMap<>();
+			List<Job> jobs = state.jobs().jobs();
+			for (int newest = jobs.size() - 1; newest >= 0; newest--) {
+				JobSubmission job = jobs.get(newest).submission();
+				if (counted.merge(job.model(), 1, Integer::sum) <= JOBS_A_MODEL) {
+					long tokens = job.items().stream().mapToLong((item) -> Math.max(1, item.expectedTokens())).sum();
+					needs.merge(job.model(), tokens, Long::sum);
+				}
+			}
+			return needs;
 		}
 
 	}
