Load a third of a model's targets at once, and let long items finish first

Three things lengthened it: all targets of a model loading at once (items waited up to 934 ms), a load in the middle of a long item (950 ms), and targets that are 1.3 times slower. The pace of a target was also measured across loads, so items fled from targets that had just loaded.

Ruled out: waiting for slots (p50 of the wait is 1 to 10 ms), scoring (p50 40 ms).

At most a third of a model's targets load at once, one that is a version behind keeps serving while it has long items, pauses are no measure of pace, and only long items move.

--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -74,14 +74,19 @@
 	/** Events come every few tens of milliseconds, also from a slow target. */
 	private static final long EVENT_LIMIT_MS = 1_000;
 
-	/** Before this many events a target's pace says little about the item. */
-	private static final int EVENTS_BEFORE_MOVE = 10;
+	/** A longer gap is a pause, such as a load of weights, and no measure of pace. */
+	private static final long EVENT_PAUSE_MS = 400;
+
+	/**
+	 * An item with so many events is probably one of the long ones that decide a step.
+	 */
+	private static final int LONG_ITEM_EVENTS = 40;
 
 	/** How much faster a target must be for an item to move there and be read again. */
-	private static final double MOVE_FACTOR = 1.7;
+	private static final double MOVE_FACTOR = 1.2;
 
 	/** How much a target that is twice as slow as the fastest looks fuller. */
-	private static final double SLOWNESS_PRESSURE = 1;
+	private static final double SLOWNESS_PRESSURE = 2;
 
 	private static final long REFUSAL_PAUSE_MS = 100;
 
@@ -315,15 +320,18 @@
 	 * Moves items from targets that have turned slow to free ones that are much faster.
 	 */
 	private void moveSlow() {
+		Map<String, Integer> longItems = new HashMap<>();
 		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
 			for (ItemRun run : List.copyOf(runs.values())) {
 				TargetNotice target = run.target;
 				if (run.phase == ItemRun.Phase.GENERATING && target != null
-						&& run.text.eventCount() > EVENTS_BEFORE_MOVE) {
+						&& run.text.eventCount() > LONG_ITEM_EVENTS) {
+					longItems.merge(target.id(), 1, Integer::sum);
 					moveIfFasterIsFree(run, target);
 				}
 			}
 		}
+		this.targets.setLongItemCounts(longItems);
 	}
 
 	private void moveIfFasterIsFree(ItemRun run, TargetNotice slow) {
@@ -604,7 +612,8 @@
 			}
 			int before = this.run.text.eventCount();
 			this.run.text.read(content);
-			if (before > 0 && this.run.text.eventCount() > before) {
+			boolean paused = JobRunner.this.versions.isLoading(this.target.id(), this.run.job.model());
+			if (before > 0 && this.run.text.eventCount() > before && !paused && sinceMs < EVENT_PAUSE_MS) {
 				JobRunner.this.targets.stats(this.target.id()).produced(this.run.text.eventCount() - before, sinceMs);
 			}
 			if (this.run.text.isOutOfOrder()) {
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/target/TargetStats.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/target/TargetStats.java
@@ -35,6 +35,8 @@
 
 	private double eventMs;
 
+	private int longItemCount;
+
 	/**
 	 * Notes how long a target took for each event of a stream.
 	 * @param eventCount the number of events
@@ -53,6 +55,22 @@
 		return this.eventMs;
 	}
 
+	/**
+	 * Notes how many long items the target works on, which a load of weights would delay.
+	 * @param count the number of items
+	 */
+	public void setLongItemCount(int count) {
+		this.longItemCount = count;
+	}
+
+	/**
+	 * Returns how many long items the target works on.
+	 * @return the number of items
+	 */
+	public int longItemCount() {
+		return this.longItemCount;
+	}
+
 	/** Notes that a request is on its way. */
 	public void sent() {
 		this.outstandingCount++;
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/target/Targets.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/target/Targets.java
@@ -43,6 +43,14 @@
 		return this.statsById.computeIfAbsent(targetId, (absent) -> new TargetStats());
 	}
 
+	/**
+	 * Notes how many long items each target works on.
+	 * @param countsById the number of long items by target, none for all others
+	 */
+	public void setLongItemCounts(Map<String, Integer> countsById) {
+		this.statsById.forEach((id, stats) -> stats.setLongItemCount(countsById.getOrDefault(id, 0)));
+	}
+
 	/**
 	 * Returns the targets of a pool that take requests.
 	 * @param pool the pool
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
@@ -67,6 +67,9 @@
 
 	private static final long RETRY_MS = 500;
 
+	/** A third of a model's targets load at once; the others go on with its items. */
+	private static final int SHARE_PARTS = 3;
+
 	/** Enough jobs that one unusual step moves no targets. */
 	private static final int JOBS_A_MODEL = 3;
 
@@ -194,17 +197,32 @@
 				.map((target) -> holder(target, needs.keySet()))
 				.toList();
 			for (String id : ModelShares.toLoad(model, newest, holders, shares.get(model))) {
-				long loading = this.loadsByTarget.values()
-					.stream()
-					.filter((load) -> load.pool.equals(pool.name()))
-					.count();
-				if (loading < limit && !this.loadsByTarget.containsKey(id)) {
+				boolean room = loading(pool.name(), "") < limit
+						&& loading(pool.name(), model) < Math.max(1, shares.get(model) / SHARE_PARTS);
+				if (room && !this.loadsByTarget.containsKey(id) && !isWorthWaitingFor(ready.get(id), model, newest)) {
 					begin(ready.get(id), pool.name(), model, newest, keepRunning);
 				}
 			}
 		}
 	}
 
+	/**
+	 * Returns whether a load can wait for the target's long items, which it would delay:
+	 * a target that is one version behind still serves the newest step.
+	 */
+	private boolean isWorthWaitingFor(TargetNotice target, String model, long newest) {
+		return this.targets.stats(target.id()).longItemCount() > 0
+				&& this.versions.version(target, model).orElse(0) >= newest - 1;
+	}
+
+	/** Returns how many targets of a pool load a model, or any model if it is empty. */
+	private long loading(String pool, String model) {
+		return this.loadsByTarget.values()
+			.stream()
+			.filter((load) -> load.pool.equals(pool) && (model.isEmpty() || load.model.equals(model)))
+			.count();
+	}
+
 	private ModelShares.Holder holder(TargetNotice target, Collection<String> models) {
 		Map<String, Long> held = new HashMap<>();
 		models
