--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/http/HttpListener.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/http/HttpListener.java
@@ -6,6 +6,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
@@ -29,6 +30,7 @@
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.table.CallerLimits;
 
 /**
  * Accepts HTTP connections and hands their requests over one at a time. While it drains,
@@ -40,12 +42,15 @@
 
 	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
-	private static final int MAXIMUM_HEADER_BYTES = 16 * 1024;
-
 	private static final int CHUNK_BYTES = 8 * 1024;
 
 	private static final int BACKLOG = 1024;
 
+	private static final long FREEZE_CHECK_MS = 200;
+
+	/** Enough to read what the network held back during a freeze. */
+	private static final long THAW_DELAY_MS = 30;
+
 	/** Requests that one connection may send ahead; further ones wait in its socket. */
 	private static final int PIPELINED_REQUESTS = 16;
 
@@ -53,9 +58,10 @@
 
 	private final ExchangeHandler handler;
 
-	private final int maximumBodyBytes;
+	private final Supplier<CallerLimits> limits;
 
-	private final long idleTimeoutMs;
+	/** Notices that the machine stood still while its clock of the day went on. */
+	private final FreezeDetector freezes = new FreezeDetector();
 
 	private final Set<ConnectionHandler> connections = new HashSet<>();
 
@@ -66,15 +72,12 @@
 	/**
 	 * Returns a listener that is not open.
 	 * @param group the single event loop that it runs on
-	 * @param maximumBodyBytes the largest body, in bytes
-	 * @param idleTimeoutMs the time after which an idle connection is closed, in
-	 * milliseconds
+	 * @param limits what callers may send, asked for at each new connection
 	 * @param handler what answers the requests
 	 */
-	public HttpListener(EventLoopGroup group, int maximumBodyBytes, long idleTimeoutMs, ExchangeHandler handler) {
+	public HttpListener(EventLoopGroup group, Supplier<CallerLimits> limits, ExchangeHandler handler) {
 		this.group = group;
-		this.maximumBodyBytes = maximumBodyBytes;
-		this.idleTimeoutMs = idleTimeoutMs;
+		this.limits = limits;
 		this.handler = handler;
 	}
 
@@ -94,10 +97,11 @@
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
+					CallerLimits current = HttpListener.this.limits.get();
 					channel.pipeline()
-						.addLast(new HttpServerCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, CHUNK_BYTES),
-								new HttpObjectAggregator(HttpListener.this.maximumBodyBytes, true),
-								new IdleStateHandler(0, 0, HttpListener.this.idleTimeoutMs, TimeUnit.MILLISECONDS),
+						.addLast(new HttpServerCodec(MAXIMUM_LINE_BYTES, current.headerBytes(), CHUNK_BYTES),
+								new HttpObjectAggregator(current.bodyBytes(), true),
+								new IdleStateHandler(0, 0, current.idleTimeoutMs(), TimeUnit.MILLISECONDS),
 								new ConnectionHandler());
 				}
 			})
@@ -108,9 +112,16 @@
 					"cannot listen on " + address + ": " + bound.cause().getMessage());
 		}
 		this.server = bound.channel();
+		this.group.scheduleWithFixedDelay(this::watchFreezes, FREEZE_CHECK_MS, FREEZE_CHECK_MS, TimeUnit.MILLISECONDS);
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
+	private void watchFreezes() {
+		if (this.freezes.check(System.currentTimeMillis(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))) {
+			LOGGER.atWarning().log("event=freeze_noticed active=%d", activeCount());
+		}
+	}
+
 	/** Lets each connection end with the answer that is under way or comes next. */
 	public void drain() {
 		this.draining = true;
@@ -178,7 +189,14 @@
 			if (this.waiting.size() >= PIPELINED_REQUESTS) {
 				context.channel().config().setAutoRead(false);
 			}
-			next();
+			watchFreezes();
+			if (HttpListener.this.freezes.hasJustThawed(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))) {
+				// What came during a freeze may be followed by its caller's good-bye.
+				context.executor().schedule(this::next, THAW_DELAY_MS, TimeUnit.MILLISECONDS);
+			}
+			else {
+				next();
+			}
 		}
 
 		private void next() {
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -1,7 +1,6 @@
 package org.zinniatack.direct.job;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -30,6 +29,7 @@
 
 import org.zinniatack.control.ControlService;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.ItemPlacement;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobId;
@@ -50,6 +50,7 @@
 import org.zinniatack.direct.target.LoadedVersions;
 import org.zinniatack.direct.target.TargetDialect;
 import org.zinniatack.direct.target.TargetDialect.Verdict;
+import org.zinniatack.direct.target.TargetStats;
 import org.zinniatack.direct.target.Targets;
 import org.zinniatack.process.Service;
 
@@ -85,9 +86,6 @@
 	/** How much faster a target must be for an item to move there and be read again. */
 	private static final double MOVE_FACTOR = 1.2;
 
-	/** How much a target that is twice as slow as the fastest looks fuller. */
-	private static final double SLOWNESS_PRESSURE = 2;
-
 	private static final long REFUSAL_PAUSE_MS = 100;
 
 	/** A lost item waits longer each time, since it may be what brings targets down. */
@@ -122,6 +120,8 @@
 
 	private final CallDispatcher dispatcher;
 
+	private final ItemPlacement placement = ItemPlacement.byPace();
+
 	private final Map<JobId, Map<String, ItemRun>> runsByJob = new LinkedHashMap<>();
 
 	private final Map<JobId, List<ItemResult>> uncommitted = new HashMap<>();
@@ -382,39 +382,27 @@
 	}
 
 	private Optional<TargetNotice> place(ItemRun run, String pool, long nowMs) {
-		List<TargetNotice> ready = this.targets.ready(pool);
-		double fastestMs = ready.stream()
-			.mapToDouble((target) -> this.targets.stats(target.id()).eventMs())
-			.filter((eventMs) -> eventMs > 0)
-			.min()
-			.orElse(0);
-		return ready.stream()
-			.filter((target) -> this.targets.stats(target.id()).isUsable(nowMs))
-			.filter((target) -> !this.versions.isLoading(target.id(), run.job.model()))
-			.filter((target) -> this.versions.version(target, run.job.model()).orElse(0) >= run.job.oldestVersion())
-			.filter((target) -> this.targets.stats(target.id()).outstandingCount() < target.slotCount())
-			.min(Comparator
-				.<TargetNotice>comparingDouble((target) -> this.targets.stats(target.id()).pressure(target, nowMs)
-						+ slowness(target, fastestMs) - affinity(run, target))
-				.thenComparing(TargetNotice::id));
-	}
-
-	private double slowness(TargetNotice target, double fastestMs) {
-		double eventMs = this.targets.stats(target.id()).eventMs();
-		return (eventMs > 0 && fastestMs > 0) ? SLOWNESS_PRESSURE * (eventMs / fastestMs - 1) : 0;
-	}
-
-	/** Returns how much a target gains by running items with the same prompt already. */
-	private double affinity(ItemRun run, TargetNotice target) {
-		if (run.item.promptKey().isEmpty()) {
-			return 0;
-		}
-		boolean together = this.runsByJob.getOrDefault(run.job.id(), Map.of())
+		Map<String, TargetNotice> free = new HashMap<>();
+		List<ItemPlacement.Candidate> candidates = new ArrayList<>();
+		for (TargetNotice target : this.targets.ready(pool)) {
+			TargetStats stats = this.targets.stats(target.id());
+			if (stats.isUsable(nowMs) && stats.outstandingCount() < target.slotCount()
+					&& !this.versions.isLoading(target.id(), run.job.model())
+					&& this.versions.version(target, run.job.model()).orElse(0) >= run.job.oldestVersion()) {
+				free.put(target.id(), target);
+				candidates.add(new ItemPlacement.Candidate(target.id(), stats.pressure(target, nowMs), stats.eventMs(),
+						runsSamePrompt(run, target)));
+			}
+		}
+		return this.placement.choose(candidates).map((chosen) -> free.get(chosen.id()));
+	}
+
+	private boolean runsSamePrompt(ItemRun run, TargetNotice target) {
+		return !run.item.promptKey().isEmpty() && this.runsByJob.getOrDefault(run.job.id(), Map.of())
 			.values()
 			.stream()
 			.anyMatch((other) -> other.target != null && other.target.id().equals(target.id())
 					&& other.item.promptKey().equals(run.item.promptKey()));
-		return together ? 1 : 0;
 	}
 
 	private void generate(ItemRun run, Route route, TargetNotice target) {
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
@@ -77,6 +77,8 @@
 
 	private static final int HOLDS_ALREADY = 200;
 
+	private static final int HIGHER_FENCE_SEEN = 412;
+
 	private final EventLoop loop;
 
 	private final ControlService control;
@@ -96,6 +98,11 @@
 
 	private long term;
 
+	/**
+	 * A term in which a target has seen a higher fencing number; it gives no more orders.
+	 */
+	private long refusedTerm = -1;
+
 	private @Nullable Future<?> ticking;
 
 	/**
@@ -253,7 +260,7 @@
 
 	private boolean leads() {
 		OptionalLong current = this.control.leaseTerm();
-		return current.isPresent() && current.getAsLong() == this.term;
+		return current.isPresent() && current.getAsLong() == this.term && this.term != this.refusedTerm;
 	}
 
 	private boolean isCurrent(Load load) {
@@ -317,6 +324,7 @@
 					}
 					else {
 						LOGGER.atInfo().log("event=order_refused target=%s status=%d", load.target.id(), status);
+						this.refusedTerm = (status == HIGHER_FENCE_SEEN) ? this.term : this.refusedTerm;
 						abandon(load);
 					}
 				});
