--- /dev/null
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
@@ -0,0 +1,78 @@
+package org.zinniatack.wire;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.job.ItemResult;
+import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.Scoring;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.table.CallerLimits;
+import org.zinniatack.core.table.Customer;
+import org.zinniatack.core.table.Pool;
+import org.zinniatack.core.table.PoolShare;
+import org.zinniatack.core.table.Route;
+import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.core.table.RoutingTable;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests that tables and jobs survive the log and a snapshot.
+ */
+class StateCodecTests {
+
+	private static final RoutingTable TABLE = new RoutingTable(9,
+			List.of(new Route("r", "h.example", "/a/", RouteKind.JOB, true, false, 10, 20, 1, 3,
+					List.of(new PoolShare("p", 1)), 7_500, 40_000, true)),
+			Map.of("p", new Pool("p", 140, 8, List.of("m"))), List.of(new Customer("c", List.of("digest"), -1)),
+			new CallerLimits(1, 2, 3, 4));
+
+	private static final JobSubmission JOB = new JobSubmission(new JobId("c", "j"), "h.example", "m", 3, 1_000, 7_500,
+			40_000, List.of(new JobItem("i", "g", "/a/1", Map.of("Model", "m"), new byte[] { 1, -1 }, "p:1", 7,
+					new Scoring("s", "h.example", "/b/", new byte[] { 2 }))));
+
+	private static void apply(ControlState state, long index, Command command) throws IOException {
+		state.apply(index, StateCodec.decodeCommand(StateCodec.encode(command)));
+	}
+
+	@Test
+	void tablesAndJobsSurviveTheLogAndASnapshot() throws IOException, ServiceException {
+		ControlState state = new ControlState();
+		apply(state, 1, new Command.ReplaceTable(TABLE, new byte[] { 7, 8 }));
+		apply(state, 2, new Command.SubmitJob(JOB));
+		apply(state, 3,
+				new Command.FinishItems(JOB.id(), List.of(new ItemResult("i", true, "a\nb", List.of(3L, 4L), "s"))));
+		apply(state, 4, new Command.RetireMember("10.0.0.1:7000"));
+		ControlState restored = ControlState.of(StateCodec.decodeImage(StateCodec.encode(state.image())));
+		assertThat(restored.table().table(), is(TABLE));
+		assertThat(restored.table().document(), is(new byte[] { 7, 8 }));
+		assertThat(restored.retiring(), contains("10.0.0.1:7000"));
+		var job = restored.jobs().job(JOB.id()).orElseThrow();
+		assertThat(job.resultsFrom(0, 100), contains(new ItemResult("i", true, "a\nb", List.of(3L, 4L), "s")));
+		assertThat(job.item("i").orElseThrow().body(), is(new byte[] { 1, -1 }));
+		assertThat(job.item("i").orElseThrow().scoring().body(), is(new byte[] { 2 }));
+		assertThat(job.isOpen(), is(false));
+	}
+
+	@Test
+	void anEndedOrForgottenJobStaysSo() throws IOException, ServiceException {
+		ControlState state = new ControlState();
+		apply(state, 1, new Command.SubmitJob(JOB));
+		apply(state, 2, new Command.EndJob(JOB.id()));
+		ControlState ended = ControlState.of(StateCodec.decodeImage(StateCodec.encode(state.image())));
+		assertThat(ended.jobs().job(JOB.id()).orElseThrow().isEnded(), is(true));
+		apply(ended, 3, new Command.ForgetJobs(List.of(JOB.id())));
+		assertThat(ended.jobs().job(JOB.id()).isPresent(), is(false));
+	}
+
+}
