Forget jobs that nobody may read any more

Cause: a job stayed in the log's state for good; at a job every 4 s with 300 KB each, a control process would fill its heap in about half an hour.

The leader forgets ended jobs after their retention (a setting, from the deployment's bound) and abandoned ones after ten times that.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/SeededControlSettings.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SeededControlSettings.java
@@ -25,12 +25,14 @@
  * @param platformAddress the address of the platform's interfaces, empty for none
  * @param usageWindowS the length of a usage window, in seconds
  * @param usageGraceMs the time after which a window is closed, in milliseconds
+ * @param jobRetentionS the time for which a job can be read after its submission, in
+ * seconds
  * @param stopTimeoutS the time after a stop signal in which it must end, in seconds
  */
 public record SeededControlSettings(String name, String failureDomain, String dataFolder, String listenAddress,
 		String operatorAddress, String metricsAddress, List<String> seedAddresses, boolean firstStart,
 		int toleratedLosses, String clusterSecret, String platformAddress, double usageWindowS, long usageGraceMs,
-		double stopTimeoutS) {
+		double jobRetentionS, double stopTimeoutS) {
 
 	private static final long LONGEST_GRACE_MS = 60_000;
 
@@ -49,7 +51,8 @@
 			@JsonProperty("seedAddresses") List<String> seedAddresses, @JsonProperty("firstStart") boolean firstStart,
 			@JsonProperty("toleratedLosses") int toleratedLosses, @JsonProperty("clusterSecret") String clusterSecret,
 			@JsonProperty("platformAddress") String platformAddress, @JsonProperty("usageWindowS") double usageWindowS,
-			@JsonProperty("usageGraceMs") long usageGraceMs, @JsonProperty("stopTimeoutS") double stopTimeoutS) {
+			@JsonProperty("usageGraceMs") long usageGraceMs, @JsonProperty("jobRetentionS") double jobRetentionS,
+			@JsonProperty("stopTimeoutS") double stopTimeoutS) {
 		this.name = Checks.name("name", name);
 		this.failureDomain = Checks.present("failureDomain", failureDomain);
 		this.dataFolder = Checks.present("dataFolder", dataFolder);
@@ -64,6 +67,7 @@
 		this.platformAddress = Checks.present("platformAddress", platformAddress);
 		this.usageWindowS = Checks.seconds("usageWindowS", usageWindowS);
 		this.usageGraceMs = Checks.range("usageGraceMs", usageGraceMs, 0, LONGEST_GRACE_MS);
+		this.jobRetentionS = Checks.seconds("jobRetentionS", jobRetentionS);
 		this.stopTimeoutS = Checks.seconds("stopTimeoutS", stopTimeoutS);
 	}
 
@@ -86,6 +90,14 @@
 		return Math.round(1_000 * this.usageWindowS);
 	}
 
+	/**
+	 * Returns the time for which a job can be read after its submission.
+	 * @return the time in milliseconds
+	 */
+	public long jobRetentionMs() {
+		return Math.round(1_000 * this.jobRetentionS);
+	}
+
 	@Override
 	public String toString() {
 		return "SeededControlSettings[" + this.name + "]";
--- a/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
@@ -72,7 +72,7 @@
 		ControlService service = new ControlService(
 				new SeededControlSettings(nameOf(host), "a", this.folder.resolve(host).toString(), address, address,
 						address, SEEDS.stream().map((seed) -> seed + ":1").toList(), firstStart, 1,
-						"secret-of-this-test-only", "", 5, 0, 1),
+						"secret-of-this-test-only", "", 5, 0, 120, 1),
 				Platform.none());
 		this.running.put(host, service);
 		service.start();
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -106,8 +106,15 @@
 	/** Clocks of control processes differ by less. */
 	private static final long CLOCK_MARGIN_MS = 6_000;
 
+	private static final long FORGET_INTERVAL_MS = 5_000;
+
+	/** A job that its caller never ended is kept longer, but not for good. */
+	private static final int ABANDONED_FACTOR = 10;
+
 	private final EventLoop loop;
 
+	private final long retentionMs;
+
 	private final ControlService control;
 
 	private final TargetClient client;
@@ -136,6 +143,8 @@
 
 	private @Nullable Future<?> ticking;
 
+	private @Nullable Future<?> forgetting;
+
 	/**
 	 * Returns a runner that is not started.
 	 * @param loop the event loop
@@ -144,10 +153,13 @@
 	 * @param dialect how targets are spoken to
 	 * @param targets the choice of targets
 	 * @param versions the weight versions of targets
+	 * @param retentionMs the time for which a job can be read after its submission, in
+	 * milliseconds
 	 */
 	public JobRunner(EventLoop loop, ControlService control, TargetClient client, TargetDialect dialect,
-			Targets targets, LoadedVersions versions) {
+			Targets targets, LoadedVersions versions, long retentionMs) {
 		this.loop = loop;
+		this.retentionMs = retentionMs;
 		this.control = control;
 		this.client = client;
 		this.dialect = dialect;
@@ -165,6 +177,8 @@
 	public void start() {
 		this.control.onStateChange((state) -> planRefresh());
 		this.ticking = this.loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+		this.forgetting = this.loop.scheduleWithFixedDelay(this::forgetOldJobs, FORGET_INTERVAL_MS, FORGET_INTERVAL_MS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	@Override
@@ -172,6 +186,9 @@
 		if (this.ticking != null) {
 			this.ticking.cancel(false);
 		}
+		if (this.forgetting != null) {
+			this.forgetting.cancel(false);
+		}
 		this.loop.execute(this::dropAll);
 	}
 
@@ -179,6 +196,35 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.loop.ticker().nanoTime());
 	}
 
+	/**
+	 * Forgets jobs that nobody may read any more, so that the log's state stays bounded.
+	 */
+	private void forgetOldJobs() {
+		if (!leads()) {
+			return;
+		}
+		long nowMs = System.currentTimeMillis();
+		this.control
+			.readApplied((state) -> state.jobs()
+				.jobs()
+				.stream()
+				.filter((job) -> isForgettable(job, nowMs))
+				.map((job) -> job.submission().id())
+				.toList())
+			.thenAccept((old) -> {
+				if (!old.isEmpty()) {
+					LOGGER.atInfo().log("event=jobs_forgotten count=%d", old.size());
+					this.control.propose(new Command.ForgetJobs(old));
+				}
+			});
+	}
+
+	private boolean isForgettable(Job job, long nowMs) {
+		long ageMs = nowMs - job.submission().submittedAtMs();
+		long keptMs = job.isEnded() ? this.retentionMs : ABANDONED_FACTOR * this.retentionMs;
+		return ageMs > keptMs + CLOCK_MARGIN_MS;
+	}
+
 	private boolean leads() {
 		OptionalLong current = this.control.leaseTerm();
 		return current.isPresent() && current.getAsLong() == this.term;
