--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcessTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcessTests.java
@@ -205,6 +205,8 @@
 		}
 		this.control.put("after-restart");
 		assertThat(this.control.status().path("revision").asLong(), greaterThan(revision));
+		// Two processes accept changes while the third may still be starting.
+		this.control.awaitAllUp();
 		assertAllHold(customers.subList(290, 300));
 		assertThat(
 				this.control.call(names.get(0), "GET", "/v1/records?kind=customer", "").body().split("\"name\"").length
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcesses.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/ControlProcesses.java
@@ -167,6 +167,13 @@
 		});
 	}
 
+	/** Waits until every process that was started answers. */
+	void awaitAllUp() throws Exception {
+		for (String name : running()) {
+			LocalSystem.await(name + " answers", () -> call(name, "GET", "/health/live", "").statusCode() == 200);
+		}
+	}
+
 	boolean has(String name, String customer) throws IOException, InterruptedException {
 		return call(name, "GET", "/v1/records/customer/" + customer, "").statusCode() == 200;
 	}
