--- a/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
@@ -7,10 +7,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -51,7 +51,7 @@
 
 	private final int port = freePort();
 
-	private final Map<String, ControlService> running = new HashMap<>();
+	private final Map<String, ControlService> running = new ConcurrentHashMap<>();
 
 	private static int freePort() {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/MemoryLog.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/MemoryLog.java
@@ -57,8 +57,22 @@
 
 	/** Returns up to the given number of entries from an index on. */
 	List<LogEntry> slice(long fromIndex, int maximum) {
+		return slice(fromIndex, maximum, Long.MAX_VALUE);
+	}
+
+	/**
+	 * Returns up to the given number of entries from an index on, and of those no more
+	 * than the given bytes of commands, but at least one.
+	 */
+	List<LogEntry> slice(long fromIndex, int maximum, long maximumBytes) {
 		int from = (int) (fromIndex - firstIndex());
-		int to = (int) Math.min(this.entries.size(), (long) from + maximum);
+		int end = (int) Math.min(this.entries.size(), (long) from + maximum);
+		int to = from;
+		long bytes = 0;
+		while (to < end && (to == from || this.entries.get(to).command().length <= maximumBytes - bytes)) {
+			bytes += this.entries.get(to).command().length;
+			to++;
+		}
 		return (from < to) ? List.copyOf(this.entries.subList(from, to)) : List.of();
 	}
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
@@ -1,5 +1,9 @@
 package org.zinniatack.core.consensus;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
 /**
  * What a leader knows about one follower.
  */
@@ -20,6 +24,10 @@
 
 	private long snapshotSentAtMs = NEVER_MS;
 
+	private final Deque<Unacknowledged> unacknowledged = new ArrayDeque<>();
+
+	private long unacknowledgedBytes;
+
 	Progress(long nextIndex) {
 		this.nextIndex = nextIndex;
 	}
@@ -50,6 +58,9 @@
 	void matched(long index) {
 		this.matchIndex = Math.max(this.matchIndex, index);
 		this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
+		while (!this.unacknowledged.isEmpty() && this.unacknowledged.peekFirst().lastIndex() <= this.matchIndex) {
+			this.unacknowledgedBytes -= this.unacknowledged.removeFirst().bytes();
+		}
 		this.probing = false;
 		this.snapshotSentAtMs = NEVER_MS;
 	}
@@ -65,6 +76,8 @@
 			return false;
 		}
 		this.nextIndex = Math.max(this.matchIndex + 1, Math.min(rejectedIndex, hintIndex + 1));
+		this.unacknowledged.clear();
+		this.unacknowledgedBytes = 0;
 		this.probing = true;
 		this.probeSentAtMs = NEVER_MS;
 		return true;
@@ -79,8 +92,18 @@
 		return true;
 	}
 
-	void sent(int entryCount) {
-		this.nextIndex += entryCount;
+	void sent(List<LogEntry> entries) {
+		if (!entries.isEmpty()) {
+			long bytes = entries.stream().mapToLong((entry) -> entry.command().length).sum();
+			this.nextIndex += entries.size();
+			this.unacknowledged.addLast(new Unacknowledged(this.nextIndex - 1, bytes));
+			this.unacknowledgedBytes += bytes;
+		}
+	}
+
+	/** Returns the bytes of the commands that were sent and not acknowledged. */
+	long unacknowledgedBytes() {
+		return this.unacknowledgedBytes;
 	}
 
 	/** Returns whether a snapshot may be sent, and notes that it is. */
@@ -92,4 +115,13 @@
 		return true;
 	}
 
+	/**
+	 * Entries that were sent in one message.
+	 *
+	 * @param lastIndex the index of the last of them
+	 * @param bytes the bytes of their commands
+	 */
+	private record Unacknowledged(long lastIndex, long bytes) {
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -12,6 +12,16 @@
  */
 final class Replication {
 
+	/** A heartbeat behind a message of this size still leaves a slow link in time. */
+	private static final long MESSAGE_BYTES = 256 * 1024;
+
+	/**
+	 * Fills a link of a gigabit for 8 ms, several times a round trip between failure
+	 * domains; a dozen followers that are cut off hold a tenth of a process's direct
+	 * memory.
+	 */
+	private static final long WINDOW_BYTES = 1024 * 1024;
+
 	private final ReplicaSettings settings;
 
 	private final MemoryLog log;
@@ -112,13 +122,23 @@
 			sendSnapshot(id, progress, nowMs, messages);
 		}
 		else if (!progress.isProbing()) {
-			progress.sent(sendEntries(id, progress, commitIndex, heartbeat, nowMs, messages));
+			List<LogEntry> entries = nextEntries(progress);
+			if (!entries.isEmpty() || heartbeat) {
+				append(id, progress, entries, commitIndex, nowMs, messages);
+				progress.sent(entries);
+			}
 		}
 		else if (progress.startProbe(nowMs, this.settings.heartbeatIntervalMs())) {
-			sendEntries(id, progress, commitIndex, true, nowMs, messages);
+			append(id, progress, List.of(), commitIndex, nowMs, messages);
 		}
 	}
 
+	/** Returns what may follow, so that a follower that is cut off piles up nothing. */
+	private List<LogEntry> nextEntries(Progress progress) {
+		return (progress.unacknowledgedBytes() < WINDOW_BYTES)
+				? this.log.slice(progress.nextIndex(), this.settings.maximumBatchEntries(), MESSAGE_BYTES) : List.of();
+	}
+
 	private void sendSnapshot(String id, Progress progress, long nowMs, List<ConsensusMessage> messages) {
 		if (progress.startSnapshot(nowMs, 2 * this.settings.electionTimeoutMs())) {
 			messages.add(new ConsensusMessage.SnapshotRequest(this.settings.id(), id, this.term, this.log.snapshot(),
@@ -126,15 +146,11 @@
 		}
 	}
 
-	private int sendEntries(String id, Progress progress, long commitIndex, boolean heartbeat, long nowMs,
+	private void append(String id, Progress progress, List<LogEntry> entries, long commitIndex, long nowMs,
 			List<ConsensusMessage> messages) {
 		long previousIndex = progress.nextIndex() - 1;
-		List<LogEntry> entries = this.log.slice(progress.nextIndex(), this.settings.maximumBatchEntries());
-		if (!entries.isEmpty() || heartbeat) {
-			messages.add(new ConsensusMessage.AppendRequest(this.settings.id(), id, this.term, previousIndex,
-					this.log.termAt(previousIndex), entries, commitIndex, nowMs));
-		}
-		return entries.size();
+		messages.add(new ConsensusMessage.AppendRequest(this.settings.id(), id, this.term, previousIndex,
+				this.log.termAt(previousIndex), entries, commitIndex, nowMs));
 	}
 
 	/** Follows the given members; new ones count as never heard of. */
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/ItemResult.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/ItemResult.java
@@ -29,4 +29,10 @@
 		return new ItemResult(itemId, false, "", List.of(), "");
 	}
 
+	/** Returns the result with events before its text. */
+	ItemResult after(List<String> events) {
+		return new ItemResult(this.itemId, this.completed, String.join("\n", events) + '\n' + this.text, this.versions,
+				this.score);
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -19,6 +22,8 @@
 
 	private final List<ItemResult> results = new ArrayList<>();
 
+	private final Map<String, PartialText> partialTexts = new LinkedHashMap<>();
+
 	private boolean ended;
 
 	Job(JobSubmission submission) {
@@ -28,15 +33,38 @@
 
 	static Job of(Image image) {
 		Job job = new Job(image.submission());
-		image.results().forEach(job::finish);
+		image.results().forEach((result) -> job.finish(result, 0));
+		job.partialTexts.putAll(image.partialTexts());
 		job.ended = image.ended();
 		return job;
 	}
 
-	/** Adds a result, unless the item has one or is not of this job. */
-	void finish(ItemResult result) {
-		if (this.itemIds.contains(result.itemId()) && this.finishedIds.add(result.itemId())) {
-			this.results.add(result);
+	/**
+	 * Adds a result, unless the item has one or is not of this job.
+	 * @param result the result, whose text begins after the stored events
+	 * @param storedEvents how many events of the item's progress come before its text
+	 */
+	void finish(ItemResult result, int storedEvents) {
+		PartialText stored = this.partialTexts.get(result.itemId());
+		boolean isWhole = storedEvents == 0 || (stored != null && stored.events().size() >= storedEvents);
+		if (isWhole && this.itemIds.contains(result.itemId()) && this.finishedIds.add(result.itemId())) {
+			this.results.add((storedEvents == 0) ? result : result.after(stored.events().subList(0, storedEvents)));
+			this.partialTexts.remove(result.itemId());
+		}
+	}
+
+	/** Stores the progress of an item, unless it has a result or events are missing. */
+	void note(ItemProgress progress) {
+		String itemId = progress.itemId();
+		PartialText stored = this.partialTexts.get(itemId);
+		if (!this.itemIds.contains(itemId) || this.finishedIds.contains(itemId)) {
+			return;
+		}
+		if (progress.eventsBefore() == 0) {
+			this.partialTexts.put(itemId, progress.further());
+		}
+		else if (stored != null && stored.events().size() == progress.eventsBefore()) {
+			this.partialTexts.put(itemId, stored.append(progress.further()));
 		}
 	}
 
@@ -45,7 +73,7 @@
 	}
 
 	Image image() {
-		return new Image(this.submission, List.copyOf(this.results), this.ended);
+		return new Image(this.submission, List.copyOf(this.results), this.ended, Map.copyOf(this.partialTexts));
 	}
 
 	/**
@@ -64,6 +92,15 @@
 		return !this.ended && this.finishedIds.size() < this.itemIds.size();
 	}
 
+	/**
+	 * Returns whether an item is of this job.
+	 * @param itemId the id of the item
+	 * @return true if it is
+	 */
+	public boolean contains(String itemId) {
+		return this.itemIds.contains(itemId);
+	}
+
 	/**
 	 * Returns whether an item has a result.
 	 * @param itemId the id of the item
@@ -73,6 +110,24 @@
 		return this.finishedIds.contains(itemId);
 	}
 
+	/**
+	 * Returns the stored progress of an item that has no result.
+	 * @param itemId the id of the item
+	 * @return its first events, or empty if none are stored
+	 */
+	public Optional<PartialText> partialText(String itemId) {
+		return Optional.ofNullable(this.partialTexts.get(itemId));
+	}
+
+	/**
+	 * Returns the result of an item.
+	 * @param itemId the id of the item
+	 * @return the result, or empty if it has none
+	 */
+	public Optional<ItemResult> result(String itemId) {
+		return this.results.stream().filter((result) -> result.itemId().equals(itemId)).findFirst();
+	}
+
 	/**
 	 * Returns an item.
 	 * @param itemId the id of the item
@@ -124,8 +179,19 @@
 	 * @param submission the job as it was submitted
 	 * @param results the results by position
 	 * @param ended true if the caller has ended the job
+	 * @param partialTexts the stored progress by item
 	 */
-	public record Image(JobSubmission submission, List<ItemResult> results, boolean ended) {
+	public record Image(JobSubmission submission, List<ItemResult> results, boolean ended,
+			Map<String, PartialText> partialTexts) {
+
+		/**
+		 * Takes an image without progress, as earlier versions stored it, for one with
+		 * none.
+		 */
+		public Image {
+			partialTexts = Map.copyOf(Objects.requireNonNullElse(partialTexts, Map.of()));
+		}
+
 	}
 
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -38,7 +38,28 @@
 	 * @param results the results, which take the next positions in this order
 	 */
 	public void finish(JobId id, List<ItemResult> results) {
-		job(id).ifPresent((job) -> results.forEach(job::finish));
+		finish(id, results, Map.of());
+	}
+
+	/**
+	 * Adds results to a job that is known.
+	 * @param id the job
+	 * @param results the results, which take the next positions in this order
+	 * @param storedEvents for items whose text begins after stored progress, how many of
+	 * its events come before
+	 */
+	public void finish(JobId id, List<ItemResult> results, Map<String, Integer> storedEvents) {
+		job(id).ifPresent((job) -> results
+			.forEach((result) -> job.finish(result, storedEvents.getOrDefault(result.itemId(), 0))));
+	}
+
+	/**
+	 * Stores the progress of items of a job that is known.
+	 * @param id the job
+	 * @param progress what the items have gained
+	 */
+	public void note(JobId id, List<ItemProgress> progress) {
+		job(id).ifPresent((job) -> progress.forEach(job::note));
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/PacedPlacement.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/PacedPlacement.java
@@ -14,8 +14,11 @@
 	/** How much a target that is twice as slow as the fastest looks fuller. */
 	private static final double SLOWNESS_PRESSURE = 2;
 
-	/** A target with the same prompt is chosen until it is full. */
-	private static final double SAME_PROMPT_PRESSURE = -1;
+	/**
+	 * A target with the same prompt is chosen while it is not fuller by half, but not one
+	 * that is slower by a third: reading a prompt takes less than an event.
+	 */
+	private static final double SAME_PROMPT_PRESSURE = -0.55;
 
 	private PacedPlacement() {
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 
 import org.zinniatack.core.config.RecordKind;
+import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobSubmission;
@@ -40,6 +42,7 @@
 		@JsonSubTypes.Type(value = Command.ReplaceTable.class, name = "table"),
 		@JsonSubTypes.Type(value = Command.SubmitJob.class, name = "job"),
 		@JsonSubTypes.Type(value = Command.FinishItems.class, name = "items"),
+		@JsonSubTypes.Type(value = Command.NoteProgress.class, name = "progress"),
 		@JsonSubTypes.Type(value = Command.EndJob.class, name = "end"),
 		@JsonSubTypes.Type(value = Command.ForgetJobs.class, name = "forget"),
 		@JsonSubTypes.Type(value = Command.RetireMember.class, name = "retire") })
@@ -247,8 +250,37 @@
 	 *
 	 * @param id the job
 	 * @param results the results in the order of their positions
+	 * @param storedEvents for items whose text begins after stored progress, how many of
+	 * its events come before
 	 */
-	record FinishItems(JobId id, List<ItemResult> results) implements Command {
+	record FinishItems(JobId id, List<ItemResult> results, Map<String, Integer> storedEvents) implements Command {
+
+		/**
+		 * Takes a command without stored events, as earlier versions wrote it, for one
+		 * with whole texts.
+		 */
+		public FinishItems {
+			storedEvents = Objects.requireNonNullElse(storedEvents, Map.of());
+		}
+
+		/**
+		 * Returns a command whose results have whole texts.
+		 * @param id the job
+		 * @param results the results in the order of their positions
+		 */
+		public FinishItems(JobId id, List<ItemResult> results) {
+			this(id, results, Map.of());
+		}
+
+	}
+
+	/**
+	 * Stores the progress of items, so that another process can go on with them.
+	 *
+	 * @param id the job
+	 * @param progress what the items have gained
+	 */
+	record NoteProgress(JobId id, List<ItemProgress> progress) implements Command {
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -190,7 +190,10 @@
 			this.jobs.submit(submit.submission());
 		}
 		else if (command instanceof Command.FinishItems finish) {
-			this.jobs.finish(finish.id(), finish.results());
+			this.jobs.finish(finish.id(), finish.results(), finish.storedEvents());
+		}
+		else if (command instanceof Command.NoteProgress note) {
+			this.jobs.note(note.id(), note.progress());
 		}
 		else if (command instanceof Command.EndJob end) {
 			this.jobs.end(end.id());
--- a/zinniatack-core/src/main/java/org/zinniatack/core/weight/ModelShares.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/weight/ModelShares.java
@@ -1,8 +1,6 @@
 package org.zinniatack.core.weight;
 
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -39,30 +37,6 @@
 		return shares;
 	}
 
-	/**
-	 * Chooses the targets that are to load a version. Those that kept up with the model
-	 * so far come first, then those that keep up with the fewest other models, then those
-	 * with the least work.
-	 * @param model the model
-	 * @param version the version
-	 * @param holders the targets of the pool with their versions
-	 * @param share the number of targets that are to keep up with the model
-	 * @return the ids of targets that lack the version, first those to load it first
-	 */
-	public static List<String> toLoad(String model, long version, Collection<Holder> holders, int share) {
-		return holders.stream()
-			.filter((holder) -> holder.versions().containsKey(model))
-			.sorted(Comparator.comparingLong((Holder holder) -> -holder.versions().get(model))
-				.thenComparingLong((holder) -> holder.versionsBeside(model))
-				.thenComparingInt(Holder::workCount)
-				.thenComparing(Holder::id))
-			.limit(share)
-			.filter((holder) -> holder.versions().get(model) < version)
-			.sorted(Comparator.comparingInt(Holder::workCount).thenComparing(Holder::id))
-			.map(Holder::id)
-			.toList();
-	}
-
 	/**
 	 * A target with what it has loaded.
 	 *
@@ -80,6 +54,15 @@
 			versions = Map.copyOf(versions);
 		}
 
+		/**
+		 * Returns the version of a model.
+		 * @param model the model
+		 * @return the version, 0 if it does not have the model
+		 */
+		long version(String model) {
+			return this.versions.getOrDefault(model, 0L);
+		}
+
 		/** Returns how far the target has kept up with other models. */
 		long versionsBeside(String model) {
 			return this.versions.entrySet()
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/ItemOrderTests.java
@@ -0,0 +1,123 @@
+package org.zinniatack.core.job;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.job.ItemOrder.Waiting;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link ItemOrder} and {@link ItemLengths}.
+ */
+class ItemOrderTests {
+
+	private static final int STEP_COUNT = 300;
+
+	private static final int GROUP_COUNT = 9;
+
+	private static final int GROUP_SIZE = 8;
+
+	private static final int SLOT_COUNT = 30;
+
+	private static final double EVENT_MS = 48;
+
+	private static final long DUE_MS = 7_500;
+
+	private static final int TOKENS_AN_EVENT = 73;
+
+	private static final int LONGEST_EVENTS = 153;
+
+	@Test
+	void theItemThatMustStartFirstIsFirst() {
+		Waiting early = new Waiting("a", 7_500, 6_000, 0, 0);
+		Waiting urgent = new Waiting("b", 9_000, 1_000, 8, 11);
+		assertThat(ItemOrder.byLatestStart().compare(urgent, early) < 0, is(true));
+		assertThat(ItemOrder.byGroup().compare(urgent, early) > 0, is(true));
+	}
+
+	@Test
+	void itemsOfUnknownLengthKeepTheOrderOfTheirGroups() {
+		Waiting first = new Waiting("a", 7_500, 7_500, 0, 3);
+		Waiting second = new Waiting("a", 7_500, 7_500, 8, 8);
+		assertThat(ItemOrder.byLatestStart().compare(first, second) < 0, is(true));
+	}
+
+	@Test
+	void lengthsAreLearnedByModelAndBoundedByTheLongestSeen() {
+		ItemLengths lengths = new ItemLengths();
+		assertThat(lengths.expectedEvents("m", 700), is(0.0));
+		lengths.learn("m", 1_000, 10);
+		lengths.learn("m", 1_000, 10);
+		assertThat(lengths.expectedEvents("m", 500), is(5.0));
+		assertThat(lengths.expectedEvents("m", 50_000), is(10.0));
+		assertThat(lengths.expectedEvents("m", 0), is(10.0));
+		assertThat(lengths.expectedEvents("other", 500), is(0.0));
+	}
+
+	/**
+	 * The pattern: a step has more items than slots, one item in twelve is five times as
+	 * long as the others, and hints are often far off.
+	 */
+	@Test
+	void moreGroupsAreWholeInTimeThanWithTheOrderOfGroups() {
+		double byLatestStart = shareInTime(ItemOrder.byLatestStart());
+		double byGroup = shareInTime(ItemOrder.byGroup());
+		assertThat(byLatestStart, greaterThan(byGroup));
+	}
+
+	private static double shareInTime(Comparator<Waiting> order) {
+		Random random = new Random(11);
+		ItemLengths lengths = new ItemLengths();
+		int whole = 0;
+		for (int step = 0; step < STEP_COUNT; step++) {
+			whole += wholeGroups(order, random, lengths);
+		}
+		return whole / (double) (STEP_COUNT * GROUP_COUNT);
+	}
+
+	private static int wholeGroups(Comparator<Waiting> order, Random random, ItemLengths lengths) {
+		List<Waiting> waiting = new ArrayList<>();
+		int[] events = new int[GROUP_COUNT * GROUP_SIZE];
+		long[] hints = new long[events.length];
+		for (int position = 0; position < events.length; position++) {
+			events[position] = events(random);
+			hints[position] = (long) (events[position] * TOKENS_AN_EVENT * Math.exp(0.5 * random.nextGaussian()));
+			double expectedMs = lengths.expectedEvents("m", hints[position]) * EVENT_MS;
+			waiting.add(new Waiting("j", DUE_MS, DUE_MS - expectedMs, position - position % GROUP_SIZE, position));
+		}
+		waiting.sort(order);
+		PriorityQueue<Double> freeAtMs = new PriorityQueue<>();
+		for (int slot = 0; slot < SLOT_COUNT; slot++) {
+			freeAtMs.add(0.0);
+		}
+		double[] groupDoneMs = new double[GROUP_COUNT];
+		for (Waiting item : waiting) {
+			double doneMs = freeAtMs.remove() + events[item.position()] * EVENT_MS;
+			freeAtMs.add(doneMs);
+			int group = item.position() / GROUP_SIZE;
+			groupDoneMs[group] = Math.max(groupDoneMs[group], doneMs);
+		}
+		for (int position = 0; position < events.length; position++) {
+			lengths.learn("m", hints[position], events[position]);
+		}
+		int whole = 0;
+		for (double doneMs : groupDoneMs) {
+			whole += (doneMs <= DUE_MS) ? 1 : 0;
+		}
+		return whole;
+	}
+
+	private static int events(Random random) {
+		double events = 12 * Math.exp(0.9 * random.nextGaussian()) * ((random.nextInt(12) == 0) ? 5 : 1);
+		return (int) Math.max(1, Math.min(LONGEST_EVENTS, events));
+	}
+
+}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -88,4 +88,64 @@
 		assertThat(restored.job(ID).orElseThrow().isOpen(), is(true));
 	}
 
+	private static ItemProgress progress(String id, int eventsBefore, String... events) {
+		return new ItemProgress(id, eventsBefore,
+				new PartialText(List.of(events), List.of(2L), eventsBefore + events.length));
+	}
+
+	@Test
+	void aResultGoesOnAfterTheStoredEventsOfItsItem() {
+		this.ledger.submit(submission("a", "b"));
+		this.ledger.note(ID, List.of(progress("a", 0, "1", "2")));
+		this.ledger.note(ID, List.of(progress("a", 2, "3")));
+		this.ledger.finish(ID, List.of(result("a", "3\n4")), Map.of("a", 2));
+		assertThat(this.ledger.job(ID).orElseThrow().resultsFrom(0, 100).get(0).text(), is("1\n2\n3\n4"));
+		assertThat(this.ledger.job(ID).orElseThrow().partialText("a").isPresent(), is(false));
+	}
+
+	@Test
+	void anItemThatBeginsAgainForgetsItsStoredEvents() {
+		this.ledger.submit(submission("a"));
+		this.ledger.note(ID, List.of(progress("a", 0, "1", "2")));
+		this.ledger.note(ID, List.of(progress("a", 0, "x")));
+		assertThat(this.ledger.job(ID).orElseThrow().partialText("a").orElseThrow().events(), contains("x"));
+	}
+
+	@Test
+	void progressWithAGapOrOfAFinishedItemIsIgnored() {
+		this.ledger.submit(submission("a", "b"));
+		this.ledger.note(ID, List.of(progress("a", 0, "1")));
+		this.ledger.note(ID, List.of(progress("a", 3, "4")));
+		this.ledger.finish(ID, List.of(result("b", "x")));
+		this.ledger.note(ID, List.of(progress("b", 0, "1")));
+		Job job = this.ledger.job(ID).orElseThrow();
+		assertThat(job.partialText("a").orElseThrow().events(), contains("1"));
+		assertThat(job.partialText("b").isPresent(), is(false));
+	}
+
+	@Test
+	void aResultWhoseStoredEventsAreMissingIsNotTaken() {
+		this.ledger.submit(submission("a"));
+		this.ledger.note(ID, List.of(progress("a", 0, "1")));
+		this.ledger.finish(ID, List.of(result("a", "3")), Map.of("a", 2));
+		assertThat(this.ledger.job(ID).orElseThrow().isFinished("a"), is(false));
+	}
+
+	@Test
+	void progressSurvivesTheStoredForm() {
+		this.ledger.submit(submission("a", "b"));
+		this.ledger.note(ID, List.of(progress("a", 0, "1", "2")));
+		JobLedger restored = JobLedger.of(this.ledger.images());
+		assertThat(restored.job(ID).orElseThrow().partialText("a").orElseThrow().events(), contains("1", "2"));
+		assertThat(restored.images(), is(this.ledger.images()));
+	}
+
+	@Test
+	void aTextFitsAJobThatAcceptsAllItsVersions() {
+		PartialText text = new PartialText(List.of("1"), List.of(3L, 4L), 1);
+		assertThat(text.fits(3), is(true));
+		assertThat(text.fits(4), is(false));
+		assertThat(new PartialText(List.of(), List.of(), 0).fits(0), is(false));
+	}
+
 }
--- /dev/null
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/weight/LoadPlanTests.java
@@ -0,0 +1,111 @@
+package org.zinniatack.core.weight;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.weight.LoadPlan.Load;
+import org.zinniatack.core.weight.LoadPlan.Need;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests of {@link LoadPlan}.
+ */
+class LoadPlanTests {
+
+	private static ModelShares.Holder holder(String id, long a, long b) {
+		return new ModelShares.Holder(id, Map.of("a", a, "b", b), 0);
+	}
+
+	@Test
+	void theTargetsThatServeNoNextStepLoadFirstAndTheOthersWaitForTheirTurn() {
+		List<ModelShares.Holder> holders = List.of(holder("t1", 3, 1), holder("t2", 2, 1), holder("t3", 3, 1),
+				holder("t4", 2, 1), holder("t5", 1, 5), holder("t6", 1, 5));
+		assertThat(LoadPlan.loads(new Need("a", 4, 3, 2), holders),
+				contains(new Load("t2", true), new Load("t4", true)));
+	}
+
+	@Test
+	void halfOfTheTargetsLoadEarlyWhereAllServeTheNextStep() {
+		List<ModelShares.Holder> holders = List.of(holder("t1", 1, 1), holder("t2", 1, 1), holder("t3", 1, 1),
+				holder("t4", 1, 1));
+		assertThat(LoadPlan.loads(new Need("a", 2, 1, 2), holders),
+				contains(new Load("t1", false), new Load("t2", false)));
+	}
+
+	@Test
+	void aVersionThatHalfOfTheTargetsHaveIsLoadedByNoOther() {
+		List<ModelShares.Holder> holders = List.of(holder("t1", 3, 1), holder("t2", 2, 1), holder("t3", 3, 1),
+				holder("t4", 2, 1));
+		assertThat(LoadPlan.loads(new Need("a", 3, 2, 2), holders), empty());
+	}
+
+	@Test
+	void allTargetsThatServeNoNextStepLoadWhereATrainerAcceptsOnlyTheNewest() {
+		List<ModelShares.Holder> holders = List.of(holder("t1", 3, 1), holder("t2", 3, 1), holder("t3", 3, 1),
+				holder("t4", 3, 1));
+		assertThat(LoadPlan.loads(new Need("a", 4, 4, 2), holders), hasSize(4));
+	}
+
+	@Test
+	void aFreshModelTakesTargetsThatNoOtherKeepsBusy() {
+		List<ModelShares.Holder> holders = List.of(holder("t1", 5, 1), holder("t2", 1, 1), holder("t3", 5, 1),
+				holder("t4", 1, 1));
+		assertThat(LoadPlan.loads(new Need("b", 2, 1, 1), holders), contains(new Load("t2", false)));
+	}
+
+	@Test
+	void targetsWithoutTheModelLoadNothing() {
+		assertThat(LoadPlan.loads(new Need("c", 2, 2, 2), List.of(holder("t1", 1, 1))), empty());
+	}
+
+	/**
+	 * The pattern: several trainers name a version every few seconds on shared targets,
+	 * and each step is asked for as soon as its version is named.
+	 */
+	@Test
+	void halfOfEachModelsTargetsServeAStepAtOnceWithNoMoreLoadsThanTheirShares() {
+		int targetCount = 31;
+		List<String> models = List.of("a", "b", "c", "d");
+		List<Map<String, Long>> versions = new ArrayList<>();
+		for (int target = 0; target < targetCount; target++) {
+			Map<String, Long> held = new HashMap<>();
+			models.forEach((model) -> held.put(model, 1L));
+			versions.add(held);
+		}
+		int share = ModelShares.targetsByModel(targetCount, Map.of("a", 1L, "b", 1L, "c", 1L, "d", 1L)).get("d");
+		int loads = 0;
+		for (long version = 2; version <= 10; version++) {
+			for (String model : models) {
+				long oldest = version - 1;
+				assertThat(versions.stream().filter((held) -> held.get(model) >= oldest).count(),
+						greaterThanOrEqualTo((long) share));
+				List<ModelShares.Holder> holders = new ArrayList<>();
+				for (int target = 0; target < targetCount; target++) {
+					holders.add(new ModelShares.Holder(String.valueOf(target), versions.get(target), 0));
+				}
+				List<Load> chosen = LoadPlan.loads(new Need(model, version, oldest, share), holders);
+				assertThat(chosen, hasSize(share));
+				long named = version;
+				chosen.forEach((load) -> versions.get(Integer.parseInt(load.id())).put(model, named));
+				loads += chosen.size();
+				assertThat(versions.stream().filter((held) -> held.get(model) >= oldest).count(),
+						greaterThanOrEqualTo(2L * share));
+			}
+		}
+		assertThat(loads, lessThanOrEqualTo(9 * models.size() * share));
+		for (Map<String, Long> held : versions) {
+			assertThat(held.values().stream().filter((version) -> version > 1).count(), lessThanOrEqualTo(2L));
+		}
+	}
+
+}
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/EventText.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/EventText.java
@@ -9,6 +9,8 @@
 
 import io.netty.buffer.ByteBuf;
 
+import org.zinniatack.core.job.PartialText;
+
 /**
  * The output of an item, read from event streams of one or more targets. Each stream goes
  * on after the last whole event of the one before.
@@ -116,6 +118,19 @@
 		this.eventVersion = OptionalLong.empty();
 	}
 
+	/** Takes over events that were stored, to go on after them. */
+	void restore(PartialText stored) {
+		reset();
+		this.data.addAll(stored.events());
+		this.versions.addAll(stored.versions());
+		this.lastId = stored.lastEventId();
+	}
+
+	/** Returns the events from a position on, with all versions so far. */
+	PartialText eventsFrom(int position) {
+		return new PartialText(this.data.subList(position, this.data.size()), versions(), this.lastId);
+	}
+
 	/** Forgets all events, to begin again. */
 	void reset() {
 		this.data.clear();
@@ -147,7 +162,11 @@
 	}
 
 	String text() {
-		return String.join("\n", this.data);
+		return textFrom(0);
+	}
+
+	String textFrom(int position) {
+		return String.join("\n", this.data.subList(position, this.data.size()));
 	}
 
 }
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
@@ -3,6 +3,8 @@
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.ItemProgress;
+import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.JobSubmission;
 
@@ -11,12 +13,20 @@
  */
 final class ItemRun {
 
+	/**
+	 * About half a second of output; shorter items are quicker made again than stored.
+	 */
+	private static final int LEAST_EVENTS_TO_STORE = 10;
+
 	final JobSubmission job;
 
 	final JobItem item;
 
 	final int position;
 
+	/** The position of the first item of its group. */
+	final int groupPosition;
+
 	final EventText text;
 
 	Phase phase = Phase.WAITING;
@@ -27,6 +37,16 @@
 	Runnable canceller = () -> {
 	};
 
+	/** True if the output is whole from the start and lacks only a score. */
+	boolean storedWhole;
+
+	/** How many events of its text are stored as progress of its job. */
+	private int storedEvents;
+
+	private int eventsBeforeResult;
+
+	private @Nullable Storing storing;
+
 	int failureCount;
 
 	int scoringFailureCount;
@@ -35,6 +55,9 @@
 
 	long heardAtMs;
 
+	/** The events that its present target has sent. */
+	int eventsHere;
+
 	long notBeforeMs;
 
 	final long openedAtMs;
@@ -50,9 +73,81 @@
 		this.job = job;
 		this.item = item;
 		this.position = position;
+		this.groupPosition = groupPosition(job, item, position);
 		this.text = text;
 	}
 
+	/** Goes on from what is stored of the item. */
+	void restore(OpenJob.Stored stored) {
+		this.text.restore(stored.text());
+		this.storedWhole = stored.whole();
+		this.storedEvents = stored.ofThisJob() ? this.text.eventCount() : 0;
+	}
+
+	/** Forgets the output so far, which cannot be used. */
+	void beginAgain() {
+		this.text.reset();
+		this.storedWhole = false;
+		this.storedEvents = 0;
+		this.storing = null;
+	}
+
+	/** Returns whether enough has come since the progress was stored. */
+	boolean hasProgressToStore() {
+		return this.storing == null && this.phase == Phase.GENERATING
+				&& this.text.eventCount() - this.storedEvents >= LEAST_EVENTS_TO_STORE;
+	}
+
+	/** Begins to store the progress; the end of the storing must be noted. */
+	Storing beginStoring() {
+		Storing begun = new Storing(this, this.text.eventCount(),
+				new ItemProgress(this.item.id(), this.storedEvents, this.text.eventsFrom(this.storedEvents)));
+		this.storing = begun;
+		return begun;
+	}
+
+	/**
+	 * Returns the result of the whole output. It leaves out events that are stored as
+	 * progress, but never the last.
+	 */
+	ItemResult result(String score) {
+		this.eventsBeforeResult = Math.max(0, Math.min(this.storedEvents, this.text.eventCount() - 1));
+		return new ItemResult(this.item.id(), true, this.text.textFrom(this.eventsBeforeResult), this.text.versions(),
+				score);
+	}
+
+	/** Returns how many stored events come before the text of the result. */
+	int eventsBeforeResult() {
+		return this.eventsBeforeResult;
+	}
+
+	private static int groupPosition(JobSubmission job, JobItem item, int position) {
+		int first = position;
+		while (!item.group().isEmpty() && first > 0 && job.items().get(first - 1).group().equals(item.group())) {
+			first--;
+		}
+		return first;
+	}
+
+	/**
+	 * Progress of an item on its way into the log.
+	 *
+	 * @param run the item
+	 * @param events the number of events with it
+	 * @param progress the progress
+	 */
+	record Storing(ItemRun run, int events, ItemProgress progress) {
+
+		/** Notes whether it is stored, unless the item has begun again since. */
+		void end(boolean stored) {
+			if (this.run.storing == this) {
+				this.run.storing = null;
+				this.run.storedEvents = stored ? this.events : this.run.storedEvents;
+			}
+		}
+
+	}
+
 	/** Where an item is on its way. */
 	enum Phase {
 
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -1,11 +1,13 @@
 package org.zinniatack.direct.job;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -17,10 +19,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -29,21 +29,22 @@
 
 import org.zinniatack.control.ControlService;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.ItemLengths;
+import org.zinniatack.core.job.ItemOrder;
 import org.zinniatack.core.job.ItemPlacement;
+import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
-import org.zinniatack.core.job.Scoring;
+import org.zinniatack.core.job.MovePolicy;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RouteIndex;
 import org.zinniatack.core.table.TableHolder;
-import org.zinniatack.direct.call.Call;
 import org.zinniatack.direct.call.CallDispatcher;
-import org.zinniatack.direct.call.CallSink;
 import org.zinniatack.direct.http.AnswerListener;
 import org.zinniatack.direct.http.SendFailure;
 import org.zinniatack.direct.http.TargetClient;
@@ -70,21 +71,33 @@
 	private static final long COMMIT_RETRY_MS = 200;
 
 	/** A target that loads weights or reads a long prompt may be silent this long. */
-	private static final long FIRST_EVENT_LIMIT_MS = 2_500;
+	private static final long FIRST_EVENT_LIMIT_MS = 1_500;
 
-	/** Events come every few tens of milliseconds, also from a slow target. */
-	private static final long EVENT_LIMIT_MS = 1_000;
+	/**
+	 * Events come every few tens of milliseconds, 250 ms apart from a very slow target.
+	 */
+	private static final long EVENT_LIMIT_MS = 600;
 
 	/** A longer gap is a pause, such as a load of weights, and no measure of pace. */
 	private static final long EVENT_PAUSE_MS = 400;
 
 	/**
-	 * An item with so many events is probably one of the long ones that decide a step.
+	 * An item with so many events is probably one of the long ones that decide a step; it
+	 * is about the mean of the users' models.
 	 */
-	private static final int LONG_ITEM_EVENTS = 40;
+	private static final int LONG_ITEM_EVENTS = 20;
 
-	/** How much faster a target must be for an item to move there and be read again. */
-	private static final double MOVE_FACTOR = 1.2;
+	/**
+	 * Enough events that the pace of the target is known: the moving mean is then half
+	 * made of them where six runs measure it.
+	 */
+	private static final int LEAST_EVENTS_TO_MOVE = 3;
+
+	/** What an event takes until the first was measured: the users' slower engines. */
+	private static final double USUAL_EVENT_MS = 50;
+
+	/** What a long item loses at most with a leader, beside the wait for the next one. */
+	private static final long STORE_INTERVAL_MS = 500;
 
 	private static final long REFUSAL_PAUSE_MS = 100;
 
@@ -93,13 +106,6 @@
 
 	private static final long LOSS_PAUSE_MS = 1_000;
 
-	private static final long SCORING_DEADLINE_MS = 2_000;
-
-	private static final long SCORING_PAUSE_MS = 100;
-
-	/** The only failures of a scoring call after which an item may be given up. */
-	private static final int FAILED_STATUS = 500;
-
 	/** The longest time that a target may work on one item, in milliseconds. */
 	private static final long ITEM_DEADLINE_MS = 30_000;
 
@@ -125,10 +131,12 @@
 
 	private final LoadedVersions versions;
 
-	private final CallDispatcher dispatcher;
+	private final ItemScorer scorer;
 
 	private final ItemPlacement placement = ItemPlacement.byPace();
 
+	private final ItemLengths lengths = new ItemLengths();
+
 	private final Map<JobId, Map<String, ItemRun>> runsByJob = new LinkedHashMap<>();
 
 	private final Map<JobId, List<ItemResult>> uncommitted = new HashMap<>();
@@ -139,10 +147,15 @@
 
 	private long term;
 
+	/** The jobs whose stored state was read since this process leads. */
+	private volatile Set<JobId> knownJobs = Set.of();
+
 	private boolean commitPlanned;
 
 	private @Nullable Future<?> ticking;
 
+	private @Nullable Future<?> storing;
+
 	private @Nullable Future<?> forgetting;
 
 	/**
@@ -165,7 +178,8 @@
 		this.dialect = dialect;
 		this.targets = targets;
 		this.versions = versions;
-		this.dispatcher = new CallDispatcher(loop, client, dialect, targets);
+		this.scorer = new ItemScorer(loop, new CallDispatcher(loop, client, dialect, targets), dialect, targets,
+				() -> this.index, this::finish);
 	}
 
 	private static org.zinniatack.core.table.RoutingTable emptyTable() {
@@ -177,6 +191,8 @@
 	public void start() {
 		this.control.onStateChange((state) -> planRefresh());
 		this.ticking = this.loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+		this.storing = this.loop.scheduleWithFixedDelay(this::noteProgress, STORE_INTERVAL_MS, STORE_INTERVAL_MS,
+				TimeUnit.MILLISECONDS);
 		this.forgetting = this.loop.scheduleWithFixedDelay(this::forgetOldJobs, FORGET_INTERVAL_MS, FORGET_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -186,6 +202,9 @@
 		if (this.ticking != null) {
 			this.ticking.cancel(false);
 		}
+		if (this.storing != null) {
+			this.storing.cancel(false);
+		}
 		if (this.forgetting != null) {
 			this.forgetting.cancel(false);
 		}
@@ -232,7 +251,8 @@
 
 	private void planRefresh() {
 		if (this.control.leaseTerm().isPresent() && this.refreshing.compareAndSet(false, true)) {
-			this.control.readApplied(JobRunner::openJobs).whenComplete((open, failure) -> {
+			Set<JobId> known = this.knownJobs;
+			this.control.readApplied((state) -> openJobs(state, known)).whenComplete((open, failure) -> {
 				this.refreshing.set(false);
 				if (open != null) {
 					this.loop.execute(() -> refresh(open));
@@ -241,16 +261,13 @@
 		}
 	}
 
-	private static View openJobs(ControlState state) {
-		List<OpenJob> open = new ArrayList<>();
-		for (Job job : state.jobs().jobs()) {
-			if (job.isOpen()) {
-				Set<String> finished = new HashSet<>();
-				job.resultsFrom(0, Long.MAX_VALUE).forEach((result) -> finished.add(result.itemId()));
-				open.add(new OpenJob(job.submission(), finished));
-			}
-		}
-		return new View(open, state.table());
+	private static View openJobs(ControlState state, Set<JobId> known) {
+		List<Job> all = state.jobs().jobs();
+		List<OpenJob> open = all.stream()
+			.filter(Job::isOpen)
+			.map((job) -> known.contains(job.submission().id()) ? OpenJob.known(job) : OpenJob.of(job, all))
+			.toList();
+		return new View(open, known, state.table());
 	}
 
 	private void refresh(View view) {
@@ -261,6 +278,10 @@
 		}
 		if (current.getAsLong() != this.term) {
 			dropAll();
+			if (!view.known().isEmpty()) {
+				planRefresh();
+				return;
+			}
 			this.term = current.getAsLong();
 			LOGGER.atInfo().log("event=jobs_taken_over term=%d jobs=%d", this.term, view.jobs().size());
 		}
@@ -282,6 +303,7 @@
 			}
 			return ended;
 		});
+		this.knownJobs = Set.copyOf(this.runsByJob.keySet());
 		dispatch();
 	}
 
@@ -295,10 +317,12 @@
 				runs.put(item.id(), new ItemRun(job.submission(), item, position++,
 						new EventText(this.dialect::weightVersion), nowMs()));
 			}
+			job.stored().forEach((id, stored) -> Objects.requireNonNull(runsOf(job).get(id)).restore(stored));
 			LOGGER.atInfo()
-				.log("event=job_opened job=%s customer=%s items=%d finished=%d model=%s oldest_version=%d",
+				.log("event=job_opened job=%s customer=%s items=%d finished=%d resumed=%d model=%s oldest_version=%d",
 						job.submission().id().name(), job.submission().id().customer(), runs.size(),
-						job.finishedIds().size(), job.submission().model(), job.submission().oldestVersion());
+						job.finishedIds().size(), job.stored().size(), job.submission().model(),
+						job.submission().oldestVersion());
 		}
 		for (String id : job.finishedIds()) {
 			ItemRun run = runs.get(id);
@@ -309,6 +333,10 @@
 		}
 	}
 
+	private Map<String, ItemRun> runsOf(OpenJob job) {
+		return this.runsByJob.getOrDefault(job.submission().id(), Map.of());
+	}
+
 	private void drop(Map<String, ItemRun> runs) {
 		runs.values().forEach((run) -> {
 			run.phase = ItemRun.Phase.FINISHED;
@@ -319,6 +347,7 @@
 	private void dropAll() {
 		this.runsByJob.values().forEach(this::drop);
 		this.runsByJob.clear();
+		this.knownJobs = Set.of();
 		this.uncommitted.clear();
 		this.term = 0;
 	}
@@ -370,9 +399,13 @@
 		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
 			for (ItemRun run : List.copyOf(runs.values())) {
 				TargetNotice target = run.target;
-				if (run.phase == ItemRun.Phase.GENERATING && target != null
-						&& run.text.eventCount() > LONG_ITEM_EVENTS) {
+				if (run.phase != ItemRun.Phase.GENERATING || target == null) {
+					continue;
+				}
+				if (run.text.eventCount() > LONG_ITEM_EVENTS) {
 					longItems.merge(target.id(), 1, Integer::sum);
+				}
+				if (run.eventsHere >= LEAST_EVENTS_TO_MOVE && !this.versions.isLoading(target.id(), run.job.model())) {
 					moveIfFasterIsFree(run, target);
 				}
 			}
@@ -384,12 +417,44 @@
 		double eventMs = this.targets.stats(slow.id()).eventMs();
 		Optional<TargetNotice> faster = place(run, slow.pool(), nowMs());
 		double fasterMs = faster.map((target) -> this.targets.stats(target.id()).eventMs()).orElse(0.0);
-		if (fasterMs > 0 && fasterMs * MOVE_FACTOR < eventMs) {
-			run.canceller.run();
-			LOGGER.atInfo()
-				.log("event=item_moved job=%s item=%s from=%s event_ms=%.0f to_event_ms=%.0f events=%d",
-						run.job.id().name(), run.item.id(), slow.id(), eventMs, fasterMs, run.text.eventCount());
-			waitAgain(run, 0);
+		if (MovePolicy.isWorthMoving(run.text.eventCount(), expectedEvents(run), eventMs, fasterMs)) {
+			move(run, "slow");
+		}
+	}
+
+	private double expectedEvents(ItemRun run) {
+		return this.lengths.expectedEvents(run.job.model(), run.item.expectedTokens());
+	}
+
+	private void move(ItemRun run, String reason) {
+		TargetNotice from = run.target;
+		run.canceller.run();
+		LOGGER.atInfo()
+			.log("event=item_moved job=%s item=%s from=%s event_ms=%.0f events=%d reason=%s", run.job.id().name(),
+					run.item.id(), (from != null) ? from.id() : "",
+					(from != null) ? this.targets.stats(from.id()).eventMs() : 0, run.text.eventCount(), reason);
+		waitAgain(run, 0);
+	}
+
+	/**
+	 * Moves the long items of a model away from a target that is about to load it, while
+	 * others have room. Items that may have only one version stay: they would begin
+	 * again.
+	 * @param targetId the id of the target
+	 * @param model the model
+	 */
+	public void moveAway(String targetId, String model) {
+		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
+			for (ItemRun run : List.copyOf(runs.values())) {
+				TargetNotice target = run.target;
+				boolean concerned = run.phase == ItemRun.Phase.GENERATING && target != null
+						&& target.id().equals(targetId) && run.job.model().equals(model);
+				if (concerned && run.text.eventCount() > LONG_ITEM_EVENTS
+						&& place(run, target.pool(), nowMs()).isPresent()) {
+					move(run, "load");
+					dispatch();
+				}
+			}
 		}
 	}
 
@@ -406,7 +471,9 @@
 		if (waiting.isEmpty() || !leads()) {
 			return;
 		}
-		waiting.sort(ItemOrder.byGroup());
+		Map<ItemRun, ItemOrder.Waiting> places = new HashMap<>();
+		waiting.forEach((run) -> places.put(run, waiting(run)));
+		waiting.sort(Comparator.comparing(places::get, ItemOrder.byLatestStart()));
 		Set<String> fullPools = new HashSet<>();
 		for (ItemRun run : waiting) {
 			Optional<Route> route = this.index.routeOf(run.job.host(), run.item.path());
@@ -414,6 +481,10 @@
 				finish(run, ItemResult.givenUp(run.item.id()), route.isEmpty() ? "no route" : "too old");
 				continue;
 			}
+			if (run.storedWhole && isUsable(run, route.get())) {
+				generated(run, route.get());
+				continue;
+			}
 			String pool = route.get().poolAt((run.item.id().hashCode() & 0xffff) / (double) 0x10000);
 			String need = pool + ' ' + run.job.oldestVersion() + ' ' + run.job.model();
 			if (!fullPools.contains(need)) {
@@ -423,6 +494,22 @@
 		}
 	}
 
+	private ItemOrder.Waiting waiting(ItemRun run) {
+		long dueAtMs = run.job.submittedAtMs() + run.job.deadlineMs();
+		double leftEvents = Math.max(0, expectedEvents(run) - run.text.eventCount());
+		return new ItemOrder.Waiting(run.job.id().name(), dueAtMs, dueAtMs - leftEvents * USUAL_EVENT_MS,
+				run.groupPosition, run.position);
+	}
+
+	/** Returns whether a whole output of an earlier job has as few versions as it may. */
+	private static boolean isUsable(ItemRun run, Route route) {
+		if (route.singleVersion() && run.text.versions().size() != 1) {
+			run.beginAgain();
+			return false;
+		}
+		return true;
+	}
+
 	private boolean isExpired(ItemRun run) {
 		return System.currentTimeMillis() > run.job.submittedAtMs() + run.job.itemLifetimeMs() + CLOCK_MARGIN_MS;
 	}
@@ -463,6 +550,7 @@
 		run.phase = ItemRun.Phase.GENERATING;
 		run.target = target;
 		run.heardAtMs = nowMs();
+		run.eventsHere = 0;
 		run.startedAtMs = (run.startedAtMs == 0) ? run.heardAtMs : run.startedAtMs;
 		this.targets.stats(target.id()).sent();
 		ItemAttempt attempt = new ItemAttempt(run, route, target);
@@ -501,41 +589,16 @@
 	private void generated(ItemRun run, Route route) {
 		run.generatedAtMs = nowMs();
 		run.target = null;
-		Scoring scoring = run.item.scoring();
-		if (scoring == null) {
-			finish(run, resultOf(run, ""), "generated");
+		this.lengths.learn(run.job.model(), run.item.expectedTokens(), run.text.eventCount());
+		if (run.item.scoring() == null) {
+			finish(run, run.result(""), "generated");
 			return;
 		}
 		run.phase = ItemRun.Phase.SCORING;
-		score(run, scoring);
+		this.scorer.score(run);
 		dispatchIfLeading();
 	}
 
-	private static ItemResult resultOf(ItemRun run, String score) {
-		return new ItemResult(run.item.id(), true, run.text.text(), run.text.versions(), score);
-	}
-
-	private void score(ItemRun run, Scoring scoring) {
-		if (run.phase != ItemRun.Phase.SCORING || !leads()) {
-			return;
-		}
-		Optional<Route> route = this.index.routeOf(scoring.host(), scoring.path());
-		if (route.isEmpty()) {
-			retryScore(run, scoring);
-			return;
-		}
-		HttpHeaders headers = new DefaultHttpHeaders();
-		headers.set(HttpHeaderNames.HOST, scoring.host());
-		this.dialect.identify(headers, scoring.id());
-		Call call = new Call(scoring.id(), route.get(), null, HttpMethod.POST, scoring.path(), headers, scoring.body(),
-				SCORING_DEADLINE_MS);
-		run.canceller = this.dispatcher.dispatch(call, new ScoreSink(run, scoring, route.get()));
-	}
-
-	private void retryScore(ItemRun run, Scoring scoring) {
-		this.loop.schedule(() -> score(run, scoring), SCORING_PAUSE_MS, TimeUnit.MILLISECONDS);
-	}
-
 	private void finish(ItemRun run, ItemResult result, String reason) {
 		run.phase = ItemRun.Phase.COMMITTING;
 		run.target = null;
@@ -566,23 +629,69 @@
 		Map<JobId, List<ItemResult>> batch = new HashMap<>(this.uncommitted);
 		this.uncommitted.clear();
 		long committingTerm = this.term;
-		batch.forEach((id, results) -> this.control.propose(new Command.FinishItems(id, results))
-			.whenComplete((reply, failure) -> this.loop.execute(() -> {
-				if (failure != null && this.term == committingTerm) {
-					LOGGER.atWarning().log("event=results_not_committed job=%s detail=\"%s\"", id.name(), failure);
-					this.uncommitted.computeIfAbsent(id, (absent) -> new ArrayList<>()).addAll(results);
-					planCommit(COMMIT_RETRY_MS);
-				}
-			})));
+		batch.forEach(
+				(id, results) -> this.control.propose(new Command.FinishItems(id, results, storedBefore(id, results)))
+					.whenComplete((reply, failure) -> this.loop.execute(() -> {
+						if (failure == null) {
+							results.forEach((result) -> setFinished(id, result));
+						}
+						else if (this.term == committingTerm) {
+							LOGGER.atWarning()
+								.log("event=results_not_committed job=%s detail=\"%s\"", id.name(), failure);
+							this.uncommitted.computeIfAbsent(id, (absent) -> new ArrayList<>()).addAll(results);
+							planCommit(COMMIT_RETRY_MS);
+						}
+					})));
+	}
+
+	private void setFinished(JobId id, ItemResult result) {
+		ItemRun run = this.runsByJob.getOrDefault(id, Map.of()).get(result.itemId());
+		if (run != null && run.phase == ItemRun.Phase.COMMITTING) {
+			run.phase = ItemRun.Phase.FINISHED;
+		}
+	}
+
+	private Map<String, Integer> storedBefore(JobId id, List<ItemResult> results) {
+		Map<String, ItemRun> runs = this.runsByJob.getOrDefault(id, Map.of());
+		Map<String, Integer> stored = new HashMap<>();
+		for (ItemResult result : results) {
+			ItemRun run = runs.get(result.itemId());
+			if (result.completed() && run != null && run.eventsBeforeResult() > 0) {
+				stored.put(result.itemId(), run.eventsBeforeResult());
+			}
+		}
+		return stored;
+	}
+
+	/** Stores what long items have gained, so that another leader can go on with them. */
+	private void noteProgress() {
+		if (!leads()) {
+			return;
+		}
+		this.runsByJob.forEach((id, runs) -> {
+			List<ItemRun> grown = runs.values().stream().filter(ItemRun::hasProgressToStore).toList();
+			if (!grown.isEmpty()) {
+				List<ItemRun.Storing> storings = grown.stream().map(ItemRun::beginStoring).toList();
+				List<ItemProgress> progress = storings.stream().map(ItemRun.Storing::progress).toList();
+				this.control.propose(new Command.NoteProgress(id, progress))
+					.whenComplete((reply, failure) -> this.loop.execute(() -> {
+						if (failure != null) {
+							LOGGER.atInfo().log("event=progress_not_stored job=%s detail=\"%s\"", id.name(), failure);
+						}
+						storings.forEach((storing) -> storing.end(failure == null));
+					}));
+			}
+		});
 	}
 
 	/**
 	 * What the runner reads of the replicated state.
 	 *
 	 * @param jobs the open jobs
+	 * @param known the jobs of which nothing but the submission was read
 	 * @param table the routing table, or null if there is none yet
 	 */
-	private record View(List<OpenJob> jobs, TableHolder.@Nullable Image table) {
+	private record View(List<OpenJob> jobs, Set<JobId> known, TableHolder.@Nullable Image table) {
 	}
 
 	/** One generation of an item at one target. */
@@ -630,7 +739,7 @@
 			if (this.route.singleVersion() && this.run.text.eventCount() > 0
 					&& !this.run.text.versions().equals(List.of(version.getAsLong()))) {
 				this.run.canceller.run();
-				this.run.text.reset();
+				this.run.beginAgain();
 				lose(this.run, "another version than that of the events before");
 				return;
 			}
@@ -647,12 +756,14 @@
 			int before = this.run.text.eventCount();
 			this.run.text.read(content);
 			boolean paused = JobRunner.this.versions.isLoading(this.target.id(), this.run.job.model());
-			if (before > 0 && this.run.text.eventCount() > before && !paused && sinceMs < EVENT_PAUSE_MS) {
-				JobRunner.this.targets.stats(this.target.id()).produced(this.run.text.eventCount() - before, sinceMs);
+			int events = this.run.text.eventCount() - before;
+			if (this.run.eventsHere > 0 && events > 0 && !paused && sinceMs < EVENT_PAUSE_MS) {
+				JobRunner.this.targets.stats(this.target.id()).produced(events, sinceMs);
 			}
+			this.run.eventsHere += events;
 			if (this.run.text.isOutOfOrder()) {
 				this.run.canceller.run();
-				this.run.text.reset();
+				this.run.beginAgain();
 				lose(this.run, "events out of order");
 			}
 		}
@@ -679,7 +790,7 @@
 			boolean mixed = this.route.singleVersion() && this.run.text.versions().size() != 1;
 			if (this.run.text.isMidEvent() || this.run.text.eventCount() == 0 || mixed) {
 				if (mixed) {
-					this.run.text.reset();
+					this.run.beginAgain();
 				}
 				lose(this.run, mixed ? "several versions" : "the last event is not whole");
 				return;
@@ -709,74 +820,4 @@
 
 	}
 
-	/** Takes the answer of a scoring call. */
-	private final class ScoreSink implements CallSink {
-
-		private final ItemRun run;
-
-		private final Scoring scoring;
-
-		private final Route route;
-
-		ScoreSink(ItemRun run, Scoring scoring, Route route) {
-			this.run = run;
-			this.scoring = scoring;
-			this.route = route;
-		}
-
-		@Override
-		public void answer(HttpResponse head, ByteBuf body) {
-			body.release();
-			Optional<String> seal = JobRunner.this.dialect.seal(head);
-			if (head.status().code() / 100 == 2 && seal.isPresent()) {
-				finish(this.run, resultOf(this.run, seal.get()), "scored");
-				return;
-			}
-			if (this.run.scoringFailureCount >= this.route.maximumAttempts()) {
-				finish(this.run, ItemResult.givenUp(this.run.item.id()),
-						"scoring failed " + this.run.scoringFailureCount + " times");
-				return;
-			}
-			retryScore(this.run, this.scoring);
-		}
-
-		@Override
-		public void failed(int status) {
-			if (status == FAILED_STATUS) {
-				this.run.scoringFailureCount++;
-			}
-		}
-
-		@Override
-		public void refuse(ResultCode code, long retryAfterMs) {
-			retryScore(this.run, this.scoring);
-		}
-
-		@Override
-		public void beginStream(HttpResponse head) {
-			refuse(ResultCode.TARGET_FAILED, 0);
-		}
-
-		@Override
-		public void continueStream(ByteBuf content) {
-			// A score is the head's seal; a stream has none that counts.
-		}
-
-		@Override
-		public void endStream() {
-			// See continueStream.
-		}
-
-		@Override
-		public void breakStream() {
-			// See continueStream.
-		}
-
-		@Override
-		public void began() {
-			// Scoring calls are not use of a customer.
-		}
-
-	}
-
 }
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/weight/WeightOrders.java
@@ -1,6 +1,7 @@
 package org.zinniatack.direct.weight;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -29,7 +30,9 @@
 import org.zinniatack.core.table.Pool;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RoutingTable;
+import org.zinniatack.core.weight.LoadPlan;
 import org.zinniatack.core.weight.ModelShares;
+import org.zinniatack.core.weight.StepVersions;
 import org.zinniatack.direct.http.AnswerListener;
 import org.zinniatack.direct.http.SendFailure;
 import org.zinniatack.direct.http.TargetClient;
@@ -67,12 +70,12 @@
 
 	private static final long RETRY_MS = 500;
 
-	/** A third of a model's targets load at once; the others go on with its items. */
-	private static final int SHARE_PARTS = 3;
-
 	/** Enough jobs that one unusual step moves no targets. */
 	private static final int JOBS_A_MODEL = 3;
 
+	/** More than arrive between two looks. */
+	private static final int NEWEST_JOBS = 64;
+
 	private static final int ACCEPTED = 202;
 
 	private static final int HOLDS_ALREADY = 200;
@@ -91,6 +94,10 @@
 
 	private final LoadedVersions versions;
 
+	private final RunMover mover;
+
+	private final Map<String, StepVersions> stepsByModel = new HashMap<>();
+
 	/** At most one load a target, since a target carries out one order at a time. */
 	private final Map<String, Load> loadsByTarget = new HashMap<>();
 
@@ -113,15 +120,17 @@
 	 * @param dialect how targets are spoken to
 	 * @param targets the targets
 	 * @param versions the weight versions of targets, which this service keeps
+	 * @param mover moves runs that a load would pause
 	 */
 	public WeightOrders(EventLoop loop, ControlService control, TargetClient client, TargetDialect dialect,
-			Targets targets, LoadedVersions versions) {
+			Targets targets, LoadedVersions versions, RunMover mover) {
 		this.loop = loop;
 		this.control = control;
 		this.client = client;
 		this.dialect = dialect;
 		this.targets = targets;
 		this.versions = versions;
+		this.mover = mover;
 	}
 
 	@Override
@@ -148,6 +157,7 @@
 		}
 		if (current.getAsLong() != this.term) {
 			forgetLoads();
+			this.stepsByModel.clear();
 			this.term = current.getAsLong();
 		}
 		if (this.reading.compareAndSet(false, true)) {
@@ -170,6 +180,9 @@
 		if (table == null || !leads()) {
 			return;
 		}
+		announced.steps()
+			.forEach((model, steps) -> this.stepsByModel.computeIfAbsent(model, (absent) -> new StepVersions())
+				.note(announced.weights().getOrDefault(model, 0L), steps));
 		for (Pool pool : table.pools().values()) {
 			Map<String, Long> needs = new TreeMap<>(announced.needs());
 			needs.keySet().retainAll(pool.models());
@@ -194,40 +207,38 @@
 		Map<String, TargetNotice> ready = new HashMap<>();
 		this.targets.ready(pool.name()).forEach((target) -> ready.put(target.id(), target));
 		this.loadsByTarget.values().removeIf((load) -> isOver(load, pool, ready.values()));
-		int limit = Math.max(FEWEST_LOADING, (int) (LOADING_SHARE * ready.size()));
 		Map<String, Integer> shares = ModelShares.targetsByModel(ready.size(), needs);
-		for (String model : needs.keySet()) {
+		beginLoads(pool, ready, needs.keySet(), shares, weights, keepRunning, true);
+		beginLoads(pool, ready, needs.keySet(), shares, weights, keepRunning, false);
+	}
+
+	/** Begins the loads of all models that are urgent, or those that are not. */
+	private void beginLoads(Pool pool, Map<String, TargetNotice> ready, Collection<String> models,
+			Map<String, Integer> shares, Map<String, Long> weights, boolean keepRunning, boolean urgent) {
+		int limit = Math.max(FEWEST_LOADING, (int) (LOADING_SHARE * ready.size()));
+		for (String model : models) {
 			long newest = weights.getOrDefault(model, 0L);
+			LoadPlan.Need need = new LoadPlan.Need(model, newest,
+					this.stepsByModel.computeIfAbsent(model, (absent) -> new StepVersions()).oldestUsable(newest),
+					shares.get(model));
 			List<ModelShares.Holder> holders = ready.values()
 				.stream()
 				.filter((target) -> this.targets.stats(target.id()).isUsable(nowMs()))
-				.map((target) -> holder(target, needs.keySet()))
+				.map((target) -> holder(target, models))
 				.toList();
-			for (String id : ModelShares.toLoad(model, newest, holders, shares.get(model))) {
-				boolean room = loading(pool.name(), "") < limit
-						&& loading(pool.name(), model) < Math.max(1, shares.get(model) / SHARE_PARTS);
-				if (room && !this.loadsByTarget.containsKey(id) && !isWorthWaitingFor(ready.get(id), model, newest)) {
-					begin(ready.get(id), pool.name(), model, newest, keepRunning);
+			for (LoadPlan.Load load : LoadPlan.loads(need, holders)) {
+				boolean canWait = !load.urgent() && this.targets.stats(load.id()).longItemCount() > 0;
+				if (load.urgent() == urgent && !canWait && loading(pool.name()) < limit
+						&& !this.loadsByTarget.containsKey(load.id())) {
+					begin(ready.get(load.id()), pool.name(), model, newest, keepRunning);
 				}
 			}
 		}
 	}
 
-	/**
-	 * Returns whether a load can wait for the target's long items, which it would delay:
-	 * a target that is one version behind still serves the newest step.
-	 */
-	private boolean isWorthWaitingFor(TargetNotice target, String model, long newest) {
-		return this.targets.stats(target.id()).longItemCount() > 0
-				&& this.versions.version(target, model).orElse(0) >= newest - 1;
-	}
-
-	/** Returns how many targets of a pool load a model, or any model if it is empty. */
-	private long loading(String pool, String model) {
-		return this.loadsByTarget.values()
-			.stream()
-			.filter((load) -> load.pool.equals(pool) && (model.isEmpty() || load.model.equals(model)))
-			.count();
+	/** Returns how many targets of a pool load a model. */
+	private long loading(String pool) {
+		return this.loadsByTarget.values().stream().filter((load) -> load.pool.equals(pool)).count();
 	}
 
 	private ModelShares.Holder holder(TargetNotice target, Collection<String> models) {
@@ -255,6 +266,9 @@
 		Load load = new Load(target, pool, model, version, keepRunning);
 		this.loadsByTarget.put(target.id(), load);
 		setLoading(load, true);
+		if (keepRunning) {
+			this.mover.moveAway(target.id(), model);
+		}
 		ask(load);
 	}
 
@@ -473,12 +487,28 @@
 	 *
 	 * @param weights the newest version by model
 	 * @param needs the work of each model of which versions or jobs are known
+	 * @param steps the newest jobs of each model
 	 * @param table the routing table, or null if there is none yet
 	 */
-	private record Announced(Map<String, Long> weights, Map<String, Long> needs, @Nullable RoutingTable table) {
+	private record Announced(Map<String, Long> weights, Map<String, Long> needs,
+			Map<String, List<StepVersions.Step>> steps, @Nullable RoutingTable table) {
 
 		static Announced of(ControlState state) {
-			return new Announced(state.weights(), needs(state), (state.table() != null) ? state.table().table() : null);
+			return new Announced(state.weights(), needs(state), steps(state),
+					(state.table() != null) ? state.table().table() : null);
+		}
+
+		private static Map<String, List<StepVersions.Step>> steps(ControlState state) {
+			Map<String, List<StepVersions.Step>> steps = new HashMap<>();
+			List<Job> jobs = state.jobs().jobs();
+			for (Job job : jobs.subList(Math.max(0, jobs.size() - NEWEST_JOBS), jobs.size())) {
+				JobSubmission submission = job.submission();
+				if (!submission.model().isEmpty()) {
+					steps.computeIfAbsent(submission.model(), (absent) -> new ArrayList<>())
+						.add(new StepVersions.Step(submission.id(), submission.oldestVersion()));
+				}
+			}
+			return steps;
 		}
 
 		/** Returns the tokens that the newest jobs of each model expect. */
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
@@ -6,10 +6,12 @@
 
 import org.junit.jupiter.api.Test;
 
+import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.PartialText;
 import org.zinniatack.core.job.Scoring;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
@@ -75,4 +77,17 @@
 		assertThat(ended.jobs().job(JOB.id()).isPresent(), is(false));
 	}
 
+	@Test
+	void progressOfItemsSurvivesTheLogAndASnapshot() throws IOException, ServiceException {
+		ControlState state = new ControlState();
+		apply(state, 1, new Command.SubmitJob(JOB));
+		apply(state, 2, new Command.NoteProgress(JOB.id(),
+				List.of(new ItemProgress("i", 0, new PartialText(List.of("a", "b"), List.of(3L), 2)))));
+		ControlState restored = ControlState.of(StateCodec.decodeImage(StateCodec.encode(state.image())));
+		apply(restored, 3, new Command.FinishItems(JOB.id(),
+				List.of(new ItemResult("i", true, "c", List.of(3L, 4L), "s")), Map.of("i", 2)));
+		assertThat(restored.jobs().job(JOB.id()).orElseThrow().resultsFrom(0, 100),
+				contains(new ItemResult("i", true, "a\nb\nc", List.of(3L, 4L), "s")));
+	}
+
 }
