--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/GatewayService.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/GatewayService.java
@@ -97,8 +97,9 @@
 				this, 1);
 		this.control = new ControlLinks(this.wire, this::subscribe);
 		this.use = new UseCounter(Math.round(1_000 * settings.usageWindowS()));
-		this.targets = new Targets((pool) -> this.directory.ready(pool, nowMs()), settings.failureDomain());
 		this.client = new TargetClient(loop, dialect);
+		this.targets = new Targets((pool) -> this.directory.ready(pool, nowMs()), settings.failureDomain(),
+				this.client::hasIdle);
 		this.dispatcher = new CallDispatcher(loop, this.client, dialect, this.targets);
 	}
 
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/http/TargetClient.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/http/TargetClient.java
@@ -87,6 +87,17 @@
 		return sending::cancel;
 	}
 
+	/**
+	 * Returns whether a request to a target would need no new connection.
+	 * @param address host and port of the target
+	 * @return true if an idle connection is open
+	 */
+	public boolean hasIdle(String address) {
+		Deque<Connection> idle = this.idleByAddress.get(address);
+		long nowMs = nowMs();
+		return idle != null && idle.stream().anyMatch((connection) -> connection.isUsable(nowMs));
+	}
+
 	private @Nullable Connection takeIdle(String address) {
 		Deque<Connection> idle = this.idleByAddress.get(address);
 		long nowMs = nowMs();
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -523,8 +523,8 @@
 					&& !this.versions.isLoading(target.id(), run.job.model())
 					&& this.versions.version(target, run.job.model()).orElse(0) >= run.job.oldestVersion()) {
 				free.put(target.id(), target);
-				candidates.add(new ItemPlacement.Candidate(target.id(), stats.pressure(target, nowMs), stats.eventMs(),
-						runsSamePrompt(run, target)));
+				candidates.add(new ItemPlacement.Candidate(target.id(), this.targets.pressure(target, nowMs),
+						stats.eventMs(), runsSamePrompt(run, target)));
 			}
 		}
 		return this.placement.choose(candidates).map((chosen) -> free.get(chosen.id()));
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/target/Targets.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/target/Targets.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.zinniatack.core.directory.TargetNotice;
 
@@ -22,16 +23,28 @@
 
 	private final String failureDomain;
 
+	/**
+	 * A new connection costs a target a millisecond or more: as much as a seventh of its
+	 * slots being taken.
+	 */
+	private static final double NEW_CONNECTION_PRESSURE = 0.15;
+
+	private final Predicate<String> hasIdleConnection;
+
 	private final Map<String, TargetStats> statsById = new HashMap<>();
 
 	/**
 	 * Returns a choice among targets.
 	 * @param readyByPool returns the targets of a pool that take requests
 	 * @param failureDomain the failure domain of this process
+	 * @param hasIdleConnection tells by a target's address whether a request to it needs
+	 * no new connection
 	 */
-	public Targets(Function<String, List<TargetNotice>> readyByPool, String failureDomain) {
+	public Targets(Function<String, List<TargetNotice>> readyByPool, String failureDomain,
+			Predicate<String> hasIdleConnection) {
 		this.readyByPool = readyByPool;
 		this.failureDomain = failureDomain;
+		this.hasIdleConnection = hasIdleConnection;
 	}
 
 	/**
@@ -79,7 +92,19 @@
 
 	private double cost(TargetNotice notice, long nowMs) {
 		double distance = notice.failureDomain().equals(this.failureDomain) ? 0 : DISTANCE_PRESSURE;
-		return stats(notice.id()).pressure(notice, nowMs) + distance;
+		return pressure(notice, nowMs) + distance;
+	}
+
+	/**
+	 * Returns how full a target is, with its failures and the need of a new connection
+	 * counted as load.
+	 * @param notice the target
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return its load against its slots, 1 for a full target
+	 */
+	public double pressure(TargetNotice notice, long nowMs) {
+		double connection = this.hasIdleConnection.test(notice.address()) ? 0 : NEW_CONNECTION_PRESSURE;
+		return stats(notice.id()).pressure(notice, nowMs) + connection;
 	}
 
 }
--- a/zinniatack-direct/src/test/java/org/zinniatack/direct/call/CallDispatcherTests.java
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/call/CallDispatcherTests.java
@@ -61,8 +61,10 @@
 
 	private final TestDialect dialect = new TestDialect();
 
-	private final CallDispatcher dispatcher = new CallDispatcher(this.loop, new TargetClient(this.loop, this.dialect),
-			this.dialect, new Targets((pool) -> this.ready, "a"));
+	private final TargetClient client = new TargetClient(this.loop, this.dialect);
+
+	private final CallDispatcher dispatcher = new CallDispatcher(this.loop, this.client, this.dialect,
+			new Targets((pool) -> this.ready, "a", this.client::hasIdle));
 
 	@AfterEach
 	void stop() {
@@ -93,6 +95,19 @@
 		}
 	}
 
+	/** The pattern: calls come seldom, so no target is fuller than another. */
+	@Test
+	void aCallGoesWhereAConnectionIsOpen() throws Exception {
+		try (ScriptedTarget first = target("t2", GOOD, GOOD)) {
+			run(RouteKind.IDEMPOTENT, 5_000);
+			try (ScriptedTarget second = target("t1", GOOD)) {
+				assertThat(run(RouteKind.IDEMPOTENT, 5_000), is("200 fine"));
+				assertThat(first.requests().size(), is(2));
+				assertThat(second.requests().size(), is(0));
+			}
+		}
+	}
+
 	@Test
 	void aCallThatMayNotBeRepeatedIsSentOnceAndIsNotCalledNotRun() throws Exception {
 		try (ScriptedTarget first = target("t1", ScriptedTarget.HANG_UP); ScriptedTarget second = target("t2", GOOD)) {
