Send each item once, and let a result carry what is stored before it

An item whose output was whole from an earlier job began its scoring inside the round that hands out slots; that began a second round, and the first went on with items that already ran. Two streams then fed one output, each event of the other was out of order, and after a new beginning an event of any id was taken for the first. Ruled out: results that lost the count of stored events between two leases of one term; that was possible too, so the count now travels with the result.

Now a round passes over items that do not wait, the first event of an output has id 0 or 1, stored progress that does not follow what the log holds is refused whole and stored anew, and a result leaves out only what the log confirmed to its own run.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
@@ -53,18 +53,26 @@
 		}
 	}
 
-	/** Stores the progress of an item, unless it has a result or events are missing. */
+	/**
+	 * Returns whether progress goes on from what is stored of its item, or needs no
+	 * storing, since the item has a result.
+	 */
+	boolean follows(ItemProgress progress) {
+		PartialText stored = this.partialTexts.get(progress.itemId());
+		return progress.eventsBefore() == 0 || !isWanted(progress)
+				|| (stored != null && stored.events().size() == progress.eventsBefore());
+	}
+
+	private boolean isWanted(ItemProgress progress) {
+		return this.itemIds.contains(progress.itemId()) && !this.finishedIds.contains(progress.itemId());
+	}
+
+	/** Stores progress that follows what is stored, or that begins again. */
 	void note(ItemProgress progress) {
-		String itemId = progress.itemId();
-		PartialText stored = this.partialTexts.get(itemId);
-		if (!this.itemIds.contains(itemId) || this.finishedIds.contains(itemId)) {
-			return;
-		}
-		if (progress.eventsBefore() == 0) {
-			this.partialTexts.put(itemId, progress.further());
-		}
-		else if (stored != null && stored.events().size() == progress.eventsBefore()) {
-			this.partialTexts.put(itemId, stored.append(progress.further()));
+		if (isWanted(progress)) {
+			PartialText stored = this.partialTexts.get(progress.itemId());
+			this.partialTexts.put(progress.itemId(), (progress.eventsBefore() == 0 || stored == null)
+					? progress.further() : stored.append(progress.further()));
 		}
 	}
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
 /**
  * The jobs of all customers in the order of their acceptance.
  */
@@ -54,12 +57,18 @@
 	}
 
 	/**
-	 * Stores the progress of items of a job that is known.
+	 * Stores the progress of items of a job that is known, of all or of none.
 	 * @param id the job
 	 * @param progress what the items have gained
+	 * @throws ServiceException with {@link ResultCode#REVISION_CONFLICT} if some of it
+	 * does not follow what is stored
 	 */
-	public void note(JobId id, List<ItemProgress> progress) {
-		job(id).ifPresent((job) -> progress.forEach(job::note));
+	public void note(JobId id, List<ItemProgress> progress) throws ServiceException {
+		Optional<Job> job = job(id);
+		if (job.isPresent() && !progress.stream().allMatch(job.get()::follows)) {
+			throw ServiceException.of(ResultCode.REVISION_CONFLICT, "other progress of an item is stored");
+		}
+		job.ifPresent((known) -> progress.forEach(known::note));
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -182,7 +182,7 @@
 		return true;
 	}
 
-	private boolean applyJob(Command command) {
+	private boolean applyJob(Command command) throws ServiceException {
 		if (command instanceof Command.ReplaceTable replace) {
 			this.table.replace(replace.table(), replace.document());
 		}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -6,6 +6,9 @@
 
 import org.junit.jupiter.api.Test;
 
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.hasSize;
@@ -93,8 +96,18 @@
 				new PartialText(List.of(events), List.of(2L), eventsBefore + events.length));
 	}
 
+	private ResultCode refusal(ItemProgress... progress) {
+		try {
+			this.ledger.note(ID, List.of(progress));
+			return ResultCode.OK;
+		}
+		catch (ServiceException ex) {
+			return ex.code();
+		}
+	}
+
 	@Test
-	void aResultGoesOnAfterTheStoredEventsOfItsItem() {
+	void aResultGoesOnAfterTheStoredEventsOfItsItem() throws ServiceException {
 		this.ledger.submit(submission("a", "b"));
 		this.ledger.note(ID, List.of(progress("a", 0, "1", "2")));
 		this.ledger.note(ID, List.of(progress("a", 2, "3")));
@@ -104,7 +117,7 @@
 	}
 
 	@Test
-	void anItemThatBeginsAgainForgetsItsStoredEvents() {
+	void anItemThatBeginsAgainForgetsItsStoredEvents() throws ServiceException {
 		this.ledger.submit(submission("a"));
 		this.ledger.note(ID, List.of(progress("a", 0, "1", "2")));
 		this.ledger.note(ID, List.of(progress("a", 0, "x")));
@@ -112,10 +125,11 @@
 	}
 
 	@Test
-	void progressWithAGapOrOfAFinishedItemIsIgnored() {
+	void progressWithAGapIsRefusedAndThatOfAFinishedItemIsIgnored() throws ServiceException {
 		this.ledger.submit(submission("a", "b"));
 		this.ledger.note(ID, List.of(progress("a", 0, "1")));
-		this.ledger.note(ID, List.of(progress("a", 3, "4")));
+		assertThat(refusal(progress("b", 0, "1"), progress("a", 3, "4")), is(ResultCode.REVISION_CONFLICT));
+		assertThat(this.ledger.job(ID).orElseThrow().partialText("b").isPresent(), is(false));
 		this.ledger.finish(ID, List.of(result("b", "x")));
 		this.ledger.note(ID, List.of(progress("b", 0, "1")));
 		Job job = this.ledger.job(ID).orElseThrow();
@@ -124,7 +138,7 @@
 	}
 
 	@Test
-	void aResultWhoseStoredEventsAreMissingIsNotTaken() {
+	void aResultWhoseStoredEventsAreMissingIsNotTaken() throws ServiceException {
 		this.ledger.submit(submission("a"));
 		this.ledger.note(ID, List.of(progress("a", 0, "1")));
 		this.ledger.finish(ID, List.of(result("a", "3")), Map.of("a", 2));
@@ -132,7 +146,7 @@
 	}
 
 	@Test
-	void progressSurvivesTheStoredForm() {
+	void progressSurvivesTheStoredForm() throws ServiceException {
 		this.ledger.submit(submission("a", "b"));
 		this.ledger.note(ID, List.of(progress("a", 0, "1", "2")));
 		JobLedger restored = JobLedger.of(this.ledger.images());
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/EventText.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/EventText.java
@@ -17,6 +17,9 @@
  */
 final class EventText {
 
+	/** The id of the first event of an output; some targets count from 0. */
+	private static final long FIRST_ID = 1;
+
 	private final Function<String, OptionalLong> versionOfLine;
 
 	private final List<String> data = new ArrayList<>();
@@ -97,8 +100,9 @@
 			clearEvent();
 			return;
 		}
-		boolean first = this.data.isEmpty();
-		if (this.eventId.isEmpty() || (!first && this.eventId.getAsLong() != this.lastId + 1)) {
+		boolean follows = this.data.isEmpty() ? this.eventId.orElse(0) <= FIRST_ID
+				: this.eventId.orElse(0) == this.lastId + 1;
+		if (this.eventId.isEmpty() || !follows) {
 			this.outOfOrder = true;
 		}
 		else {
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
@@ -43,7 +43,11 @@
 	/** How many events of its text are stored as progress of its job. */
 	private int storedEvents;
 
-	private int eventsBeforeResult;
+	/**
+	 * How many of them the log has confirmed to this run. What was read at the start of a
+	 * term may still be followed by progress that an earlier run had on its way.
+	 */
+	private int confirmedEvents;
 
 	private @Nullable Storing storing;
 
@@ -88,8 +92,13 @@
 	void beginAgain() {
 		this.text.reset();
 		this.storedWhole = false;
-		this.storedEvents = 0;
 		this.storing = null;
+		storeAnew();
+	}
+
+	private void storeAnew() {
+		this.storedEvents = 0;
+		this.confirmedEvents = 0;
 	}
 
 	/** Returns whether enough has come since the progress was stored. */
@@ -107,18 +116,13 @@
 	}
 
 	/**
-	 * Returns the result of the whole output. It leaves out events that are stored as
-	 * progress, but never the last.
+	 * Returns the end of an item whose output is whole. Its result leaves out events that
+	 * are stored as progress, but never the last.
 	 */
-	ItemResult result(String score) {
-		this.eventsBeforeResult = Math.max(0, Math.min(this.storedEvents, this.text.eventCount() - 1));
-		return new ItemResult(this.item.id(), true, this.text.textFrom(this.eventsBeforeResult), this.text.versions(),
-				score);
-	}
-
-	/** Returns how many stored events come before the text of the result. */
-	int eventsBeforeResult() {
-		return this.eventsBeforeResult;
+	ItemEnd end(String score) {
+		int before = Math.max(0, Math.min(this.confirmedEvents, this.text.eventCount() - 1));
+		return new ItemEnd(this,
+				new ItemResult(this.item.id(), true, this.text.textFrom(before), this.text.versions(), score), before);
 	}
 
 	private static int groupPosition(JobSubmission job, JobItem item, int position) {
@@ -138,11 +142,20 @@
 	 */
 	record Storing(ItemRun run, int events, ItemProgress progress) {
 
-		/** Notes whether it is stored, unless the item has begun again since. */
-		void end(boolean stored) {
+		/** Notes that it is stored, unless the item has begun again since. */
+		void succeed() {
+			if (this.run.storing == this) {
+				this.run.storing = null;
+				this.run.storedEvents = this.events;
+				this.run.confirmedEvents = this.events;
+			}
+		}
+
+		/** Has the whole output stored anew, since what the log holds is not known. */
+		void fail() {
 			if (this.run.storing == this) {
 				this.run.storing = null;
-				this.run.storedEvents = stored ? this.events : this.run.storedEvents;
+				this.run.storeAnew();
 			}
 		}
 
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemScorer.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemScorer.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 import org.zinniatack.core.directory.TargetNotice;
-import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.Scoring;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.table.Route;
@@ -141,10 +140,10 @@
 		/**
 		 * Ends an item.
 		 * @param run the item
-		 * @param result its result
+		 * @param end how it ended
 		 * @param reason the reason for the log
 		 */
-		void finish(ItemRun run, ItemResult result, String reason);
+		void finish(ItemRun run, ItemEnd end, String reason);
 
 	}
 
@@ -179,10 +178,10 @@
 			end();
 			Optional<String> seal = ItemScorer.this.dialect.seal(head);
 			if (head.status().code() / 100 == 2 && seal.isPresent()) {
-				ItemScorer.this.outcome.finish(this.run, this.run.result(seal.get()), "scored");
+				ItemScorer.this.outcome.finish(this.run, this.run.end(seal.get()), "scored");
 			}
 			else if (this.run.scoringFailureCount >= this.route.maximumAttempts()) {
-				ItemScorer.this.outcome.finish(this.run, ItemResult.givenUp(this.run.item.id()),
+				ItemScorer.this.outcome.finish(this.run, ItemEnd.givenUp(this.run),
 						"scoring failed " + this.run.scoringFailureCount + " times");
 			}
 			else {
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -41,6 +41,7 @@
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RouteIndex;
 import org.zinniatack.core.table.TableHolder;
@@ -139,7 +140,7 @@
 
 	private final Map<JobId, Map<String, ItemRun>> runsByJob = new LinkedHashMap<>();
 
-	private final Map<JobId, List<ItemResult>> uncommitted = new HashMap<>();
+	private final Map<JobId, List<ItemEnd>> uncommitted = new HashMap<>();
 
 	private final AtomicBoolean refreshing = new AtomicBoolean();
 
@@ -476,9 +477,12 @@
 		waiting.sort(Comparator.comparing(places::get, ItemOrder.byLatestStart()));
 		Set<String> fullPools = new HashSet<>();
 		for (ItemRun run : waiting) {
+			if (run.phase != ItemRun.Phase.WAITING) {
+				continue;
+			}
 			Optional<Route> route = this.index.routeOf(run.job.host(), run.item.path());
 			if (route.isEmpty() || isExpired(run)) {
-				finish(run, ItemResult.givenUp(run.item.id()), route.isEmpty() ? "no route" : "too old");
+				finish(run, ItemEnd.givenUp(run), route.isEmpty() ? "no route" : "too old");
 				continue;
 			}
 			if (run.storedWhole && isUsable(run, route.get())) {
@@ -591,15 +595,16 @@
 		run.target = null;
 		this.lengths.learn(run.job.model(), run.item.expectedTokens(), run.text.eventCount());
 		if (run.item.scoring() == null) {
-			finish(run, run.result(""), "generated");
+			finish(run, run.end(""), "generated");
 			return;
 		}
 		run.phase = ItemRun.Phase.SCORING;
 		this.scorer.score(run);
-		dispatchIfLeading();
+		this.loop.execute(this::dispatchIfLeading);
 	}
 
-	private void finish(ItemRun run, ItemResult result, String reason) {
+	private void finish(ItemRun run, ItemEnd end, String reason) {
+		ItemResult result = end.result();
 		run.phase = ItemRun.Phase.COMMITTING;
 		run.target = null;
 		run.canceller = () -> {
@@ -610,7 +615,7 @@
 					run.job.id().customer(), run.text.eventCount(), run.item.expectedTokens(), result.versions(),
 					run.failureCount, run.lossCount, run.startedAtMs - run.openedAtMs,
 					run.generatedAtMs - run.startedAtMs, nowMs() - run.generatedAtMs, reason);
-		this.uncommitted.computeIfAbsent(run.job.id(), (absent) -> new ArrayList<>()).add(result);
+		commitLater(end);
 		planCommit(COMMIT_DELAY_MS);
 	}
 
@@ -626,41 +631,40 @@
 		if (!leads()) {
 			return;
 		}
-		Map<JobId, List<ItemResult>> batch = new HashMap<>(this.uncommitted);
+		Map<JobId, List<ItemEnd>> batch = new HashMap<>(this.uncommitted);
 		this.uncommitted.clear();
 		long committingTerm = this.term;
-		batch.forEach(
-				(id, results) -> this.control.propose(new Command.FinishItems(id, results, storedBefore(id, results)))
-					.whenComplete((reply, failure) -> this.loop.execute(() -> {
-						if (failure == null) {
-							results.forEach((result) -> setFinished(id, result));
-						}
-						else if (this.term == committingTerm) {
-							LOGGER.atWarning()
-								.log("event=results_not_committed job=%s detail=\"%s\"", id.name(), failure);
-							this.uncommitted.computeIfAbsent(id, (absent) -> new ArrayList<>()).addAll(results);
-							planCommit(COMMIT_RETRY_MS);
-						}
-					})));
+		batch.forEach((id, ends) -> this.control.propose(finishing(id, ends))
+			.whenComplete((reply, failure) -> this.loop.execute(() -> {
+				if (failure == null) {
+					ends.forEach(JobRunner::setFinished);
+				}
+				else if (this.term == committingTerm) {
+					LOGGER.atWarning().log("event=results_not_committed job=%s detail=\"%s\"", id.name(), failure);
+					ends.stream()
+						.filter((end) -> end.run().phase == ItemRun.Phase.COMMITTING)
+						.forEach(this::commitLater);
+					planCommit(COMMIT_RETRY_MS);
+				}
+			})));
 	}
 
-	private void setFinished(JobId id, ItemResult result) {
-		ItemRun run = this.runsByJob.getOrDefault(id, Map.of()).get(result.itemId());
-		if (run != null && run.phase == ItemRun.Phase.COMMITTING) {
-			run.phase = ItemRun.Phase.FINISHED;
-		}
+	private void commitLater(ItemEnd end) {
+		this.uncommitted.computeIfAbsent(end.run().job.id(), (absent) -> new ArrayList<>()).add(end);
 	}
 
-	private Map<String, Integer> storedBefore(JobId id, List<ItemResult> results) {
-		Map<String, ItemRun> runs = this.runsByJob.getOrDefault(id, Map.of());
-		Map<String, Integer> stored = new HashMap<>();
-		for (ItemResult result : results) {
-			ItemRun run = runs.get(result.itemId());
-			if (result.completed() && run != null && run.eventsBeforeResult() > 0) {
-				stored.put(result.itemId(), run.eventsBeforeResult());
-			}
+	private static void setFinished(ItemEnd end) {
+		if (end.run().phase == ItemRun.Phase.COMMITTING) {
+			end.run().phase = ItemRun.Phase.FINISHED;
 		}
-		return stored;
+	}
+
+	private static Command.FinishItems finishing(JobId id, List<ItemEnd> ends) {
+		Map<String, Integer> storedEvents = new HashMap<>();
+		ends.stream()
+			.filter((end) -> end.storedEvents() > 0)
+			.forEach((end) -> storedEvents.put(end.result().itemId(), end.storedEvents()));
+		return new Command.FinishItems(id, ends.stream().map(ItemEnd::result).toList(), storedEvents);
 	}
 
 	/** Stores what long items have gained, so that another leader can go on with them. */
@@ -675,10 +679,14 @@
 				List<ItemProgress> progress = storings.stream().map(ItemRun.Storing::progress).toList();
 				this.control.propose(new Command.NoteProgress(id, progress))
 					.whenComplete((reply, failure) -> this.loop.execute(() -> {
-						if (failure != null) {
-							LOGGER.atInfo().log("event=progress_not_stored job=%s detail=\"%s\"", id.name(), failure);
+						if (reply instanceof Reply.Accepted) {
+							storings.forEach(ItemRun.Storing::succeed);
+							return;
 						}
-						storings.forEach((storing) -> storing.end(failure == null));
+						LOGGER.atInfo()
+							.log("event=progress_not_stored job=%s items=%d reply=%s detail=\"%s\"", id.name(),
+									storings.size(), reply, failure);
+						storings.forEach(ItemRun.Storing::fail);
 					}));
 			}
 		});
@@ -804,7 +812,7 @@
 			this.run.failureCount++;
 			boolean impossible = status == ResultCode.QUARANTINED.httpStatus();
 			if (impossible || this.run.failureCount >= this.route.maximumAttempts()) {
-				finish(this.run, ItemResult.givenUp(this.run.item.id()), "status " + status);
+				finish(this.run, ItemEnd.givenUp(this.run), "status " + status);
 			}
 			else {
 				waitAgain(this.run, 0);
--- a/zinniatack-direct/src/test/java/org/zinniatack/direct/job/EventTextTests.java
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/job/EventTextTests.java
@@ -73,4 +73,11 @@
 		assertThat(this.text.isOutOfOrder(), is(true));
 	}
 
+	@Test
+	void anOutputThatBeginsInItsMiddleIsOutOfOrder() {
+		this.text.beginStream(1);
+		read("id: 90\ndata: last\n\n");
+		assertThat(this.text.isOutOfOrder(), is(true));
+	}
+
 }
--- a/zinniatack-direct/src/test/java/org/zinniatack/direct/job/ItemRunTests.java
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/job/ItemRunTests.java
@@ -13,6 +13,8 @@
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.JobLedger;
 import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -44,14 +46,30 @@
 		}
 	}
 
-	private void store(ItemRun run, boolean acknowledged) {
+	private void store(ItemRun run, boolean acknowledged) throws ServiceException {
 		ItemRun.Storing storing = run.beginStoring();
 		this.ledger.note(run.job.id(), List.of(storing.progress()));
-		storing.end(acknowledged);
+		if (acknowledged) {
+			storing.succeed();
+		}
+		else {
+			storing.fail();
+		}
+	}
+
+	private boolean isRefused(ItemRun.Storing storing) {
+		try {
+			this.ledger.note(storing.run().job.id(), List.of(storing.progress()));
+			return false;
+		}
+		catch (ServiceException ex) {
+			return ex.code() == ResultCode.REVISION_CONFLICT;
+		}
 	}
 
 	private String finish(ItemRun run) {
-		this.ledger.finish(run.job.id(), List.of(run.result("")), Map.of("i", run.eventsBeforeResult()));
+		ItemEnd end = run.end("");
+		this.ledger.finish(run.job.id(), List.of(end.result()), Map.of("i", end.storedEvents()));
 		return job(run.job).result("i").orElseThrow().text();
 	}
 
@@ -68,7 +86,7 @@
 	}
 
 	@Test
-	void storedAndUnstoredEventsMakeTheWholeOutput() {
+	void storedAndUnstoredEventsMakeTheWholeOutput() throws ServiceException {
 		JobSubmission job = submission("j", 1);
 		this.ledger.submit(job);
 		ItemRun run = run(job);
@@ -83,7 +101,7 @@
 	}
 
 	@Test
-	void anOutputThatIsStoredToItsLastEventIsWhole() {
+	void anOutputThatIsStoredToItsLastEventIsWhole() throws ServiceException {
 		JobSubmission job = submission("j", 1);
 		this.ledger.submit(job);
 		ItemRun run = run(job);
@@ -93,7 +111,7 @@
 	}
 
 	@Test
-	void anAcknowledgementAfterANewBeginningIsIgnored() {
+	void anAcknowledgementAfterANewBeginningIsIgnored() throws ServiceException {
 		JobSubmission job = submission("j", 1);
 		this.ledger.submit(job);
 		ItemRun run = run(job);
@@ -101,13 +119,13 @@
 		ItemRun.Storing late = run.beginStoring();
 		this.ledger.note(job.id(), List.of(late.progress()));
 		run.beginAgain();
-		late.end(true);
+		late.succeed();
 		read(run, 1, 5);
 		assertThat(finish(run), is(text(5)));
 	}
 
 	@Test
-	void anotherLeaderGoesOnAfterTheStoredEvents() {
+	void anotherLeaderGoesOnAfterTheStoredEvents() throws ServiceException {
 		JobSubmission job = submission("j", 1);
 		this.ledger.submit(job);
 		ItemRun first = run(job);
@@ -124,7 +142,7 @@
 	}
 
 	@Test
-	void aGroupThatComesAgainGoesOnWhereItsVersionsFit() {
+	void aGroupThatComesAgainGoesOnWhereItsVersionsFit() throws ServiceException {
 		JobSubmission job = submission("j", 1);
 		this.ledger.submit(job);
 		ItemRun run = run(job);
@@ -146,7 +164,7 @@
 	}
 
 	@Test
-	void aGroupThatComesAgainKeepsItsWholeOutputs() {
+	void aGroupThatComesAgainKeepsItsWholeOutputs() throws ServiceException {
 		JobSubmission job = submission("j", 1);
 		this.ledger.submit(job);
 		ItemRun run = run(job);
@@ -162,7 +180,7 @@
 	}
 
 	@Test
-	void anotherCustomersTextIsNeverUsed() {
+	void anotherCustomersTextIsNeverUsed() throws ServiceException {
 		JobSubmission job = submission("j", 1);
 		this.ledger.submit(job);
 		finish(readRun(job));
@@ -178,4 +196,45 @@
 		return run;
 	}
 
+	/**
+	 * The pattern: a leader loses its lease and has it again in the same term. What the
+	 * run before the gap had on its way is stored after the run behind it has read the
+	 * state.
+	 */
+	@Test
+	void progressOfAnEarlierRunThatArrivesLateChangesNoResult() throws ServiceException {
+		JobSubmission job = submission("j", 1);
+		this.ledger.submit(job);
+		ItemRun first = run(job);
+		read(first, 1, 12);
+		store(first, true);
+		read(first, 13, 25);
+		ItemRun.Storing late = first.beginStoring();
+		ItemRun second = run(job);
+		second.restore(OpenJob.of(job(job), this.ledger.jobs()).stored().get("i"));
+		this.ledger.note(job.id(), List.of(late.progress()));
+		read(second, 13, 30);
+		ItemRun.Storing refused = second.beginStoring();
+		assertThat(this.ledger.job(job.id()).orElseThrow().partialText("i").orElseThrow().events().size(), is(25));
+		assertThat(isRefused(refused), is(true));
+		refused.fail();
+		store(second, true);
+		read(second, 31, 31);
+		assertThat(finish(second), is(text(31)));
+	}
+
+	@Test
+	void aResultLeavesOutOnlyWhatTheLogConfirmedToItsOwnRun() throws ServiceException {
+		JobSubmission job = submission("j", 1);
+		this.ledger.submit(job);
+		ItemRun first = run(job);
+		read(first, 1, 12);
+		store(first, true);
+		ItemRun second = run(job);
+		second.restore(OpenJob.of(job(job), this.ledger.jobs()).stored().get("i"));
+		read(second, 13, 14);
+		assertThat(second.end("").storedEvents(), is(0));
+		assertThat(finish(second), is(text(14)));
+	}
+
 }
