--- a/zinniatack-direct/src/test/java/org/zinniatack/direct/call/CallDispatcherTests.java
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/call/CallDispatcherTests.java
@@ -5,8 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -16,8 +14,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
@@ -29,9 +25,9 @@
 import org.zinniatack.core.table.PoolShare;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.direct.http.ScriptedDialect;
 import org.zinniatack.direct.http.ScriptedTarget;
 import org.zinniatack.direct.http.TargetClient;
-import org.zinniatack.direct.target.TargetDialect;
 import org.zinniatack.direct.target.Targets;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -59,7 +55,7 @@
 
 	private final List<TargetNotice> ready = new ArrayList<>();
 
-	private final TestDialect dialect = new TestDialect();
+	private final ScriptedDialect dialect = new ScriptedDialect();
 
 	private final TargetClient client = new TargetClient(this.loop, this.dialect);
 
@@ -172,70 +168,6 @@
 		}
 	}
 
-	/** Speaks with short header names. */
-	private static final class TestDialect implements TargetDialect {
-
-		@Override
-		public boolean answers(FullHttpRequest request, HttpResponse response) {
-			return request.headers().get("id").equals(response.headers().get("id"));
-		}
-
-		@Override
-		public void stamp(HttpHeaders headers, Stamp stamp) {
-			headers.remove("key");
-			headers.set("expect", stamp.targetId());
-		}
-
-		@Override
-		public void identify(HttpHeaders headers, String requestId) {
-			headers.set("id", requestId);
-		}
-
-		@Override
-		public Verdict verdict(HttpResponse response) {
-			if (response.headers().contains("not-run")) {
-				return Verdict.NOT_RUN;
-			}
-			return (response.status().code() == 200) ? Verdict.ANSWERED : Verdict.FAILED;
-		}
-
-		@Override
-		public Optional<String> seal(HttpResponse response) {
-			return Optional.ofNullable(response.headers().get("seal"));
-		}
-
-		@Override
-		public OptionalLong weightVersion(HttpResponse response) {
-			return OptionalLong.empty();
-		}
-
-		@Override
-		public OptionalLong weightVersion(String line) {
-			return OptionalLong.empty();
-		}
-
-		@Override
-		public Optional<StatedLoad> load(HttpResponse response) {
-			return Optional.empty();
-		}
-
-		@Override
-		public FullHttpRequest reportRequest(String targetId) {
-			throw new IllegalStateException("no reports here");
-		}
-
-		@Override
-		public TargetReport report(byte[] body) {
-			throw new IllegalStateException("no reports here");
-		}
-
-		@Override
-		public FullHttpRequest loadRequest(LoadOrder order) {
-			throw new IllegalStateException("no orders here");
-		}
-
-	}
-
 	/** Turns the outcome into a text. */
 	private static final class Sink implements CallSink {
 
--- /dev/null
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/http/ScriptedDialect.java
@@ -0,0 +1,76 @@
+package org.zinniatack.direct.http;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+
+import org.zinniatack.direct.target.TargetDialect;
+
+/**
+ * Speaks to a {@link ScriptedTarget}.
+ */
+public final class ScriptedDialect implements TargetDialect {
+
+	@Override
+	public boolean answers(FullHttpRequest request, HttpResponse response) {
+		return request.headers().get("id").equals(response.headers().get("id"));
+	}
+
+	@Override
+	public void stamp(HttpHeaders headers, Stamp stamp) {
+		headers.remove("key");
+		headers.set("expect", stamp.targetId());
+	}
+
+	@Override
+	public void identify(HttpHeaders headers, String requestId) {
+		headers.set("id", requestId);
+	}
+
+	@Override
+	public Verdict verdict(HttpResponse response) {
+		if (response.headers().contains("not-run")) {
+			return Verdict.NOT_RUN;
+		}
+		return (response.status().code() == 200) ? Verdict.ANSWERED : Verdict.FAILED;
+	}
+
+	@Override
+	public Optional<String> seal(HttpResponse response) {
+		return Optional.ofNullable(response.headers().get("seal"));
+	}
+
+	@Override
+	public OptionalLong weightVersion(HttpResponse response) {
+		return OptionalLong.empty();
+	}
+
+	@Override
+	public OptionalLong weightVersion(String line) {
+		return OptionalLong.empty();
+	}
+
+	@Override
+	public Optional<StatedLoad> load(HttpResponse response) {
+		return Optional.empty();
+	}
+
+	@Override
+	public FullHttpRequest reportRequest(String targetId) {
+		throw new IllegalStateException("no reports here");
+	}
+
+	@Override
+	public TargetReport report(byte[] body) {
+		throw new IllegalStateException("no reports here");
+	}
+
+	@Override
+	public FullHttpRequest loadRequest(LoadOrder order) {
+		throw new IllegalStateException("no orders here");
+	}
+
+}
--- /dev/null
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/job/ItemScorerTests.java
@@ -0,0 +1,165 @@
+package org.zinniatack.direct.job;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.Scoring;
+import org.zinniatack.core.table.CallerLimits;
+import org.zinniatack.core.table.PoolShare;
+import org.zinniatack.core.table.Route;
+import org.zinniatack.core.table.RouteIndex;
+import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.core.table.RoutingTable;
+import org.zinniatack.direct.call.CallDispatcher;
+import org.zinniatack.direct.http.ScriptedDialect;
+import org.zinniatack.direct.http.ScriptedTarget;
+import org.zinniatack.direct.http.TargetClient;
+import org.zinniatack.direct.target.Targets;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link ItemScorer}. The pattern: the items of a step end in bursts, and their
+ * scoring calls share a few plain targets with callers.
+ */
+class ItemScorerTests {
+
+	private static final int SLOT_COUNT = 8;
+
+	private static final int ITEM_COUNT = 20;
+
+	private static final long WAIT_MS = 10_000;
+
+	private static final long POLL_MS = 10;
+
+	/** Long enough for further calls to arrive, if any were sent. */
+	private static final long SETTLE_MS = 300;
+
+	private static final String GOOD = ScriptedTarget.answer("r", "seal: s\r\n", "fine");
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	private final ScriptedDialect dialect = new ScriptedDialect();
+
+	private final TargetClient client = new TargetClient(this.loop, this.dialect);
+
+	private final Queue<String> finished = new ConcurrentLinkedQueue<>();
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	private ItemScorer scorer(ScriptedTarget target) {
+		return scorer(target, SLOT_COUNT);
+	}
+
+	private ItemScorer scorer(ScriptedTarget target, int slotCount) {
+		TargetNotice notice = new TargetNotice("t", 1, 1, "p", target.address(), "a", TargetNotice.State.READY,
+				slotCount, Map.of());
+		Targets targets = new Targets((pool) -> List.of(notice), "a", this.client::hasIdle);
+		Route route = new Route("r", "h", "/", RouteKind.IDEMPOTENT, false, true, 5_000, 2_000, 0, 2,
+				List.of(new PoolShare("p", 1)), 0, 0, false);
+		RouteIndex index = new RouteIndex(
+				new RoutingTable(1, List.of(route), Map.of(), List.of(), new CallerLimits(1, 1, 1, 1)));
+		return new ItemScorer(this.loop, new CallDispatcher(this.loop, this.client, this.dialect, targets),
+				this.dialect, targets, () -> index, (run, end, reason) -> this.finished.add(run.job.id().name()));
+	}
+
+	private static ItemRun run(String job, long submittedAtMs) {
+		JobItem item = new JobItem("i", "g", "/p/", Map.of(), new byte[0], "", 0,
+				new Scoring("r", "h", "/s/", new byte[0]));
+		JobSubmission submission = new JobSubmission(new JobId("c", job), "h", "m", 1, submittedAtMs, 7_500, 40_000,
+				List.of(item));
+		ItemRun run = new ItemRun(submission, item, 0, new EventText((line) -> OptionalLong.empty()), 0);
+		run.phase = ItemRun.Phase.SCORING;
+		return run;
+	}
+
+	private void scoreBurst(ItemScorer scorer) {
+		this.loop.execute(() -> {
+			for (int item = 0; item < ITEM_COUNT; item++) {
+				scorer.score(run("j", 0));
+			}
+		});
+	}
+
+	private void untilFinished(int count) throws InterruptedException {
+		for (long waitedMs = 0; this.finished.size() < count && waitedMs < WAIT_MS; waitedMs += POLL_MS) {
+			TimeUnit.MILLISECONDS.sleep(POLL_MS);
+		}
+	}
+
+	@Test
+	void aBurstLeavesHalfOfTheSlotsToCallers() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.SILENCE)) {
+			scoreBurst(scorer(target));
+			TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
+			assertThat(target.requests(), hasSize(SLOT_COUNT / 2));
+		}
+	}
+
+	@Test
+	void allItemsOfABurstAreScored() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(GOOD)) {
+			scoreBurst(scorer(target));
+			untilFinished(ITEM_COUNT);
+			assertThat(this.finished, hasSize(ITEM_COUNT));
+			assertThat(target.requests().size(), is(ITEM_COUNT));
+		}
+	}
+
+	/** One of the two calls at once never ends, so the others go one after the other. */
+	@Test
+	void itemsOfTheJobThatIsDueFirstAreScoredFirst() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.SILENCE, GOOD)) {
+			ItemScorer scorer = scorer(target, 2);
+			this.loop.execute(() -> {
+				scorer.score(run("first", 0));
+				scorer.score(run("first", 0));
+				scorer.score(run("later", 9_000));
+				scorer.score(run("sooner", 1_000));
+			});
+			untilFinished(3);
+			assertThat(this.finished, contains("first", "sooner", "later"));
+		}
+	}
+
+	@Test
+	void anItemThatIsGivenUpWhileItWaitsIsNotCalled() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.SILENCE)) {
+			ItemScorer scorer = scorer(target);
+			this.loop.execute(() -> {
+				for (int item = 0; item < SLOT_COUNT / 2; item++) {
+					scorer.score(run("j", 0));
+				}
+				ItemRun waiting = run("j", 0);
+				scorer.score(waiting);
+				waiting.canceller.run();
+			});
+			TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
+			assertThat(target.requests(), hasSize(SLOT_COUNT / 2));
+		}
+	}
+
+}
