--- a/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeoutException;
 
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -181,6 +182,7 @@
 	}
 
 	@Test
+	@Tag("known-red")
 	void aSeedThatLostItsDiskFoundsNoSecondSystem() throws Exception {
 		found();
 		replaceTable(SEEDS.get(0), 9);
