Close the sockets of a stopped wire before its event loops end

Cause: SeededControlTests#aSeedThatLostItsDisk… could not listen again because the listener of the stopped process was still open. A trial that prints the state after the stop shows the channel open and registered, its loop terminated and the selector gone: a loop that is told to stop between its look at the state and its last tasks ends without closing its channels, if there is no quiet period. Ruled out: a foreign socket (a port outside the system's range failed as well), a connection to itself, a stop that does not wait.

--- a/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
@@ -12,12 +12,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -48,10 +46,6 @@
 
 	private static final String NEWCOMER = "127.0.1.4";
 
-	private static final int FIRST_PORT = 29_000;
-
-	private static final int LAST_PORT = 32_000;
-
 	@TempDir
 	private Path folder;
 
@@ -59,20 +53,12 @@
 
 	private final Map<String, ControlService> running = new ConcurrentHashMap<>();
 
-	/**
-	 * Returns a port below those that the system hands out: one of these could be taken
-	 * while its process is stopped.
-	 */
 	private static int freePort() {
-		while (true) {
-			int candidate = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-			try (ServerSocket socket = new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
-				return socket.getLocalPort();
-			}
-			catch (IOException ex) {
-				// Taken; another is tried.
-				continue;
-			}
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
 		}
 	}
 
@@ -182,7 +168,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void aSeedThatLostItsDiskFoundsNoSecondSystem() throws Exception {
 		found();
 		replaceTable(SEEDS.get(0), 9);
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Wire.java
@@ -13,6 +13,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -47,6 +49,8 @@
 
 	private final EventLoopGroup group;
 
+	private final ChannelGroup channels;
+
 	/**
 	 * Returns the sockets of a process, none open.
 	 * @param own who this process is
@@ -59,6 +63,7 @@
 		this.secret = Objects.requireNonNull(secret, "secret");
 		this.handler = Objects.requireNonNull(handler, "handler");
 		this.group = new MultiThreadIoEventLoopGroup(threadCount, NioIoHandler.newFactory());
+		this.channels = new DefaultChannelGroup(this.group.next(), true);
 	}
 
 	/**
@@ -109,6 +114,7 @@
 			throw ServiceException.of(ResultCode.SETTINGS_INVALID,
 					"cannot listen on " + address + ": " + bound.cause().getMessage());
 		}
+		this.channels.add(bound.channel());
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
@@ -124,9 +130,11 @@
 	}
 
 	/**
-	 * Closes all sockets.
+	 * Closes all sockets. They are closed before the event loops, which without a quiet
+	 * period may end with their channels still open.
 	 */
 	public void stop() {
+		this.channels.close().awaitUninterruptibly();
 		this.group.shutdownGracefully(0, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
 	}
 
@@ -134,6 +142,7 @@
 		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
+				Wire.this.channels.add(channel);
 				channel.pipeline()
 					.addLast(
 							new LengthFieldBasedFrameDecoder(MAXIMUM_HANDSHAKE_FRAME_BYTES, 0, LENGTH_BYTES, 0,
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
@@ -26,6 +26,11 @@
 
 	private static final long WAIT_MS = 5_000;
 
+	/**
+	 * A listener outlived its stop about once in fifty rounds before it was closed first.
+	 */
+	private static final int STOP_ROUNDS = 400;
+
 	private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
 
 	private Wire server;
@@ -119,4 +124,31 @@
 		assertThat(StateCodec.decodeCommand(StateCodec.encode(crash)), instanceOf(Command.ReportCrash.class));
 	}
 
+	private static void keepBusy(Wire wire) {
+		wire.schedule(() -> keepBusy(wire), 0);
+	}
+
+	/**
+	 * The pattern: a process stops in the same moment at which its event loops have just
+	 * looked for work.
+	 */
+	@Test
+	void aStoppedWireListensNoMore() throws Exception {
+		Wire client = wire("a secret of the cluster", new PeerHandler() {
+		});
+		try {
+			for (int round = 0; round < STOP_ROUNDS; round++) {
+				client.connect(this.address).get(WAIT_MS, TimeUnit.MILLISECONDS);
+				keepBusy(this.server);
+				this.server.stop();
+				this.server = wire("a secret of the cluster", new PeerHandler() {
+				});
+				this.server.listen(this.address);
+			}
+		}
+		finally {
+			client.stop();
+		}
+	}
+
 }
