Split the runner of jobs, and refuse results whose stored events are missing

Cause: a result that left out stored events which the log did not hold was dropped without a word, and the runner took the item for finished.

Ruled out: a second check by the runner before it proposes; what the log holds is only known where the command is applied.

Change: FinishItems is refused as a whole, with a code, if events before a result are missing; the runner then generates the items again. Attempts, the writing of results, and the forgetting of old jobs have classes of their own (ItemAttempt, ItemLog, JobRetention).

Shown by JobLedgerTests (resultsOfWhichStoredEventsAreMissingAreRefusedTogether, aResultThatComesAgainIsIgnoredWhateverIsStored) and ItemRunTests.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
@@ -45,14 +45,22 @@
 	 * @param storedEvents how many events of the item's progress come before its text
 	 */
 	void finish(ItemResult result, int storedEvents) {
-		PartialText stored = this.partialTexts.get(result.itemId());
-		boolean isWhole = storedEvents == 0 || (stored != null && stored.events().size() >= storedEvents);
-		if (isWhole && this.itemIds.contains(result.itemId()) && this.finishedIds.add(result.itemId())) {
-			this.results.add((storedEvents == 0) ? result : result.after(stored.events().subList(0, storedEvents)));
-			this.partialTexts.remove(result.itemId());
+		if (this.itemIds.contains(result.itemId()) && this.finishedIds.add(result.itemId())) {
+			PartialText stored = this.partialTexts.remove(result.itemId());
+			this.results.add((storedEvents == 0 || stored == null) ? result
+					: result.after(stored.events().subList(0, storedEvents)));
 		}
 	}
 
+	/**
+	 * Returns whether so many events of an item are stored, or it has a result anyway.
+	 */
+	boolean holds(String itemId, int storedEvents) {
+		PartialText stored = this.partialTexts.get(itemId);
+		return !this.itemIds.contains(itemId) || this.finishedIds.contains(itemId)
+				|| (stored != null && stored.events().size() >= storedEvents);
+	}
+
 	/**
 	 * Returns whether progress goes on from what is stored of its item, or needs no
 	 * storing, since the item has a result.
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -41,19 +41,27 @@
 	 * @param results the results, which take the next positions in this order
 	 */
 	public void finish(JobId id, List<ItemResult> results) {
-		finish(id, results, Map.of());
+		job(id).ifPresent((job) -> results.forEach((result) -> job.finish(result, 0)));
 	}
 
 	/**
-	 * Adds results to a job that is known.
+	 * Adds results to a job that is known, all or none.
 	 * @param id the job
 	 * @param results the results, which take the next positions in this order
 	 * @param storedEvents for items whose text begins after stored progress, how many of
 	 * its events come before
+	 * @throws ServiceException with {@link ResultCode#REVISION_CONFLICT} if some of these
+	 * events are not stored
 	 */
-	public void finish(JobId id, List<ItemResult> results, Map<String, Integer> storedEvents) {
-		job(id).ifPresent((job) -> results
-			.forEach((result) -> job.finish(result, storedEvents.getOrDefault(result.itemId(), 0))));
+	public void finish(JobId id, List<ItemResult> results, Map<String, Integer> storedEvents) throws ServiceException {
+		Optional<Job> job = job(id);
+		if (job.isPresent() && !storedEvents.entrySet()
+			.stream()
+			.allMatch((stored) -> job.get().holds(stored.getKey(), stored.getValue()))) {
+			throw ServiceException.of(ResultCode.REVISION_CONFLICT, "events before a result are not stored");
+		}
+		job.ifPresent((known) -> results
+			.forEach((result) -> known.finish(result, storedEvents.getOrDefault(result.itemId(), 0))));
 	}
 
 	/**
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -96,9 +96,9 @@
 				new PartialText(List.of(events), List.of(2L), eventsBefore + events.length));
 	}
 
-	private ResultCode refusal(ItemProgress... progress) {
+	private static ResultCode refusal(Change change) {
 		try {
-			this.ledger.note(ID, List.of(progress));
+			change.apply();
 			return ResultCode.OK;
 		}
 		catch (ServiceException ex) {
@@ -128,7 +128,8 @@
 	void progressWithAGapIsRefusedAndThatOfAFinishedItemIsIgnored() throws ServiceException {
 		this.ledger.submit(submission("a", "b"));
 		this.ledger.note(ID, List.of(progress("a", 0, "1")));
-		assertThat(refusal(progress("b", 0, "1"), progress("a", 3, "4")), is(ResultCode.REVISION_CONFLICT));
+		assertThat(refusal(() -> this.ledger.note(ID, List.of(progress("b", 0, "1"), progress("a", 3, "4")))),
+				is(ResultCode.REVISION_CONFLICT));
 		assertThat(this.ledger.job(ID).orElseThrow().partialText("b").isPresent(), is(false));
 		this.ledger.finish(ID, List.of(result("b", "x")));
 		this.ledger.note(ID, List.of(progress("b", 0, "1")));
@@ -138,11 +139,21 @@
 	}
 
 	@Test
-	void aResultWhoseStoredEventsAreMissingIsNotTaken() throws ServiceException {
-		this.ledger.submit(submission("a"));
+	void resultsOfWhichStoredEventsAreMissingAreRefusedTogether() throws ServiceException {
+		this.ledger.submit(submission("a", "b"));
 		this.ledger.note(ID, List.of(progress("a", 0, "1")));
+		assertThat(refusal(() -> this.ledger.finish(ID, List.of(result("b", "x"), result("a", "3")), Map.of("a", 2))),
+				is(ResultCode.REVISION_CONFLICT));
+		assertThat(this.ledger.job(ID).orElseThrow().resultCount(), is(0));
+	}
+
+	@Test
+	void aResultThatComesAgainIsIgnoredWhateverIsStored() throws ServiceException {
+		this.ledger.submit(submission("a"));
+		this.ledger.note(ID, List.of(progress("a", 0, "1", "2")));
+		this.ledger.finish(ID, List.of(result("a", "3")), Map.of("a", 2));
 		this.ledger.finish(ID, List.of(result("a", "3")), Map.of("a", 2));
-		assertThat(this.ledger.job(ID).orElseThrow().isFinished("a"), is(false));
+		assertThat(this.ledger.job(ID).orElseThrow().resultsFrom(0, 100).get(0).text(), is("1\n2\n3"));
 	}
 
 	@Test
@@ -162,4 +173,11 @@
 		assertThat(new PartialText(List.of(), List.of(), 0).fits(0), is(false));
 	}
 
+	/** A change that may be refused. */
+	private interface Change {
+
+		void apply() throws ServiceException;
+
+	}
+
 }
--- /dev/null
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemAttempt.java
@@ -0,0 +1,187 @@
+package org.zinniatack.direct.job;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.table.Route;
+import org.zinniatack.direct.http.AnswerListener;
+import org.zinniatack.direct.http.SendFailure;
+import org.zinniatack.direct.target.LoadedVersions;
+import org.zinniatack.direct.target.TargetDialect;
+import org.zinniatack.direct.target.TargetDialect.Verdict;
+import org.zinniatack.direct.target.TargetStats;
+
+/**
+ * One generation of an item at one target.
+ */
+final class ItemAttempt implements AnswerListener {
+
+	/** A longer gap is a pause, such as a load of weights, and no measure of pace. */
+	private static final long EVENT_PAUSE_MS = 400;
+
+	private static final long REFUSAL_PAUSE_MS = 100;
+
+	private final EventLoop loop;
+
+	private final TargetDialect dialect;
+
+	private final LoadedVersions versions;
+
+	private final TargetStats stats;
+
+	private final Course course;
+
+	private final ItemRun run;
+
+	private final Route route;
+
+	private final TargetNotice target;
+
+	private boolean over;
+
+	private @Nullable Verdict verdict;
+
+	ItemAttempt(EventLoop loop, TargetDialect dialect, LoadedVersions versions, TargetStats stats, Course course,
+			ItemRun run, Route route, TargetNotice target) {
+		this.loop = loop;
+		this.dialect = dialect;
+		this.versions = versions;
+		this.stats = stats;
+		this.course = course;
+		this.run = run;
+		this.route = route;
+		this.target = target;
+	}
+
+	private long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(this.loop.ticker().nanoTime());
+	}
+
+	/** Notes that the target works on it no more. */
+	void end() {
+		if (!this.over) {
+			this.over = true;
+			this.stats.over();
+		}
+	}
+
+	@Override
+	public void onHead(HttpResponse head) {
+		this.run.heardAtMs = nowMs();
+		this.verdict = this.dialect.verdict(head);
+		this.dialect.load(head).ifPresent((load) -> this.stats.stated(load, nowMs()));
+		if (this.verdict != Verdict.ANSWERED) {
+			return;
+		}
+		OptionalLong version = this.dialect.weightVersion(head);
+		version.ifPresent((value) -> this.versions.note(this.target, this.run.job.model(), value));
+		if (version.isEmpty() || version.getAsLong() < this.run.job.oldestVersion()) {
+			this.run.canceller.run();
+			this.course.lose(this.run, "generated under version " + version);
+			return;
+		}
+		if (this.route.singleVersion() && this.run.text.eventCount() > 0
+				&& !this.run.text.versions().equals(List.of(version.getAsLong()))) {
+			this.run.canceller.run();
+			this.run.beginAgain();
+			this.course.lose(this.run, "another version than that of the events before");
+			return;
+		}
+		this.run.text.beginStream(version.getAsLong());
+	}
+
+	@Override
+	public void onContent(ByteBuf content) {
+		long sinceMs = nowMs() - this.run.heardAtMs;
+		this.run.heardAtMs = nowMs();
+		if (this.verdict != Verdict.ANSWERED) {
+			return;
+		}
+		int before = this.run.text.eventCount();
+		this.run.text.read(content);
+		boolean paused = this.versions.isLoading(this.target.id(), this.run.job.model());
+		int events = this.run.text.eventCount() - before;
+		if (this.run.eventsHere > 0 && events > 0 && !paused && sinceMs < EVENT_PAUSE_MS) {
+			this.stats.produced(events, sinceMs);
+		}
+		this.run.eventsHere += events;
+		if (this.run.text.isOutOfOrder()) {
+			this.run.canceller.run();
+			this.run.beginAgain();
+			this.course.lose(this.run, "events out of order");
+		}
+	}
+
+	@Override
+	public void onEnd(HttpResponse head) {
+		end();
+		Verdict said = (this.verdict != null) ? this.verdict : Verdict.FAILED;
+		switch (said) {
+			case ANSWERED -> onWhole();
+			case FAILED -> onFailed(head.status().code());
+			case NOT_RUN -> {
+				this.stats.busyUntil(nowMs() + REFUSAL_PAUSE_MS);
+				this.course.waitAgain(this.run);
+			}
+			case OTHER_TARGET -> {
+				this.stats.unreachable(nowMs());
+				this.course.waitAgain(this.run);
+			}
+		}
+	}
+
+	private void onWhole() {
+		boolean mixed = this.route.singleVersion() && this.run.text.versions().size() != 1;
+		if (this.run.text.isMidEvent() || this.run.text.eventCount() == 0 || mixed) {
+			if (mixed) {
+				this.run.beginAgain();
+			}
+			this.course.lose(this.run, mixed ? "several versions" : "the last event is not whole");
+			return;
+		}
+		this.stats.answered();
+		this.course.generated(this.run, this.route);
+	}
+
+	private void onFailed(int status) {
+		this.stats.failed();
+		this.run.failureCount++;
+		boolean impossible = status == ResultCode.QUARANTINED.httpStatus();
+		if (impossible || this.run.failureCount >= this.route.maximumAttempts()) {
+			this.course.finish(this.run, ItemEnd.givenUp(this.run), "status " + status);
+		}
+		else {
+			this.course.waitAgain(this.run);
+		}
+	}
+
+	@Override
+	public void onFailure(SendFailure failure) {
+		end();
+		this.stats.unreachable(nowMs());
+		this.course.lose(this.run, failure.detail());
+	}
+
+	/** What becomes of an item after an attempt. */
+	interface Course extends ItemScorer.Outcome {
+
+		/** Generates the item elsewhere, since the attempt was lost. */
+		void lose(ItemRun run, String detail);
+
+		/** Lets the item wait for a target again. */
+		void waitAgain(ItemRun run);
+
+		/** Goes on with an item whose output is whole. */
+		void generated(ItemRun run, Route route);
+
+	}
+
+}
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -15,14 +15,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
@@ -32,33 +30,27 @@
 import org.zinniatack.core.job.ItemLengths;
 import org.zinniatack.core.job.ItemOrder;
 import org.zinniatack.core.job.ItemPlacement;
-import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.MovePolicy;
 import org.zinniatack.core.result.ResultCode;
-import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
-import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RouteIndex;
 import org.zinniatack.core.table.TableHolder;
 import org.zinniatack.direct.call.CallDispatcher;
-import org.zinniatack.direct.http.AnswerListener;
-import org.zinniatack.direct.http.SendFailure;
 import org.zinniatack.direct.http.TargetClient;
 import org.zinniatack.direct.target.LoadedVersions;
 import org.zinniatack.direct.target.TargetDialect;
-import org.zinniatack.direct.target.TargetDialect.Verdict;
 import org.zinniatack.direct.target.TargetStats;
 import org.zinniatack.direct.target.Targets;
 import org.zinniatack.process.Service;
 
 /**
  * Runs the items of all open jobs while this process leads: generates, scores, and
- * commits each result. A new leader begins the items again that have no result.
+ * commits each result. A new leader goes on with the items that have no result.
  */
 public final class JobRunner implements Service {
 
@@ -66,11 +58,6 @@
 
 	private static final long TICK_MS = 50;
 
-	/** Results that arrive together go into the log together. */
-	private static final long COMMIT_DELAY_MS = 10;
-
-	private static final long COMMIT_RETRY_MS = 200;
-
 	/** A target that loads weights or reads a long prompt may be silent this long. */
 	private static final long FIRST_EVENT_LIMIT_MS = 1_500;
 
@@ -79,29 +66,21 @@
 	 */
 	private static final long EVENT_LIMIT_MS = 600;
 
-	/** A longer gap is a pause, such as a load of weights, and no measure of pace. */
-	private static final long EVENT_PAUSE_MS = 400;
-
 	/**
 	 * An item with so many events is probably one of the long ones that decide a step; it
 	 * is about the mean of the users' models.
 	 */
 	private static final int LONG_ITEM_EVENTS = 20;
 
-	/**
-	 * Enough events that the pace of the target is known: the moving mean is then half
-	 * made of them where six runs measure it.
-	 */
+	/** Enough events that the moving mean of a target's pace has followed a change. */
 	private static final int LEAST_EVENTS_TO_MOVE = 3;
 
-	/** What an event takes until the first was measured: the users' slower engines. */
+	/** What an event takes on the users' engines; it only orders what waits. */
 	private static final double USUAL_EVENT_MS = 50;
 
-	/** What a long item loses at most with a leader, beside the wait for the next one. */
+	/** What a long item loses with a leader is about twice this, and the election. */
 	private static final long STORE_INTERVAL_MS = 500;
 
-	private static final long REFUSAL_PAUSE_MS = 100;
-
 	/** A lost item waits longer each time, since it may be what brings targets down. */
 	private static final int LOSSES_WITHOUT_PAUSE = 3;
 
@@ -110,18 +89,8 @@
 	/** The longest time that a target may work on one item, in milliseconds. */
 	private static final long ITEM_DEADLINE_MS = 30_000;
 
-	/** Clocks of control processes differ by less. */
-	private static final long CLOCK_MARGIN_MS = 6_000;
-
-	private static final long FORGET_INTERVAL_MS = 5_000;
-
-	/** A job that its caller never ended is kept longer, but not for good. */
-	private static final int ABANDONED_FACTOR = 10;
-
 	private final EventLoop loop;
 
-	private final long retentionMs;
-
 	private final ControlService control;
 
 	private final TargetClient client;
@@ -134,14 +103,18 @@
 
 	private final ItemScorer scorer;
 
+	private final ItemLog log;
+
+	private final ItemAttempt.Course course = new AttemptCourse();
+
+	private final JobRetention retention;
+
 	private final ItemPlacement placement = ItemPlacement.byPace();
 
 	private final ItemLengths lengths = new ItemLengths();
 
 	private final Map<JobId, Map<String, ItemRun>> runsByJob = new LinkedHashMap<>();
 
-	private final Map<JobId, List<ItemEnd>> uncommitted = new HashMap<>();
-
 	private final AtomicBoolean refreshing = new AtomicBoolean();
 
 	private RouteIndex index = new RouteIndex(emptyTable());
@@ -151,14 +124,10 @@
 	/** The jobs whose stored state was read since this process leads. */
 	private volatile Set<JobId> knownJobs = Set.of();
 
-	private boolean commitPlanned;
-
 	private @Nullable Future<?> ticking;
 
 	private @Nullable Future<?> storing;
 
-	private @Nullable Future<?> forgetting;
-
 	/**
 	 * Returns a runner that is not started.
 	 * @param loop the event loop
@@ -173,7 +142,6 @@
 	public JobRunner(EventLoop loop, ControlService control, TargetClient client, TargetDialect dialect,
 			Targets targets, LoadedVersions versions, long retentionMs) {
 		this.loop = loop;
-		this.retentionMs = retentionMs;
 		this.control = control;
 		this.client = client;
 		this.dialect = dialect;
@@ -181,6 +149,8 @@
 		this.versions = versions;
 		this.scorer = new ItemScorer(loop, new CallDispatcher(loop, client, dialect, targets), dialect, targets,
 				() -> this.index, this::finish);
+		this.retention = new JobRetention(loop, control, this::leads, retentionMs);
+		this.log = new ItemLog(loop, control, this::leads, this::generateAgain);
 	}
 
 	private static org.zinniatack.core.table.RoutingTable emptyTable() {
@@ -192,10 +162,9 @@
 	public void start() {
 		this.control.onStateChange((state) -> planRefresh());
 		this.ticking = this.loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-		this.storing = this.loop.scheduleWithFixedDelay(this::noteProgress, STORE_INTERVAL_MS, STORE_INTERVAL_MS,
-				TimeUnit.MILLISECONDS);
-		this.forgetting = this.loop.scheduleWithFixedDelay(this::forgetOldJobs, FORGET_INTERVAL_MS, FORGET_INTERVAL_MS,
+		this.storing = this.loop.scheduleWithFixedDelay(this::storeProgress, STORE_INTERVAL_MS, STORE_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
+		this.retention.start();
 	}
 
 	@Override
@@ -206,9 +175,7 @@
 		if (this.storing != null) {
 			this.storing.cancel(false);
 		}
-		if (this.forgetting != null) {
-			this.forgetting.cancel(false);
-		}
+		this.retention.stop();
 		this.loop.execute(this::dropAll);
 	}
 
@@ -216,35 +183,6 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.loop.ticker().nanoTime());
 	}
 
-	/**
-	 * Forgets jobs that nobody may read any more, so that the log's state stays bounded.
-	 */
-	private void forgetOldJobs() {
-		if (!leads()) {
-			return;
-		}
-		long nowMs = System.currentTimeMillis();
-		this.control
-			.readApplied((state) -> state.jobs()
-				.jobs()
-				.stream()
-				.filter((job) -> isForgettable(job, nowMs))
-				.map((job) -> job.submission().id())
-				.toList())
-			.thenAccept((old) -> {
-				if (!old.isEmpty()) {
-					LOGGER.atInfo().log("event=jobs_forgotten count=%d", old.size());
-					this.control.propose(new Command.ForgetJobs(old));
-				}
-			});
-	}
-
-	private boolean isForgettable(Job job, long nowMs) {
-		long ageMs = nowMs - job.submission().submittedAtMs();
-		long keptMs = job.isEnded() ? this.retentionMs : ABANDONED_FACTOR * this.retentionMs;
-		return ageMs > keptMs + CLOCK_MARGIN_MS;
-	}
-
 	private boolean leads() {
 		OptionalLong current = this.control.leaseTerm();
 		return current.isPresent() && current.getAsLong() == this.term;
@@ -349,7 +287,7 @@
 		this.runsByJob.values().forEach(this::drop);
 		this.runsByJob.clear();
 		this.knownJobs = Set.of();
-		this.uncommitted.clear();
+		this.log.clear();
 		this.term = 0;
 	}
 
@@ -439,8 +377,7 @@
 
 	/**
 	 * Moves the long items of a model away from a target that is about to load it, while
-	 * others have room. Items that may have only one version stay: they would begin
-	 * again.
+	 * others have room.
 	 * @param targetId the id of the target
 	 * @param model the model
 	 */
@@ -515,7 +452,8 @@
 	}
 
 	private boolean isExpired(ItemRun run) {
-		return System.currentTimeMillis() > run.job.submittedAtMs() + run.job.itemLifetimeMs() + CLOCK_MARGIN_MS;
+		return System.currentTimeMillis() > run.job.submittedAtMs() + run.job.itemLifetimeMs()
+				+ JobRetention.CLOCK_MARGIN_MS;
 	}
 
 	private Optional<TargetNotice> place(ItemRun run, String pool, long nowMs) {
@@ -557,7 +495,8 @@
 		run.eventsHere = 0;
 		run.startedAtMs = (run.startedAtMs == 0) ? run.heardAtMs : run.startedAtMs;
 		this.targets.stats(target.id()).sent();
-		ItemAttempt attempt = new ItemAttempt(run, route, target);
+		ItemAttempt attempt = new ItemAttempt(this.loop, this.dialect, this.versions, this.targets.stats(target.id()),
+				this.course, run, route, target);
 		Runnable cancelSending = this.client.send(target.address(), request, attempt);
 		run.canceller = () -> {
 			attempt.end();
@@ -584,6 +523,18 @@
 		this.loop.execute(this::dispatchIfLeading);
 	}
 
+	/** Generates an item anew whose result the log could not take. */
+	private void generateAgain(ItemRun run) {
+		run.beginAgain();
+		waitAgain(run, 0);
+	}
+
+	private void storeProgress() {
+		if (leads()) {
+			this.runsByJob.forEach((id, runs) -> this.log.storeProgress(id, runs.values()));
+		}
+	}
+
 	private void dispatchIfLeading() {
 		if (leads()) {
 			dispatch();
@@ -593,7 +544,12 @@
 	private void generated(ItemRun run, Route route) {
 		run.generatedAtMs = nowMs();
 		run.target = null;
-		this.lengths.learn(run.job.model(), run.item.expectedTokens(), run.text.eventCount());
+		if (run.storedWhole) {
+			run.startedAtMs = run.generatedAtMs;
+		}
+		else {
+			this.lengths.learn(run.job.model(), run.item.expectedTokens(), run.text.eventCount());
+		}
 		if (run.item.scoring() == null) {
 			finish(run, run.end(""), "generated");
 			return;
@@ -615,81 +571,7 @@
 					run.job.id().customer(), run.text.eventCount(), run.item.expectedTokens(), result.versions(),
 					run.failureCount, run.lossCount, run.startedAtMs - run.openedAtMs,
 					run.generatedAtMs - run.startedAtMs, nowMs() - run.generatedAtMs, reason);
-		commitLater(end);
-		planCommit(COMMIT_DELAY_MS);
-	}
-
-	private void planCommit(long delayMs) {
-		if (!this.commitPlanned) {
-			this.commitPlanned = true;
-			this.loop.schedule(this::commit, delayMs, TimeUnit.MILLISECONDS);
-		}
-	}
-
-	private void commit() {
-		this.commitPlanned = false;
-		if (!leads()) {
-			return;
-		}
-		Map<JobId, List<ItemEnd>> batch = new HashMap<>(this.uncommitted);
-		this.uncommitted.clear();
-		long committingTerm = this.term;
-		batch.forEach((id, ends) -> this.control.propose(finishing(id, ends))
-			.whenComplete((reply, failure) -> this.loop.execute(() -> {
-				if (failure == null) {
-					ends.forEach(JobRunner::setFinished);
-				}
-				else if (this.term == committingTerm) {
-					LOGGER.atWarning().log("event=results_not_committed job=%s detail=\"%s\"", id.name(), failure);
-					ends.stream()
-						.filter((end) -> end.run().phase == ItemRun.Phase.COMMITTING)
-						.forEach(this::commitLater);
-					planCommit(COMMIT_RETRY_MS);
-				}
-			})));
-	}
-
-	private void commitLater(ItemEnd end) {
-		this.uncommitted.computeIfAbsent(end.run().job.id(), (absent) -> new ArrayList<>()).add(end);
-	}
-
-	private static void setFinished(ItemEnd end) {
-		if (end.run().phase == ItemRun.Phase.COMMITTING) {
-			end.run().phase = ItemRun.Phase.FINISHED;
-		}
-	}
-
-	private static Command.FinishItems finishing(JobId id, List<ItemEnd> ends) {
-		Map<String, Integer> storedEvents = new HashMap<>();
-		ends.stream()
-			.filter((end) -> end.storedEvents() > 0)
-			.forEach((end) -> storedEvents.put(end.result().itemId(), end.storedEvents()));
-		return new Command.FinishItems(id, ends.stream().map(ItemEnd::result).toList(), storedEvents);
-	}
-
-	/** Stores what long items have gained, so that another leader can go on with them. */
-	private void noteProgress() {
-		if (!leads()) {
-			return;
-		}
-		this.runsByJob.forEach((id, runs) -> {
-			List<ItemRun> grown = runs.values().stream().filter(ItemRun::hasProgressToStore).toList();
-			if (!grown.isEmpty()) {
-				List<ItemRun.Storing> storings = grown.stream().map(ItemRun::beginStoring).toList();
-				List<ItemProgress> progress = storings.stream().map(ItemRun.Storing::progress).toList();
-				this.control.propose(new Command.NoteProgress(id, progress))
-					.whenComplete((reply, failure) -> this.loop.execute(() -> {
-						if (reply instanceof Reply.Accepted) {
-							storings.forEach(ItemRun.Storing::succeed);
-							return;
-						}
-						LOGGER.atInfo()
-							.log("event=progress_not_stored job=%s items=%d reply=%s detail=\"%s\"", id.name(),
-									storings.size(), reply, failure);
-						storings.forEach(ItemRun.Storing::fail);
-					}));
-			}
-		});
+		this.log.add(end);
 	}
 
 	/**
@@ -702,128 +584,27 @@
 	private record View(List<OpenJob> jobs, Set<JobId> known, TableHolder.@Nullable Image table) {
 	}
 
-	/** One generation of an item at one target. */
-	private final class ItemAttempt implements AnswerListener {
-
-		private final ItemRun run;
-
-		private final Route route;
-
-		private final TargetNotice target;
-
-		private boolean over;
-
-		private @Nullable Verdict verdict;
-
-		ItemAttempt(ItemRun run, Route route, TargetNotice target) {
-			this.run = run;
-			this.route = route;
-			this.target = target;
-		}
-
-		void end() {
-			if (!this.over) {
-				this.over = true;
-				JobRunner.this.targets.stats(this.target.id()).over();
-			}
-		}
+	/** Goes on with items after their attempts. */
+	private final class AttemptCourse implements ItemAttempt.Course {
 
 		@Override
-		public void onHead(HttpResponse head) {
-			this.run.heardAtMs = nowMs();
-			this.verdict = JobRunner.this.dialect.verdict(head);
-			JobRunner.this.dialect.load(head)
-				.ifPresent((load) -> JobRunner.this.targets.stats(this.target.id()).stated(load, nowMs()));
-			if (this.verdict != Verdict.ANSWERED) {
-				return;
-			}
-			OptionalLong version = JobRunner.this.dialect.weightVersion(head);
-			version.ifPresent((value) -> JobRunner.this.versions.note(this.target, this.run.job.model(), value));
-			if (version.isEmpty() || version.getAsLong() < this.run.job.oldestVersion()) {
-				this.run.canceller.run();
-				lose(this.run, "generated under version " + version);
-				return;
-			}
-			if (this.route.singleVersion() && this.run.text.eventCount() > 0
-					&& !this.run.text.versions().equals(List.of(version.getAsLong()))) {
-				this.run.canceller.run();
-				this.run.beginAgain();
-				lose(this.run, "another version than that of the events before");
-				return;
-			}
-			this.run.text.beginStream(version.getAsLong());
+		public void lose(ItemRun run, String detail) {
+			JobRunner.this.lose(run, detail);
 		}
 
 		@Override
-		public void onContent(ByteBuf content) {
-			long sinceMs = nowMs() - this.run.heardAtMs;
-			this.run.heardAtMs = nowMs();
-			if (this.verdict != Verdict.ANSWERED) {
-				return;
-			}
-			int before = this.run.text.eventCount();
-			this.run.text.read(content);
-			boolean paused = JobRunner.this.versions.isLoading(this.target.id(), this.run.job.model());
-			int events = this.run.text.eventCount() - before;
-			if (this.run.eventsHere > 0 && events > 0 && !paused && sinceMs < EVENT_PAUSE_MS) {
-				JobRunner.this.targets.stats(this.target.id()).produced(events, sinceMs);
-			}
-			this.run.eventsHere += events;
-			if (this.run.text.isOutOfOrder()) {
-				this.run.canceller.run();
-				this.run.beginAgain();
-				lose(this.run, "events out of order");
-			}
+		public void waitAgain(ItemRun run) {
+			JobRunner.this.waitAgain(run, 0);
 		}
 
 		@Override
-		public void onEnd(HttpResponse head) {
-			end();
-			Verdict said = (this.verdict != null) ? this.verdict : Verdict.FAILED;
-			switch (said) {
-				case ANSWERED -> onWhole();
-				case FAILED -> onFailed(head.status().code());
-				case NOT_RUN -> {
-					JobRunner.this.targets.stats(this.target.id()).busyUntil(nowMs() + REFUSAL_PAUSE_MS);
-					waitAgain(this.run, 0);
-				}
-				case OTHER_TARGET -> {
-					JobRunner.this.targets.stats(this.target.id()).unreachable(nowMs());
-					waitAgain(this.run, 0);
-				}
-			}
-		}
-
-		private void onWhole() {
-			boolean mixed = this.route.singleVersion() && this.run.text.versions().size() != 1;
-			if (this.run.text.isMidEvent() || this.run.text.eventCount() == 0 || mixed) {
-				if (mixed) {
-					this.run.beginAgain();
-				}
-				lose(this.run, mixed ? "several versions" : "the last event is not whole");
-				return;
-			}
-			JobRunner.this.targets.stats(this.target.id()).answered();
-			generated(this.run, this.route);
-		}
-
-		private void onFailed(int status) {
-			JobRunner.this.targets.stats(this.target.id()).failed();
-			this.run.failureCount++;
-			boolean impossible = status == ResultCode.QUARANTINED.httpStatus();
-			if (impossible || this.run.failureCount >= this.route.maximumAttempts()) {
-				finish(this.run, ItemEnd.givenUp(this.run), "status " + status);
-			}
-			else {
-				waitAgain(this.run, 0);
-			}
+		public void generated(ItemRun run, Route route) {
+			JobRunner.this.generated(run, route);
 		}
 
 		@Override
-		public void onFailure(SendFailure failure) {
-			end();
-			JobRunner.this.targets.stats(this.target.id()).unreachable(nowMs());
-			lose(this.run, failure.detail());
+		public void finish(ItemRun run, ItemEnd end, String reason) {
+			JobRunner.this.finish(run, end, reason);
 		}
 
 	}
--- a/zinniatack-direct/src/test/java/org/zinniatack/direct/job/ItemRunTests.java
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/job/ItemRunTests.java
@@ -33,6 +33,19 @@
 		return new JobSubmission(new JobId("c", name), "h", "m", oldestVersion, 0, 7_500, 40_000, List.of(ITEM));
 	}
 
+	private JobSubmission submitted(String name, long oldestVersion) {
+		JobSubmission job = submission(name, oldestVersion);
+		this.ledger.submit(job);
+		return job;
+	}
+
+	/** Returns a run that goes on from what is stored. */
+	private ItemRun resumed(JobSubmission job) {
+		ItemRun run = run(job);
+		run.restore(OpenJob.of(job(job), this.ledger.jobs()).stored().get("i"));
+		return run;
+	}
+
 	private static ItemRun run(JobSubmission job) {
 		ItemRun run = new ItemRun(job, ITEM, 0, new EventText((line) -> OptionalLong.empty()), 0);
 		run.phase = ItemRun.Phase.GENERATING;
@@ -67,7 +80,7 @@
 		}
 	}
 
-	private String finish(ItemRun run) {
+	private String finish(ItemRun run) throws ServiceException {
 		ItemEnd end = run.end("");
 		this.ledger.finish(run.job.id(), List.of(end.result()), Map.of("i", end.storedEvents()));
 		return job(run.job).result("i").orElseThrow().text();
@@ -87,8 +100,7 @@
 
 	@Test
 	void storedAndUnstoredEventsMakeTheWholeOutput() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun run = run(job);
 		assertThat(run.hasProgressToStore(), is(false));
 		read(run, 1, 12);
@@ -102,8 +114,7 @@
 
 	@Test
 	void anOutputThatIsStoredToItsLastEventIsWhole() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun run = run(job);
 		read(run, 1, 12);
 		store(run, true);
@@ -112,8 +123,7 @@
 
 	@Test
 	void anAcknowledgementAfterANewBeginningIsIgnored() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun run = run(job);
 		read(run, 1, 12);
 		ItemRun.Storing late = run.beginStoring();
@@ -126,14 +136,12 @@
 
 	@Test
 	void anotherLeaderGoesOnAfterTheStoredEvents() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun first = run(job);
 		read(first, 1, 12);
 		store(first, true);
 		read(first, 13, 20);
-		ItemRun second = run(job);
-		second.restore(OpenJob.of(job(job), this.ledger.jobs()).stored().get("i"));
+		ItemRun second = resumed(job);
 		assertThat(second.text.lastId(), is(12L));
 		read(second, 13, 24);
 		store(second, true);
@@ -143,19 +151,15 @@
 
 	@Test
 	void aGroupThatComesAgainGoesOnWhereItsVersionsFit() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun run = run(job);
 		read(run, 1, 12);
 		store(run, true);
 		this.ledger.end(job.id());
-		JobSubmission fitting = submission("k", 3);
-		JobSubmission newer = submission("l", 4);
-		this.ledger.submit(fitting);
-		this.ledger.submit(newer);
+		JobSubmission fitting = submitted("k", 3);
+		JobSubmission newer = submitted("l", 4);
 		assertThat(OpenJob.of(job(newer), this.ledger.jobs()).stored().isEmpty(), is(true));
-		ItemRun again = run(fitting);
-		again.restore(OpenJob.of(job(fitting), this.ledger.jobs()).stored().get("i"));
+		ItemRun again = resumed(fitting);
 		assertThat(again.storedWhole, is(false));
 		read(again, 13, 24);
 		store(again, true);
@@ -165,24 +169,19 @@
 
 	@Test
 	void aGroupThatComesAgainKeepsItsWholeOutputs() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun run = run(job);
 		read(run, 1, 12);
 		finish(run);
 		this.ledger.end(job.id());
-		JobSubmission again = submission("k", 3);
-		this.ledger.submit(again);
-		ItemRun second = run(again);
-		second.restore(OpenJob.of(job(again), this.ledger.jobs()).stored().get("i"));
+		ItemRun second = resumed(submitted("k", 3));
 		assertThat(second.storedWhole, is(true));
 		assertThat(finish(second), is(text(12)));
 	}
 
 	@Test
 	void anotherCustomersTextIsNeverUsed() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		finish(readRun(job));
 		JobSubmission stranger = new JobSubmission(new JobId("other", "k"), "h", "m", 1, 0, 7_500, 40_000,
 				List.of(ITEM));
@@ -203,15 +202,13 @@
 	 */
 	@Test
 	void progressOfAnEarlierRunThatArrivesLateChangesNoResult() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun first = run(job);
 		read(first, 1, 12);
 		store(first, true);
 		read(first, 13, 25);
 		ItemRun.Storing late = first.beginStoring();
-		ItemRun second = run(job);
-		second.restore(OpenJob.of(job(job), this.ledger.jobs()).stored().get("i"));
+		ItemRun second = resumed(job);
 		this.ledger.note(job.id(), List.of(late.progress()));
 		read(second, 13, 30);
 		ItemRun.Storing refused = second.beginStoring();
@@ -225,13 +222,11 @@
 
 	@Test
 	void aResultLeavesOutOnlyWhatTheLogConfirmedToItsOwnRun() throws ServiceException {
-		JobSubmission job = submission("j", 1);
-		this.ledger.submit(job);
+		JobSubmission job = submitted("j", 1);
 		ItemRun first = run(job);
 		read(first, 1, 12);
 		store(first, true);
-		ItemRun second = run(job);
-		second.restore(OpenJob.of(job(job), this.ledger.jobs()).stored().get("i"));
+		ItemRun second = resumed(job);
 		read(second, 13, 14);
 		assertThat(second.end("").storedEvents(), is(0));
 		assertThat(finish(second), is(text(14)));
