Let items follow a faster target one at a time, and each move pay for twice the last

The pace of a target is a moving mean of a load that has changed since; an empty target looks fast, so in one round all long items of one target went to another, whose pace then fell while it read their prompts, and went on to the next. Each move costs a connection and reads the prompt again.

Change: of targets that differ by less than twice, one item moves in 500 ms; each move of an item must save twice as much as the one before. A target that is slower by twice is left as before.

--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/MovePolicyTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/MovePolicyTests.java
@@ -2,6 +2,9 @@
 
 import org.junit.jupiter.api.Test;
 
+import org.zinniatack.core.job.MovePolicy.Place;
+import org.zinniatack.core.job.MovePolicy.RunningItem;
+
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
@@ -10,32 +13,60 @@
  */
 class MovePolicyTests {
 
+	private static final long LONG_AGO_MS = -10_000;
+
+	private static boolean isWorthMoving(int doneEvents, int expectedEvents, double eventMs, double otherEventMs) {
+		return isWorthMoving(new RunningItem(doneEvents, expectedEvents, 0), eventMs, otherEventMs);
+	}
+
+	private static boolean isWorthMoving(RunningItem item, double eventMs, double otherEventMs) {
+		return MovePolicy.isWorthMoving(item, new Place(eventMs, LONG_AGO_MS), new Place(otherEventMs, LONG_AGO_MS), 0);
+	}
+
 	@Test
 	void anItemLeavesATargetThatHasTurnedSlowAfterItsFirstEvents() {
-		assertThat(MovePolicy.isWorthMoving(3, 21, 163, 48), is(true));
+		assertThat(isWorthMoving(3, 21, 163, 48), is(true));
 	}
 
 	@Test
 	void anItemThatIsNearlyDoneStays() {
-		assertThat(MovePolicy.isWorthMoving(3, 7, 163, 48), is(false));
+		assertThat(isWorthMoving(3, 7, 163, 48), is(false));
 	}
 
 	@Test
 	void anItemThatOutlivedItsEstimateIsExpectedToLastAsLongAgain() {
-		assertThat(MovePolicy.isWorthMoving(20, 20, 62, 48), is(false));
-		assertThat(MovePolicy.isWorthMoving(60, 20, 62, 48), is(true));
+		assertThat(isWorthMoving(20, 20, 62, 48), is(false));
+		assertThat(isWorthMoving(60, 20, 62, 48), is(true));
 	}
 
 	/** The pattern: pace is measured with noise, and every move makes more noise. */
 	@Test
 	void targetsOfOneSpeedSwapNoItems() {
-		assertThat(MovePolicy.isWorthMoving(150, 20, 52, 46), is(false));
-		assertThat(MovePolicy.isWorthMoving(150, 20, 46, 52), is(false));
+		assertThat(isWorthMoving(150, 20, 52, 46), is(false));
+		assertThat(isWorthMoving(150, 20, 46, 52), is(false));
 	}
 
 	@Test
 	void nothingMovesToATargetOfUnknownPace() {
-		assertThat(MovePolicy.isWorthMoving(150, 20, 163, 0), is(false));
+		assertThat(isWorthMoving(150, 20, 163, 0), is(false));
+	}
+
+	@Test
+	void anItemThatHasMovedLeavesAgainOnlyForMore() {
+		assertThat(isWorthMoving(new RunningItem(120, 20, 0), 56, 46), is(true));
+		assertThat(isWorthMoving(new RunningItem(120, 20, 1), 56, 46), is(false));
+		assertThat(isWorthMoving(new RunningItem(120, 20, 2), 200, 46), is(true));
+	}
+
+	/** The pattern: an empty target looks fast, and all that is elsewhere runs to it. */
+	@Test
+	void itemsFollowEachOtherOnlyToWhatIsFasterByItself() {
+		RunningItem item = new RunningItem(120, 20, 0);
+		Place joined = new Place(46, 0);
+		Place busy = new Place(60, LONG_AGO_MS);
+		assertThat(MovePolicy.isWorthMoving(item, busy, joined, 100), is(false));
+		assertThat(MovePolicy.isWorthMoving(item, busy, joined, 600), is(true));
+		assertThat(MovePolicy.isWorthMoving(item, new Place(200, LONG_AGO_MS), joined, 100), is(true));
 	}
 
 }
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/ItemRun.java
@@ -71,6 +71,9 @@
 
 	int lossCount;
 
+	/** How often it has left a target for a faster one. */
+	int moveCount;
+
 	/** When its present target got it. */
 	long sentAtMs;
 
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/job/JobRunner.java
@@ -342,10 +342,19 @@
 	}
 
 	private void moveIfFasterIsFree(ItemRun run, TargetNotice slow) {
-		double eventMs = this.targets.stats(slow.id()).eventMs();
-		Optional<TargetNotice> faster = place(run, slow.pool(), nowMs());
-		double fasterMs = faster.map((target) -> this.targets.stats(target.id()).eventMs()).orElse(0.0);
-		if (MovePolicy.isWorthMoving(run.text.eventCount(), expectedEvents(run), eventMs, fasterMs)) {
+		long nowMs = nowMs();
+		Optional<TargetNotice> faster = place(run, slow.pool(), nowMs);
+		if (faster.isEmpty()) {
+			return;
+		}
+		TargetStats from = this.targets.stats(slow.id());
+		TargetStats to = this.targets.stats(faster.get().id());
+		MovePolicy.RunningItem item = new MovePolicy.RunningItem(run.text.eventCount(), expectedEvents(run),
+				run.moveCount);
+		if (MovePolicy.isWorthMoving(item, from.pace(), to.pace(), nowMs)) {
+			run.moveCount++;
+			from.moved(nowMs);
+			to.moved(nowMs);
 			move(run, "slow");
 		}
 	}
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/target/TargetStats.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/target/TargetStats.java
@@ -1,6 +1,7 @@
 package org.zinniatack.direct.target;
 
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.MovePolicy;
 
 /**
  * What this process has seen of one target.
@@ -35,6 +36,8 @@
 
 	private double eventMs;
 
+	private long movedAtMs = Long.MIN_VALUE / 2;
+
 	private int longItemCount;
 
 	/**
@@ -55,6 +58,22 @@
 		return this.eventMs;
 	}
 
+	/**
+	 * Notes that an item leaves the target for another's pace, or comes for its own.
+	 * @param nowMs the monotonic time, in milliseconds
+	 */
+	public void moved(long nowMs) {
+		this.movedAtMs = nowMs;
+	}
+
+	/**
+	 * Returns what is known of the target's pace.
+	 * @return the pace, and when a move last changed it
+	 */
+	public MovePolicy.Place pace() {
+		return new MovePolicy.Place(this.eventMs, this.movedAtMs);
+	}
+
 	/**
 	 * Notes how many long items the target works on, which a load of weights would delay.
 	 * @param count the number of items
