Have each entry ask one control process for a new table

Cause: every control process sent the whole routing table to every entry.

Change: a feed states the number of the newest table; an entry asks one of the control processes that hold it, chosen at random within 50 ms, and another after 400 ms. An entry without a table asks at once. Messages have version 4.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -485,8 +485,12 @@
 
 	@Override
 	public void onNotice(Peer peer, Message message) {
-		if (message instanceof Message.Subscribe subscribe) {
-			this.directoryFeeds.onSubscribe(peer, subscribe);
+		if (message instanceof Message.Subscribe) {
+			this.directoryFeeds.onSubscribe(peer);
+			return;
+		}
+		if (message instanceof Message.TableRequest request) {
+			this.directoryFeeds.onTableRequest(peer, request);
 			return;
 		}
 		if (message instanceof Message.SystemFeed feed) {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -1,10 +1,11 @@
 package org.zinniatack.control;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -42,8 +43,7 @@
 
 	private final TargetDirectory directory = new TargetDirectory(SILENCE_LIMIT_MS, FORGET_MS);
 
-	/** The routing table number that each subscriber holds. */
-	private final Map<Peer, Long> subscribers = new HashMap<>();
+	private final Set<Peer> subscribers = new HashSet<>();
 
 	private @Nullable RoutingTable table;
 
@@ -102,11 +102,21 @@
 			.findFirst();
 	}
 
-	synchronized void onSubscribe(Peer peer, Message.Subscribe subscribe) {
-		boolean known = this.subscribers.containsKey(peer);
-		this.subscribers.put(peer, subscribe.tableNumber());
-		if (!known) {
-			send(peer, subscribe.tableNumber(), this.directory.notices(), List.of());
+	synchronized void onSubscribe(Peer peer) {
+		if (this.subscribers.add(peer)) {
+			send(peer, null, this.directory.notices(), List.of());
+		}
+	}
+
+	/**
+	 * Sends the routing table to a subscriber that asks for it. Each subscriber hears of
+	 * a new one from all control processes and asks one of them, since a table may be
+	 * large.
+	 */
+	synchronized void onTableRequest(Peer peer, Message.TableRequest request) {
+		RoutingTable newest = this.table;
+		if (newest != null && newest.number() > request.heldNumber()) {
+			send(peer, newest, List.of(), List.of());
 		}
 	}
 
@@ -139,7 +149,7 @@
 
 	/** Asks another control process for what it knows. */
 	void subscribeAt(Peer peer) {
-		peer.send(new Message.Subscribe(Long.MAX_VALUE));
+		peer.send(new Message.Subscribe());
 	}
 
 	synchronized void tick() {
@@ -147,21 +157,17 @@
 		List<String> heard = this.directory.heardSince(this.lastTickMs);
 		this.lastTickMs = nowMs;
 		this.directory.forgetSilent(nowMs);
-		this.subscribers.forEach((peer, number) -> send(peer, number, List.of(), heard));
+		this.subscribers.forEach((peer) -> send(peer, null, List.of(), heard));
 	}
 
 	private void push(List<TargetNotice> changed) {
-		this.subscribers.forEach((peer, number) -> send(peer, number, changed, List.of()));
+		this.subscribers.forEach((peer) -> send(peer, null, changed, List.of()));
 	}
 
-	private void send(Peer peer, long knownNumber, List<TargetNotice> changed, List<String> heard) {
+	private void send(Peer peer, @Nullable RoutingTable asked, List<TargetNotice> changed, List<String> heard) {
 		RoutingTable newest = this.table;
-		boolean behind = newest != null && newest.number() > knownNumber;
-		if (behind) {
-			this.subscribers.put(peer, newest.number());
-		}
 		peer.send(new Message.SystemFeed(this.controlAddresses.get(), Map.copyOf(this.namesByAddress),
-				behind ? newest : null, changed, heard));
+				(newest != null) ? newest.number() : 0, asked, changed, heard));
 	}
 
 }
--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/GatewayService.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/GatewayService.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
@@ -64,6 +65,8 @@
 
 	private final String source = UUID.randomUUID().toString();
 
+	private final TableRequests tableRequests;
+
 	private final Targets targets;
 
 	private final TargetClient client;
@@ -96,6 +99,7 @@
 		this.wire = new Wire(new PeerIdentity("gateway", settings.name()), ClusterSecret.of(settings.clusterSecret()),
 				this, 1);
 		this.control = new ControlLinks(this.wire, this::subscribe);
+		this.tableRequests = new TableRequests(loop, this::tableNumber, ThreadLocalRandom.current()::nextInt);
 		this.use = new UseCounter(Math.round(1_000 * settings.usageWindowS()));
 		this.client = new TargetClient(loop, dialect);
 		this.targets = new Targets((pool) -> this.directory.ready(pool, nowMs()), settings.failureDomain(),
@@ -169,8 +173,11 @@
 
 	private void subscribe(Peer peer) {
 		LOGGER.atInfo().log("event=control_connected control=%s table=%d", peer.identity().nodeId(), tableNumber());
-		peer.send(new Message.Subscribe(tableNumber()));
-		peer.whenClosed(() -> LOGGER.atInfo().log("event=control_lost control=%s", peer.identity().nodeId()));
+		peer.send(new Message.Subscribe());
+		peer.whenClosed(() -> {
+			LOGGER.atInfo().log("event=control_lost control=%s", peer.identity().nodeId());
+			this.loop.execute(() -> this.tableRequests.forget(peer));
+		});
 	}
 
 	private long tableNumber() {
@@ -208,6 +215,7 @@
 				.log("event=table_in_force number=%d routes=%d control=%s", table.number(), table.routes().size(),
 						peer.identity().nodeId());
 		}
+		this.tableRequests.announced(peer, feed.tableNumber());
 	}
 
 	private void takeLeaving(TargetNotice target) {
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Handshake.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Handshake.java
@@ -18,7 +18,7 @@
 final class Handshake extends SimpleChannelInboundHandler<Frame> {
 
 	/** The version of the protocol that this build speaks. */
-	static final int PROTOCOL_VERSION = 3;
+	static final int PROTOCOL_VERSION = 4;
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -62,6 +62,7 @@
 		@JsonSubTypes.Type(value = Message.UsageRelease.class, name = "ur"),
 		@JsonSubTypes.Type(value = Message.HeldUsage.class, name = "hu"),
 		@JsonSubTypes.Type(value = Message.Subscribe.class, name = "sb"),
+		@JsonSubTypes.Type(value = Message.TableRequest.class, name = "tbr"),
 		@JsonSubTypes.Type(value = Message.SystemFeed.class, name = "sf"),
 		@JsonSubTypes.Type(value = Message.ReadJob.class, name = "rj"),
 		@JsonSubTypes.Type(value = Message.JobPage.class, name = "jp"),
@@ -445,12 +446,16 @@
 	record HeldUsage(UsagePart part) implements Message {
 	}
 
+	/** Asks a control process for all changes of what it knows. */
+	record Subscribe() implements Message {
+	}
+
 	/**
-	 * Asks a control process for its feed, again and again while it is wanted.
+	 * Asks a control process for the routing table if it holds a newer one.
 	 *
-	 * @param tableNumber the number of the routing table that the asker holds, 0 for none
+	 * @param heldNumber the number of the table that the asker holds, 0 for none
 	 */
-	record Subscribe(long tableNumber) implements Message {
+	record TableRequest(long heldNumber) implements Message {
 	}
 
 	/**
@@ -458,12 +463,13 @@
 	 *
 	 * @param controlAddresses the addresses of all control processes that are known
 	 * @param namesByAddress the names that operators use for control processes
-	 * @param table the routing table, or null if the subscriber holds it
+	 * @param tableNumber the number of its routing table, 0 for none
+	 * @param table the routing table where it was asked for, or null
 	 * @param targets the notices of targets that changed
 	 * @param heardTargetIds the targets from which something was heard lately
 	 */
-	record SystemFeed(List<String> controlAddresses, Map<String, String> namesByAddress, @Nullable RoutingTable table,
-			List<TargetNotice> targets, List<String> heardTargetIds) implements Message {
+	record SystemFeed(List<String> controlAddresses, Map<String, String> namesByAddress, long tableNumber,
+			@Nullable RoutingTable table, List<TargetNotice> targets, List<String> heardTargetIds) implements Message {
 	}
 
 	/**
