Find a route by hash

Cause: a route was found by trying all prefixes of its host, 29 us a lookup at 2,000 routes in the test. The leader looks up each waiting item in each round, twenty rounds a second and one more for each item that ends.

Change: prefixes begin and end with a slash (tables are refused otherwise), so the parts of a path are looked up from the longest.

RoutingTableTests#aTableOfThousandsOfRoutesIsSearchedAsFastAsASmallOne was red: 294 ms for 10,000 lookups against a bound of 50 ms, from the target of 200,000 choices a second. A prefix in the query of a path selects nothing, as before.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteIndex.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteIndex.java
@@ -1,9 +1,6 @@
 package org.zinniatack.core.table;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -16,7 +13,8 @@
 
 	private final RoutingTable table;
 
-	private final Map<String, List<Route>> routesByHost = new HashMap<>();
+	/** The routes of each host by their prefixes, which begin and end with a slash. */
+	private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
 
 	private final Map<String, Customer> customersByDigest = new HashMap<>();
 
@@ -27,11 +25,8 @@
 	public RouteIndex(RoutingTable table) {
 		this.table = table;
 		table.routes()
-			.forEach(
-					(route) -> this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route));
-		this.routesByHost.values()
-			.forEach((routes) -> routes
-				.sort(Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed()));
+			.forEach((route) -> this.routesByHost.computeIfAbsent(route.host(), (host) -> new HashMap<>())
+				.put(route.pathPrefix(), route));
 		table.customers()
 			.forEach((customer) -> customer.keyDigests()
 				.forEach((digest) -> this.customersByDigest.put(digest, customer)));
@@ -53,10 +48,16 @@
 	 * @return the route, or empty if none matches
 	 */
 	public Optional<Route> routeOf(String host, String path) {
-		return this.routesByHost.getOrDefault(host, List.of())
-			.stream()
-			.filter((route) -> path.startsWith(route.pathPrefix()))
-			.findFirst();
+		Map<String, Route> routes = this.routesByHost.getOrDefault(host, Map.of());
+		int query = path.indexOf('?');
+		int slash = path.lastIndexOf('/', (query < 0) ? path.length() : query);
+		for (; slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+			Route route = routes.get(path.substring(0, slash + 1));
+			if (route != null) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
 	}
 
 	/**
--- a/zinniatack-core/src/test/java/org/zinniatack/core/table/RoutingTableTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/table/RoutingTableTests.java
@@ -1,7 +1,9 @@
 package org.zinniatack.core.table;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 
@@ -13,6 +15,7 @@
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.notNullValue;
 
 /**
@@ -58,6 +61,43 @@
 				"listed twice");
 	}
 
+	@Test
+	void aPrefixSelectsNothingByAPathThatOnlyNamesItInItsQuery() throws ServiceException {
+		PoolShare share = new PoolShare("p", 1);
+		RouteIndex index = new RouteIndex(
+				table(1, List.of(route("root", "/", 10, share), route("deep", "/a/b/", 10, share))).requireValid());
+		assertThat(index.routeOf("h.example", "/a?x=/b/").orElseThrow().name(), is("root"));
+		assertThat(index.routeOf("h.example", "/a/b/c/d/e").orElseThrow().name(), is("deep"));
+		assertThat(index.routeOf("h.example", "no-slash").isPresent(), is(false));
+	}
+
+	/**
+	 * The pattern: an operator adds two thousand routes to a host while hundreds of items
+	 * wait, each of which is looked up in every round. Choices are to stay over 200,000 a
+	 * second.
+	 */
+	@Test
+	void aTableOfThousandsOfRoutesIsSearchedAsFastAsASmallOne() throws ServiceException {
+		PoolShare share = new PoolShare("p", 1);
+		List<Route> routes = new ArrayList<>();
+		for (int number = 0; number < 2_000; number++) {
+			routes.add(route("r" + number, "/added/%04d/".formatted(number), 10, share));
+		}
+		RouteIndex index = new RouteIndex(table(1, routes).requireValid());
+		List<String> paths = routes.stream().map((route) -> route.pathPrefix() + "item").toList();
+		long bestNs = Long.MAX_VALUE;
+		int found = 0;
+		for (int round = 0; round < 10; round++) {
+			long startedNs = System.nanoTime();
+			for (int lookup = 0; lookup < 10_000; lookup++) {
+				found += index.routeOf("h.example", paths.get(lookup * 7 % paths.size())).isPresent() ? 1 : 0;
+			}
+			bestNs = Math.min(bestNs, System.nanoTime() - startedNs);
+		}
+		assertThat(found, is(100_000));
+		assertThat(bestNs, lessThan(TimeUnit.SECONDS.toNanos(10_000) / 200_000));
+	}
+
 	@Test
 	void theLongestPrefixThatBeginsThePathSelectsTheRoute() throws ServiceException {
 		PoolShare share = new PoolShare("p", 1);
