--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/TableRequests.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/gateway/TableRequests.java
@@ -9,6 +9,7 @@
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
@@ -24,6 +25,8 @@
  */
 final class TableRequests {
 
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
 	/**
 	 * The announcements of all control processes arrive within it, and the entries divide
 	 * among those.
@@ -102,6 +105,9 @@
 		if (!holders.isEmpty()) {
 			Peer chosen = holders.get(this.random.applyAsInt(holders.size()));
 			this.asked.add(chosen);
+			LOGGER.atInfo()
+				.log("event=table_requested held=%d announced=%d control=%s asked_before=%d", held, newest(),
+						chosen.identity().nodeId(), this.asked.size() - 1);
 			chosen.send(new Message.TableRequest(held));
 			plan(ANSWER_TIMEOUT_MS);
 		}
