--- /dev/null
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/http/PlannedStopTests.java
@@ -0,0 +1,155 @@
+package org.zinniatack.direct.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.zinniatack.core.table.CallerLimits;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * A planned stop of a listener under load, with callers on kept and on new connections:
+ * whatever was read is answered, and nobody is cut off halfway.
+ */
+class PlannedStopTests {
+
+	private static final int CALLER_COUNT = 24;
+
+	/** How long the handler takes, so that requests are under way at the stop. */
+	private static final long WORK_MS = 40;
+
+	private static final long LOAD_MS = 300;
+
+	/** As a front waits for its balancer, in short. */
+	private static final long ROTATION_MS = 200;
+
+	private static final int BODY_BYTES = 20_000;
+
+	private static final int SOCKET_TIMEOUT_MS = 10_000;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final Set<String> taken = ConcurrentHashMap.newKeySet();
+
+	private final Set<String> answered = ConcurrentHashMap.newKeySet();
+
+	private final Set<String> mixedUp = ConcurrentHashMap.newKeySet();
+
+	private final HttpListener listener = new HttpListener(this.group,
+			() -> new CallerLimits(16_384, 1_000_000, 5_000, 5_000), this::handle);
+
+	private volatile boolean stopped;
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	private void handle(Exchange exchange) {
+		this.taken.add(exchange.path());
+		exchange.eventLoop()
+			.schedule(
+					() -> exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(),
+							Unpooled.copiedBuffer("answer to " + exchange.path(), StandardCharsets.US_ASCII)),
+					WORK_MS, TimeUnit.MILLISECONDS);
+	}
+
+	/** Sends requests until the listener closes the connection or accepts none. */
+	private void call(int port, int caller) {
+		int number = 0;
+		while (!this.stopped) {
+			try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+				socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+				boolean keep = true;
+				while (keep && !this.stopped) {
+					keep = exchange(socket, "/" + caller + "/" + number++) && caller % 2 == 0;
+				}
+			}
+			catch (IOException ex) {
+				// What was read and not answered shows in the comparison at the end.
+				continue;
+			}
+		}
+	}
+
+	/** Returns whether the connection may be used again. */
+	private boolean exchange(Socket socket, String path) throws IOException {
+		byte[] body = new byte[BODY_BYTES];
+		String head = "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n".formatted(path, body.length);
+		socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+		socket.getOutputStream().write(body, 0, BODY_BYTES / 2);
+		socket.getOutputStream().flush();
+		socket.getOutputStream().write(body, BODY_BYTES / 2, BODY_BYTES - BODY_BYTES / 2);
+		socket.getOutputStream().flush();
+		String answerHead = readHead(socket.getInputStream());
+		String wanted = "answer to " + path;
+		String got = new String(socket.getInputStream().readNBytes(wanted.length()), StandardCharsets.US_ASCII);
+		if (!got.equals(wanted)) {
+			this.mixedUp.add(path + " got " + got);
+			throw new IOException("cut off");
+		}
+		this.answered.add(path);
+		return !answerHead.toLowerCase(java.util.Locale.ROOT).contains("connection: close");
+	}
+
+	private static String readHead(InputStream input) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (!head.toString().endsWith("\r\n\r\n")) {
+			int next = input.read();
+			if (next < 0) {
+				throw new IOException("closed before an answer");
+			}
+			head.append((char) next);
+		}
+		return head.toString();
+	}
+
+	@Test
+	void whatWasReadBeforeOrDuringAStopIsAnswered() throws Exception {
+		int port = this.listener.open("127.0.0.1:0");
+		List<Thread> callers = new ArrayList<>();
+		for (int caller = 0; caller < CALLER_COUNT; caller++) {
+			int number = caller;
+			Thread thread = new Thread(() -> call(port, number), "caller-" + caller);
+			thread.setDaemon(true);
+			thread.start();
+			callers.add(thread);
+		}
+		TimeUnit.MILLISECONDS.sleep(LOAD_MS);
+		this.listener.drain();
+		TimeUnit.MILLISECONDS.sleep(ROTATION_MS);
+		this.listener.closeIdle();
+		while (this.group.submit(this.listener::activeCount).get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS) > 0) {
+			TimeUnit.MILLISECONDS.sleep(5);
+		}
+		this.stopped = true;
+		for (Thread caller : callers) {
+			caller.join(SOCKET_TIMEOUT_MS);
+		}
+		assertThat(this.mixedUp, is(empty()));
+		this.taken.removeAll(this.answered);
+		assertThat(this.taken, is(empty()));
+		assertThat(this.answered.size(), greaterThan(CALLER_COUNT));
+	}
+
+}
--- a/zinniatack-direct/src/test/java/org/zinniatack/direct/http/ScriptedTarget.java
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/http/ScriptedTarget.java
@@ -24,6 +24,9 @@
 	/** At the end of an answer, closes the connection after it. */
 	public static final String THEN_HANG_UP = "\u0000";
 
+	/** At the end of an answer, resets the connection after it. */
+	public static final String THEN_RESET = "\u0003";
+
 	/** Leaves the request without an answer. */
 	public static final String SILENCE = "silence";
 
@@ -186,10 +189,14 @@
 						}
 					}
 					else if (!reply.equals(SILENCE)) {
-						boolean last = reply.endsWith(THEN_HANG_UP);
-						String bytes = reply.replace(THEN_HANG_UP, "");
+						boolean reset = reply.endsWith(THEN_RESET);
+						boolean last = reset || reply.endsWith(THEN_HANG_UP);
+						String bytes = reply.replace(THEN_HANG_UP, "").replace(THEN_RESET, "");
 						socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
 						socket.getOutputStream().flush();
+						if (reset) {
+							socket.setSoLinger(true, 0);
+						}
 						if (last) {
 							return;
 						}
--- a/zinniatack-direct/src/test/java/org/zinniatack/direct/http/TargetClientTests.java
+++ b/zinniatack-direct/src/test/java/org/zinniatack/direct/http/TargetClientTests.java
@@ -101,6 +101,20 @@
 		}
 	}
 
+	/**
+	 * Without a length, an answer is whole when its connection ends, but not by a reset.
+	 */
+	@Test
+	void anAnswerWithoutALengthIsWholeOnlyWhereItsConnectionEndsInOrder() throws Exception {
+		String unframed = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nhalf";
+		try (ScriptedTarget target = new ScriptedTarget(unframed + ScriptedTarget.THEN_HANG_UP)) {
+			assertThat(send(target.address(), "1"), is("half"));
+		}
+		try (ScriptedTarget target = new ScriptedTarget(unframed + ScriptedTarget.THEN_RESET)) {
+			assertThat(send(target.address(), "1"), startsWith("lost: "));
+		}
+	}
+
 	@Test
 	void aTargetThatHangsUpMayHaveRunTheRequest() throws Exception {
 		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.HANG_UP)) {
