--- a/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallDispatcher.java
+++ b/zinniatack-direct/src/main/java/org/zinniatack/direct/call/CallDispatcher.java
@@ -49,12 +49,15 @@
 	private static final long ANSWER_MARGIN_MS = 80;
 
 	/**
-	 * The longest answer that is passed on whole: a twelfth of the direct memory that an
-	 * entry process of the smallest VM has.
+	 * The longest answer that is passed on whole: a thirteenth of the heap that an entry
+	 * process of the smallest VM has.
 	 */
 	static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
-	/** The longest answers that are held at once, a third of the same memory. */
+	/**
+	 * What answers that are not whole yet may hold at once, under a third of that heap:
+	 * buffers that grow take up to twice their bytes.
+	 */
 	static final int MAXIMUM_HELD_BYTES = 32 * 1024 * 1024;
 
 	/** An answer of this size is held however many others are. */
