Count running requests on the event loop before a front stops

Cause: a stopping front closed its idle connections on the event loop and read the number of running requests on the main thread.

Change: closing idle connections returns the number of running requests, counted on the event loop after it has read what had arrived. The test parks the loop; the old count returned at once.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.result.ResultCode;
@@ -129,21 +130,22 @@
 		this.group.execute(() -> this.connections.forEach(ConnectionHandler::drain));
 	}
 
-	/** Stops accepting connections and closes those without a running request. */
-	public void closeIdle() {
-		this.group.execute(() -> {
+	/**
+	 * Stops accepting connections and closes those without a running request.
+	 * @return the number of running requests, counted on the event loop, since another
+	 * thread would miss requests that the loop is about to handle
+	 */
+	public Future<Integer> closeIdle() {
+		return this.group.submit(() -> {
 			if (this.server != null) {
 				this.server.close();
 			}
 			Set.copyOf(this.connections).forEach(ConnectionHandler::closeIfIdle);
+			return activeRequestCount();
 		});
 	}
 
-	/**
-	 * Returns the number of running requests.
-	 * @return the number, which is exact only on the event loop
-	 */
-	public int activeRequestCount() {
+	private int activeRequestCount() {
 		return (int) this.connections.stream().filter((connection) -> connection.current != null).count();
 	}
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/PlannedStopTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/PlannedStopTests.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
@@ -17,6 +18,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -141,8 +143,7 @@
 		TimeUnit.MILLISECONDS.sleep(LOAD_MS);
 		this.listener.drain();
 		TimeUnit.MILLISECONDS.sleep(ROTATION_MS);
-		this.listener.closeIdle();
-		while (this.group.submit(this.listener::activeRequestCount).get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS) > 0) {
+		while (this.listener.closeIdle().get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS) > 0) {
 			TimeUnit.MILLISECONDS.sleep(5);
 		}
 		this.stopped = true;
@@ -155,4 +156,32 @@
 		assertThat(this.answeredPaths.size(), greaterThan(CALLER_COUNT));
 	}
 
+	/**
+	 * The pattern: a request arrives as the process decides that none is running, on a VM
+	 * that is slow to read it.
+	 */
+	@Test
+	void runningRequestsAreCountedOnlyOnceTheEventLoopHasReadWhatArrived() throws Exception {
+		int port = this.listener.open("127.0.0.1:0");
+		CountDownLatch busy = new CountDownLatch(1);
+		try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+			this.group.execute(() -> awaitUninterruptibly(busy));
+			caller.getOutputStream().write("GET /late HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			Future<Integer> running = this.listener.closeIdle();
+			assertThat(running.await(ROTATION_MS, TimeUnit.MILLISECONDS), is(false));
+			busy.countDown();
+			int count = running.get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+			assertThat(count, is(this.receivedPaths.size()));
+		}
+	}
+
+	private static void awaitUninterruptibly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
