Elect a leader as soon as replicas that restart together are up

Cause: a replica counted its start as the last contact to a leader, so after a loss of all processes nobody voted for 450 ms after the last of them was up, and the first election came 450 to 900 ms after that start.

Change: no replica can have confirmed a lease since its process started, so that time counts from the start of the process's clock, and the start of the JVM usually covers it. Until a leader is heard, elections are tried after 100 to 200 ms, then after twice that, up to the usual timeout; pre-votes keep them from disturbing a leader. A replica that restarts in a running process, after a disk failure, still counts from that moment.

The fault matrix now starts processes up to 700 ms before their replicas.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -62,6 +62,9 @@
 	/** The time of three elections; a restarting voter responds sooner. */
 	private static final long VOTER_TIMEOUT_MS = 2_000;
 
+	/** Tickers count from zero, the system's from its first use in the process. */
+	private static final long CLOCK_START_MS = 0;
+
 	private final ReplicaStore store;
 
 	private final Ticker ticker;
@@ -110,17 +113,21 @@
 		this.messageSender = messageSender;
 		this.stateListener = stateListener;
 		this.snapshots = new SnapshotWriter(store);
-		this.replica = restartReplica();
+		this.replica = restartReplica(CLOCK_START_MS);
 		this.status = currentStatus();
 	}
 
-	private Replica restartReplica() throws ServiceException {
+	/**
+	 * Restarts the replica from the state on disk.
+	 * @param startedAtMs a time since which this process has not acted as a replica
+	 */
+	private Replica restartReplica(long startedAtMs) throws ServiceException {
 		var persistent = this.store.load();
 		if (persistent.snapshot().index() > this.appliedIndex || this.appliedIndex == 0) {
 			restoreState(persistent.snapshot());
 		}
 		Replica restarted = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
-				RandomGenerator.getDefault(), nowMs());
+				RandomGenerator.getDefault(), startedAtMs, nowMs());
 		this.snapshotIndex = persistent.snapshot().index();
 		return restarted;
 	}
@@ -324,7 +331,7 @@
 		this.diskRetryAtMs = nowMs() + DISK_RETRY_MS;
 		failPending(diskFailure);
 		try {
-			this.replica = restartReplica();
+			this.replica = restartReplica(nowMs());
 		}
 		catch (ServiceException ex) {
 			LOGGER.atSevere().log("event=disk_unreadable code=%d detail=\"%s\"", ex.code().number(), ex.getMessage());
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -56,16 +56,24 @@
 
 	private boolean commitBroadcastPending;
 
-	RaftReplica(ReplicaSettings settings, PersistentState state, RandomGenerator random, long nowMs) {
+	/**
+	 * The shortest time until the next election of a replica that has no leader. It grows
+	 * to the election timeout while elections fail.
+	 */
+	private long electionDelayMs;
+
+	RaftReplica(ReplicaSettings settings, PersistentState state, RandomGenerator random, long startedAtMs, long nowMs) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.random = Objects.requireNonNull(random, "random");
 		this.hardState = state.hardState();
 		this.log = new ReplicaLog(state);
 		this.replication = Replication.none();
-		// The last leader contact is lost on a restart. Counting it as now withholds
-		// votes while a lease that this replica has confirmed may still be valid.
-		this.lastLeaderContactMs = nowMs;
-		resetElectionDeadline(nowMs);
+		// The last leader contact is lost on a restart, but was before it. Counting it as
+		// the start withholds votes while a lease that this replica has confirmed may
+		// still be valid.
+		this.lastLeaderContactMs = startedAtMs;
+		this.electionDelayMs = settings.heartbeatIntervalMs();
+		resetElectionDeadline(Math.max(startedAtMs + settings.electionTimeoutMs(), nowMs) - this.electionDelayMs);
 	}
 
 	@Override
@@ -325,6 +333,7 @@
 		this.role = newRole;
 		this.leaderId = "";
 		this.votes.clear();
+		this.electionDelayMs = Math.min(2 * this.electionDelayMs, this.settings.electionTimeoutMs());
 		resetElectionDeadline(nowMs);
 		long electionTerm = term() + 1;
 		if (newRole == Role.CANDIDATE) {
@@ -352,6 +361,7 @@
 
 	private void becomeLeader(long nowMs) {
 		this.role = Role.LEADER;
+		this.electionDelayMs = this.settings.electionTimeoutMs();
 		this.leaderId = this.settings.id();
 		this.leadingSinceMs = nowMs;
 		this.nextHeartbeatMs = nowMs;
@@ -379,6 +389,7 @@
 		}
 		becomeFollower(message.term(), message.from(), nowMs);
 		this.lastLeaderContactMs = nowMs;
+		this.electionDelayMs = this.settings.electionTimeoutMs();
 		resetElectionDeadline(nowMs);
 		return true;
 	}
@@ -487,8 +498,7 @@
 	}
 
 	private void resetElectionDeadline(long nowMs) {
-		this.electionDeadlineMs = nowMs + this.settings.electionTimeoutMs()
-				+ this.random.nextLong(this.settings.electionTimeoutMs());
+		this.electionDeadlineMs = nowMs + this.electionDelayMs + this.random.nextLong(this.electionDelayMs);
 	}
 
 }
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -27,6 +27,9 @@
 
 	private static final double CLOCK_DRIFT = 0.05;
 
+	/** The longest time from the start of a process to the start of its replica. */
+	private static final int MAXIMUM_STARTUP_MS = 700;
+
 	private final Defect injectedDefect;
 
 	private final SplittableRandom random;
@@ -171,7 +174,7 @@
 
 	private void crash(SimulatedNode node) {
 		if (node.isRunning()) {
-			node.crash(this.nowMs + 50 + this.random.nextInt(3_000));
+			node.crash(this.nowMs, this.nowMs + 50 + this.random.nextInt(3_000));
 		}
 	}
 
@@ -182,7 +185,7 @@
 	private void loseDisk(SimulatedNode node) {
 		boolean settled = this.nodes.stream().allMatch(this::isSettled);
 		if (this.nodes.size() > 1 && (settled || this.injectedDefect == Defect.KEPT_IDENTITY)) {
-			node.crash(this.nowMs + 50 + this.random.nextInt(500));
+			node.crash(this.nowMs, this.nowMs + 50 + this.random.nextInt(500));
 			node.loseDisk(this.injectedDefect == Defect.KEPT_IDENTITY);
 		}
 	}
@@ -222,7 +225,7 @@
 		}
 		for (SimulatedNode node : this.nodes) {
 			if (!node.isRunning() && node.restartAtMs() >= 0 && this.nowMs >= node.restartAtMs()) {
-				node.start(this.nowMs);
+				node.start(processStartMs(node), this.nowMs);
 			}
 			if (node.isUp(this.nowMs)) {
 				node.replica().tick(node.clockMs(this.nowMs));
@@ -233,6 +236,36 @@
 		checkLeases();
 	}
 
+	/** Returns when the process of a replica that restarts now was started. */
+	private long processStartMs(SimulatedNode node) {
+		if (this.injectedDefect == Defect.EARLY_START) {
+			return this.nowMs - MAXIMUM_STARTUP_MS;
+		}
+		return Math.max(this.nowMs - this.random.nextInt(MAXIMUM_STARTUP_MS), node.crashedAtMs());
+	}
+
+	/**
+	 * Restarts all replicas, whose processes take the given time to start, and returns
+	 * how long it then takes until one of them holds a lease.
+	 */
+	long restartAllUntilLease(long startupMs, long limitMs) {
+		this.lossy = false;
+		this.nodes.forEach((node) -> node.crash(this.nowMs, this.nowMs + startupMs));
+		long startedMs = this.nowMs + startupMs;
+		while (this.nowMs < startedMs) {
+			this.nowMs += STEP_MS;
+		}
+		this.network.clear();
+		this.nodes.forEach((node) -> node.start(startedMs - startupMs, startedMs));
+		while (this.nowMs < startedMs + limitMs) {
+			step();
+			if (this.nodes.stream().anyMatch((node) -> node.replica().holdsLease(node.clockMs(this.nowMs)))) {
+				return this.nowMs - startedMs;
+			}
+		}
+		return limitMs;
+	}
+
 	private void deliver(Delivery delivery) {
 		Optional<SimulatedNode> to = this.nodes.stream()
 			.filter((node) -> node.name().equals(MemberChange.nameOf(delivery.message().to())))
@@ -456,7 +489,10 @@
 		KEPT_IDENTITY,
 
 		/** The clock stops while its process is paused. */
-		STOPPED_CLOCK
+		STOPPED_CLOCK,
+
+		/** A replica takes its process to have started before its predecessor ended. */
+		EARLY_START
 
 	}
 
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedNode.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedNode.java
@@ -39,6 +39,8 @@
 
 	private boolean slowDisk;
 
+	private long crashedAtMs;
+
 	SimulatedNode(String name, SplittableRandom random, double clockRate) {
 		this.name = name;
 		this.random = random;
@@ -108,15 +110,25 @@
 	}
 
 	void start(long nowMs) {
+		start(nowMs, nowMs);
+	}
+
+	/** Starts the replica of a process that started earlier. */
+	void start(long processStartedAtMs, long nowMs) {
 		this.restartAtMs = -1;
 		this.replica = Replica.start(ReplicaSettings.defaults(id()),
 				new PersistentState(this.diskHardState, this.diskSnapshot, List.copyOf(this.diskEntries)), this.random,
-				clockMs(nowMs));
+				clockMs(processStartedAtMs), clockMs(nowMs));
 		this.applied = this.diskSnapshot.index();
 	}
 
-	void crash(long restartAt) {
+	long crashedAtMs() {
+		return this.crashedAtMs;
+	}
+
+	void crash(long nowMs, long restartAt) {
 		this.replica = null;
+		this.crashedAtMs = nowMs;
 		this.restartAtMs = restartAt;
 		thaw();
 	}
