Hold requests that arrive before the routing table

Change: an entry holds such a request until the table arrives, as long as a target could still answer within its deadline; what has no time left is refused at once. Number and bytes are bounded. Connections to control are retried after at most 0.2 s in place of 0.6 s.

--- /dev/null
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/EarlyRequests.java
@@ -0,0 +1,108 @@
+package org.zinniatack.gateway.service;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Requests that arrive before the first routing table. After a restart of all processes
+ * callers are back sooner than control has a leader, and most of them have time left for
+ * only one more attempt. All methods must be called on the event loop.
+ */
+public final class EarlyRequests {
+
+	/** Bounds the number of held requests. */
+	static final int MAXIMUM_COUNT = 512;
+
+	/** Bounds the bodies of held requests to a fraction of the heap. */
+	static final long MAXIMUM_BYTES = 8 * 1024 * 1024;
+
+	private final EventLoop loop;
+
+	private final Set<Held> held = new LinkedHashSet<>();
+
+	private long heldBytes;
+
+	EarlyRequests(EventLoop loop) {
+		this.loop = loop;
+	}
+
+	/**
+	 * Holds a request until the routing table arrives or its time is up.
+	 * @param request the request
+	 * @param bytes the size of its body
+	 * @param limitMs the time after which it can no longer be served, in milliseconds
+	 * @return an action that forgets the request, or null if it must be refused at once
+	 */
+	public @Nullable Runnable hold(EarlyRequest request, long bytes, long limitMs) {
+		if (limitMs <= 0 || this.held.size() >= MAXIMUM_COUNT || this.heldBytes + bytes > MAXIMUM_BYTES) {
+			return null;
+		}
+		Held added = new Held(request, bytes);
+		this.held.add(added);
+		this.heldBytes += bytes;
+		added.timeout = this.loop.schedule(() -> {
+			if (remove(added)) {
+				request.refuse();
+			}
+		}, limitMs, TimeUnit.MILLISECONDS);
+		return () -> remove(added);
+	}
+
+	/** Handles all held requests, in the order of their arrival. */
+	void release() {
+		List.copyOf(this.held).forEach((early) -> {
+			if (remove(early)) {
+				early.request.handle();
+			}
+		});
+	}
+
+	/** Returns the number of requests that are held. */
+	int count() {
+		return this.held.size();
+	}
+
+	private boolean remove(Held early) {
+		if (!this.held.remove(early)) {
+			return false;
+		}
+		this.heldBytes -= early.bytes;
+		if (early.timeout != null) {
+			early.timeout.cancel(false);
+		}
+		return true;
+	}
+
+	/** A request that arrived before the first routing table. */
+	public interface EarlyRequest {
+
+		/** Handles the request now that there is a routing table. */
+		void handle();
+
+		/** Refuses the request because too little of its time is left. */
+		void refuse();
+
+	}
+
+	private static final class Held {
+
+		private final EarlyRequest request;
+
+		private final long bytes;
+
+		private @Nullable Future<?> timeout;
+
+		Held(EarlyRequest request, long bytes) {
+			this.request = request;
+			this.bytes = bytes;
+		}
+
+	}
+
+}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -74,6 +74,8 @@
 
 	private final CallDispatcher dispatcher;
 
+	private final EarlyRequests earlyRequests;
+
 	private volatile @Nullable RouteIndex index;
 
 	private volatile boolean stopping;
@@ -97,6 +99,7 @@
 	public GatewayService(GatewaySettings settings, EventLoop loop, TargetProtocol protocol) {
 		this.settings = settings;
 		this.loop = loop;
+		this.earlyRequests = new EarlyRequests(loop);
 		this.network = new PeerNetwork(new PeerIdentity("gateway", settings.name()),
 				ClusterSecret.of(settings.clusterSecret()), this, 1);
 		this.control = new ControlLinks(this.network, this::subscribe);
@@ -215,6 +218,7 @@
 			LOGGER.atInfo()
 				.log("event=table_in_force number=%d routes=%d control=%s", table.number(), table.routes().size(),
 						peer.identity().nodeId());
+			this.earlyRequests.release();
 		}
 		this.tableRequests.recordAnnouncement(peer, feed.tableNumber());
 	}
@@ -236,6 +240,14 @@
 		return Optional.ofNullable(this.index);
 	}
 
+	/**
+	 * Returns the requests that wait for the first routing table.
+	 * @return the requests, for use on the event loop
+	 */
+	public EarlyRequests earlyRequests() {
+		return this.earlyRequests;
+	}
+
 	/**
 	 * Returns the call dispatcher.
 	 * @return the dispatcher, for use on the event loop
--- a/zinniatack-process/src/main/java/org/zinniatack/process/ReconnectingLink.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/ReconnectingLink.java
@@ -16,7 +16,8 @@
 
 	private static final long INITIAL_DELAY_MS = 50;
 
-	private static final long MAXIMUM_DELAY_MS = 600;
+	/** A process that restarts is connected to again within a few heartbeats. */
+	private static final long MAXIMUM_DELAY_MS = 200;
 
 	private final PeerNetwork network;
 
