--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ConsensusFaultMatrixTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ConsensusFaultMatrixTests.java
@@ -73,7 +73,7 @@
 	}
 
 	@ParameterizedTest
-	@EnumSource(value = Defect.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+	@EnumSource(value = Defect.class, mode = EnumSource.Mode.EXCLUDE, names = { "NONE", "EARLY_START" })
 	void theChecksFindEachDeliberateBreak(Defect injectedDefect) {
 		assertThat("a seed that shows " + injectedDefect, firstFailure(injectedDefect), notNullValue());
 	}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -75,6 +75,12 @@
 		});
 	}
 
+	/** Runs for the given time without faults, and loses nothing from now on. */
+	void runWithoutFaults(long durationMs) {
+		this.lossy = false;
+		runUnderFaults(durationMs, Set.of());
+	}
+
 	/** Runs for the given time under the given kinds of faults. */
 	void runUnderFaults(long durationMs, Set<Fault> faults) {
 		List<Fault> kinds = new ArrayList<>(faults);
@@ -249,7 +255,6 @@
 	 * how long it then takes until one of them holds a lease.
 	 */
 	long restartAllUntilLease(long startupMs, long limitMs) {
-		this.lossy = false;
 		this.nodes.forEach((node) -> node.crash(this.nowMs, this.nowMs + startupMs));
 		long startedMs = this.nowMs + startupMs;
 		while (this.nowMs < startedMs) {
@@ -266,6 +271,28 @@
 		return limitMs;
 	}
 
+	/**
+	 * Cuts one follower off the leader, then restarts the other and cuts the leader off
+	 * both, so that only the restarted replica knows of the leader's lease.
+	 */
+	void restartTheOnlyWitnessOfALease(long cutMs, long restartMs) {
+		SimulatedNode leader = this.nodes.stream()
+			.filter((node) -> node.replica().holdsLease(node.clockMs(this.nowMs)))
+			.findFirst()
+			.orElseThrow();
+		List<SimulatedNode> followers = this.nodes.stream().filter((node) -> node != leader).toList();
+		cutBothWays(leader, followers.get(0));
+		runUnderFaults(cutMs, Set.of());
+		cutBothWays(leader, followers.get(1));
+		followers.get(1).crash(this.nowMs, this.nowMs + restartMs);
+		runUnderFaults(ReplicaSettings.defaults("").leaseDurationMs(), Set.of());
+	}
+
+	private void cutBothWays(SimulatedNode one, SimulatedNode other) {
+		this.cuts.add(one.name() + ">" + other.name());
+		this.cuts.add(other.name() + ">" + one.name());
+	}
+
 	private void deliver(Delivery delivery) {
 		Optional<SimulatedNode> to = this.nodes.stream()
 			.filter((node) -> node.name().equals(MemberChange.nameOf(delivery.message().to())))
@@ -491,7 +518,10 @@
 		/** The clock stops while its process is paused. */
 		STOPPED_CLOCK,
 
-		/** A replica takes its process to have started before its predecessor ended. */
+		/**
+		 * A replica takes its process to have started before its predecessor ended. Random
+		 * faults rarely show it; RestartElectionTests do.
+		 */
 		EARLY_START
 
 	}
