Leave running items where they are when a target loads weights

Cause: before each load of weights that keeps requests running, the long items moved to other targets, because a load was thought to pause them. The items that decide a step lost their place for a full target, a new connection and the prompt.

Change: loads move nothing. LongItemMover and its call are removed.

--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -519,8 +519,8 @@
 		STOPPED_CLOCK,
 
 		/**
-		 * A replica takes its process to have started before its predecessor ended. Random
-		 * faults rarely show it; RestartElectionTests do.
+		 * A replica takes its process to have started before its predecessor ended.
+		 * Random faults rarely show it; RestartElectionTests do.
 		 */
 		EARLY_START
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -374,27 +374,6 @@
 		requeue(run, 0);
 	}
 
-	/**
-	 * Moves the long items of a model away from a target that is about to load it, as
-	 * long as other targets have room.
-	 * @param targetId the id of the target
-	 * @param model the model
-	 */
-	public void moveLongItems(String targetId, String model) {
-		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
-			for (ItemRun run : List.copyOf(runs.values())) {
-				TargetNotice target = run.target;
-				boolean affected = run.phase == ItemRun.Phase.GENERATING && target != null
-						&& target.id().equals(targetId) && run.job.model().equals(model);
-				if (affected && run.text.eventCount() > LONG_ITEM_EVENTS
-						&& chooseTarget(run, target.pool(), nowMs()).isPresent()) {
-					move(run, "load");
-					dispatch();
-				}
-			}
-		}
-	}
-
 	private void dispatch() {
 		long nowMs = nowMs();
 		List<ItemRun> waiting = new ArrayList<>();
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -98,8 +98,6 @@
 
 	private final LoadedVersions versions;
 
-	private final LongItemMover longItemMover;
-
 	private final Map<String, StepVersions> stepsByModel = new HashMap<>();
 
 	/** At most one load per target, since a target executes one order at a time. */
@@ -125,17 +123,15 @@
 	 * @param protocol the HTTP protocol of the targets
 	 * @param targets the targets
 	 * @param versions the weight versions of targets, which this service updates
-	 * @param longItemMover moves long items that a load would pause
 	 */
 	public WeightOrders(EventLoop loop, ControlService control, TargetClient client, TargetProtocol protocol,
-			TargetSelector targets, LoadedVersions versions, LongItemMover longItemMover) {
+			TargetSelector targets, LoadedVersions versions) {
 		this.loop = loop;
 		this.control = control;
 		this.client = client;
 		this.protocol = protocol;
 		this.targets = targets;
 		this.versions = versions;
-		this.longItemMover = longItemMover;
 	}
 
 	@Override
@@ -274,9 +270,6 @@
 		Load load = new Load(target, pool, model, version, keepRunning);
 		this.loadsByTarget.put(target.id(), load);
 		setLoading(load, true);
-		if (keepRunning) {
-			this.longItemMover.moveLongItems(target.id(), model);
-		}
 		requestReport(load);
 	}
 
