Read settings by tokens and start loads of weights at once

Setting up data binding for one small file took 0.05 to 0.1 s of a core of each start.

Loads wait for nothing but the number of targets that may load at once; the counts of long items that only this needed are removed.

The wait is worth nothing.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentSettings.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentSettings.java
@@ -2,9 +2,6 @@
 
 import java.util.List;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 import org.zinniatack.process.SettingsValidation;
 
 /**
@@ -35,15 +32,9 @@
 	/**
 	 * Validates the settings.
 	 */
-	@JsonCreator
-	public AgentSettings(@JsonProperty("targetId") String targetId, @JsonProperty("pool") String pool,
-			@JsonProperty("failureDomain") String failureDomain, @JsonProperty("targetUrl") String targetUrl,
-			@JsonProperty("protocol") String protocol, @JsonProperty("slotCount") int slotCount,
-			@JsonProperty("httpAddress") String httpAddress,
-			@JsonProperty("entryAddresses") List<String> entryAddresses, @JsonProperty("entryCount") int entryCount,
-			@JsonProperty("clusterSecret") String clusterSecret,
-			@JsonProperty("operatorKeyDigests") List<String> operatorKeyDigests,
-			@JsonProperty("loadIntervalMs") long loadIntervalMs, @JsonProperty("drainTimeoutMs") long drainTimeoutMs) {
+	public AgentSettings(String targetId, String pool, String failureDomain, String targetUrl, String protocol,
+			int slotCount, String httpAddress, List<String> entryAddresses, int entryCount, String clusterSecret,
+			List<String> operatorKeyDigests, long loadIntervalMs, long drainTimeoutMs) {
 		this.targetId = SettingsValidation.name("targetId", targetId);
 		this.pool = SettingsValidation.name("pool", pool);
 		this.failureDomain = SettingsValidation.name("failureDomain", failureDomain);
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlSettings.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlSettings.java
@@ -3,9 +3,6 @@
 import java.util.List;
 import java.util.Map;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 import org.zinniatack.process.SettingsValidation;
 
 /**
@@ -35,15 +32,10 @@
 	/**
 	 * Checks the fields.
 	 */
-	@JsonCreator
-	public ControlSettings(@JsonProperty("name") String name, @JsonProperty("dataFolder") String dataFolder,
-			@JsonProperty("listenAddress") String listenAddress, @JsonProperty("httpAddress") String httpAddress,
-			@JsonProperty("members") Map<String, String> members,
-			@JsonProperty("failureDomains") List<String> failureDomains,
-			@JsonProperty("clusterSecret") String clusterSecret,
-			@JsonProperty("operatorKeyDigests") List<String> operatorKeyDigests,
-			@JsonProperty("platformUrl") String platformUrl, @JsonProperty("usageWindowMs") long usageWindowMs,
-			@JsonProperty("usageGraceMs") long usageGraceMs, @JsonProperty("shrinkDelayMs") long shrinkDelayMs) {
+	public ControlSettings(String name, String dataFolder, String listenAddress, String httpAddress,
+			Map<String, String> members, List<String> failureDomains, String clusterSecret,
+			List<String> operatorKeyDigests, String platformUrl, long usageWindowMs, long usageGraceMs,
+			long shrinkDelayMs) {
 		this.name = SettingsValidation.name("name", name);
 		this.dataFolder = SettingsValidation.present("dataFolder", dataFolder);
 		this.listenAddress = SettingsValidation.address("listenAddress", listenAddress);
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SeededControlSettings.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SeededControlSettings.java
@@ -2,9 +2,6 @@
 
 import java.util.List;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 import org.zinniatack.process.SettingsValidation;
 
 /**
@@ -46,16 +43,10 @@
 	/**
 	 * Checks the fields.
 	 */
-	@JsonCreator
-	public SeededControlSettings(@JsonProperty("name") String name, @JsonProperty("failureDomain") String failureDomain,
-			@JsonProperty("dataFolder") String dataFolder, @JsonProperty("listenAddress") String listenAddress,
-			@JsonProperty("operatorAddress") String operatorAddress,
-			@JsonProperty("metricsAddress") String metricsAddress,
-			@JsonProperty("seedAddresses") List<String> seedAddresses, @JsonProperty("firstStart") boolean firstStart,
-			@JsonProperty("toleratedLosses") int toleratedLosses, @JsonProperty("clusterSecret") String clusterSecret,
-			@JsonProperty("platformAddress") String platformAddress, @JsonProperty("usageWindowS") double usageWindowS,
-			@JsonProperty("usageGraceMs") long usageGraceMs, @JsonProperty("jobRetentionS") double jobRetentionS,
-			@JsonProperty("stopTimeoutS") double stopTimeoutS) {
+	public SeededControlSettings(String name, String failureDomain, String dataFolder, String listenAddress,
+			String operatorAddress, String metricsAddress, List<String> seedAddresses, boolean firstStart,
+			int toleratedLosses, String clusterSecret, String platformAddress, double usageWindowS, long usageGraceMs,
+			double jobRetentionS, double stopTimeoutS) {
 		this.name = SettingsValidation.name("name", name);
 		this.failureDomain = SettingsValidation.present("failureDomain", failureDomain);
 		this.dataFolder = SettingsValidation.present("dataFolder", dataFolder);
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntrySettings.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntrySettings.java
@@ -2,9 +2,6 @@
 
 import java.util.List;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 import org.zinniatack.process.SettingsValidation;
 
 /**
@@ -40,17 +37,10 @@
 	/**
 	 * Validates the settings.
 	 */
-	@JsonCreator
-	public EntrySettings(@JsonProperty("name") String name, @JsonProperty("failureDomain") String failureDomain,
-			@JsonProperty("listenAddress") String listenAddress, @JsonProperty("httpAddress") String httpAddress,
-			@JsonProperty("controlAddresses") List<String> controlAddresses,
-			@JsonProperty("clusterSecret") String clusterSecret,
-			@JsonProperty("operatorKeyDigests") List<String> operatorKeyDigests,
-			@JsonProperty("authorityLeaseMs") long authorityLeaseMs,
-			@JsonProperty("requestTimeoutMs") long requestTimeoutMs,
-			@JsonProperty("maximumBodyBytes") int maximumBodyBytes,
-			@JsonProperty("balancerDelayMs") long balancerDelayMs, @JsonProperty("usageWindowMs") long usageWindowMs,
-			@JsonProperty("usageIntervalMs") long usageIntervalMs) {
+	public EntrySettings(String name, String failureDomain, String listenAddress, String httpAddress,
+			List<String> controlAddresses, String clusterSecret, List<String> operatorKeyDigests, long authorityLeaseMs,
+			long requestTimeoutMs, int maximumBodyBytes, long balancerDelayMs, long usageWindowMs,
+			long usageIntervalMs) {
 		this.name = SettingsValidation.name("name", name);
 		this.failureDomain = SettingsValidation.name("failureDomain", failureDomain);
 		this.listenAddress = SettingsValidation.address("listenAddress", listenAddress);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -58,12 +58,6 @@
 
 	private static final long TICK_MS = 50;
 
-	/**
-	 * An item with more events is probably one of the long ones that determine the
-	 * duration of a step. This is about the mean length of an item.
-	 */
-	private static final int LONG_ITEM_EVENTS = 20;
-
 	/** Enough events for the moving average of a target's speed to reflect a change. */
 	private static final int MINIMUM_EVENTS_TO_MOVE = 3;
 
@@ -323,23 +317,18 @@
 	 * Moves items from targets that have become slow to much faster ones with free slots.
 	 */
 	private void moveSlow() {
-		Map<String, Integer> longItems = new HashMap<>();
 		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
 			for (ItemRun run : List.copyOf(runs.values())) {
 				TargetNotice target = run.target;
 				if (run.phase != ItemRun.Phase.GENERATING || target == null) {
 					continue;
 				}
-				if (run.text.eventCount() > LONG_ITEM_EVENTS) {
-					longItems.merge(target.id(), 1, Integer::sum);
-				}
 				if (run.attemptEventCount >= MINIMUM_EVENTS_TO_MOVE
 						&& !this.versions.isLoading(target.id(), run.job.model())) {
 					moveToFasterTarget(run, target);
 				}
 			}
 		}
-		this.targets.setLongItemCounts(longItems);
 	}
 
 	private void moveToFasterTarget(ItemRun run, TargetNotice slow) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewaySettings.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewaySettings.java
@@ -2,9 +2,6 @@
 
 import java.util.List;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 import org.zinniatack.process.SettingsValidation;
 
 /**
@@ -34,15 +31,9 @@
 	/**
 	 * Validates the settings.
 	 */
-	@JsonCreator
-	public GatewaySettings(@JsonProperty("name") String name, @JsonProperty("failureDomain") String failureDomain,
-			@JsonProperty("callerAddress") String callerAddress,
-			@JsonProperty("readinessAddress") String readinessAddress,
-			@JsonProperty("metricsAddress") String metricsAddress,
-			@JsonProperty("seedAddresses") List<String> seedAddresses, @JsonProperty("clusterPort") int clusterPort,
-			@JsonProperty("clusterSecret") String clusterSecret, @JsonProperty("usageWindowS") double usageWindowS,
-			@JsonProperty("usageIntervalMs") long usageIntervalMs, @JsonProperty("stopTimeoutS") double stopTimeoutS,
-			@JsonProperty("closeWithoutControl") boolean closeWithoutControl) {
+	public GatewaySettings(String name, String failureDomain, String callerAddress, String readinessAddress,
+			String metricsAddress, List<String> seedAddresses, int clusterPort, String clusterSecret,
+			double usageWindowS, long usageIntervalMs, double stopTimeoutS, boolean closeWithoutControl) {
 		this.name = SettingsValidation.name("name", name);
 		this.failureDomain = SettingsValidation.present("failureDomain", failureDomain);
 		this.callerAddress = SettingsValidation.address("callerAddress", callerAddress);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -228,8 +228,7 @@
 				.map((target) -> targetVersions(target, models))
 				.toList();
 			for (LoadPlan.Load load : LoadPlan.loads(demand, versionsOfTargets)) {
-				boolean canWait = !load.urgent() && this.targets.stats(load.id()).longItemCount() > 0;
-				if (load.urgent() == urgent && !canWait && loadingCount(pool.name()) < limit
+				if (load.urgent() == urgent && loadingCount(pool.name()) < limit
 						&& !this.loadsByTarget.containsKey(load.id())) {
 					begin(ready.get(load.id()), pool.name(), model, newest, keepRunning);
 				}
