--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -46,6 +46,13 @@
 
 	private long electionDeadlineMs;
 
+	/**
+	 * The shortest time from one election to the next. It starts below the election
+	 * timeout, since replicas that restart together have no leader to wait for, and grows
+	 * to it while elections fail.
+	 */
+	private long electionDelayMs;
+
 	private long nextHeartbeatMs;
 
 	private long leadingSinceMs;
@@ -56,12 +63,6 @@
 
 	private boolean commitBroadcastPending;
 
-	/**
-	 * The shortest time until the next election of a replica that has no leader. It grows
-	 * to the election timeout while elections fail.
-	 */
-	private long electionDelayMs;
-
 	RaftReplica(ReplicaSettings settings, PersistentState state, RandomGenerator random, long startedAtMs, long nowMs) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.random = Objects.requireNonNull(random, "random");
--- a/zinniatack-process/src/test/java/org/zinniatack/process/SettingsTests.java
+++ b/zinniatack-process/src/test/java/org/zinniatack/process/SettingsTests.java
@@ -3,9 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
-import com.fasterxml.jackson.annotation.JsonProperty;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -54,6 +55,58 @@
 		assertThat(readResult("{\"name\": \n"), containsString("x.json"));
 	}
 
+	private String readAllTypes(String fields) throws IOException {
+		Path file = this.folder.resolve("types.json");
+		Files.writeString(file, "{" + fields + "}");
+		try {
+			return Settings.read(file, AllTypes.class).toString();
+		}
+		catch (ServiceException ex) {
+			return ex.getMessage();
+		}
+	}
+
+	@Test
+	void eachTypeOfFieldIsRead() throws IOException {
+		String fields = "\"count\": 3, \"share\": 2, \"open\": true, \"names\": [\"a\", \"b\",], \"addresses\": {\"a\": \"1\"}, \"note\": null";
+		assertThat(readAllTypes(fields),
+				is("AllTypes[count=3, share=2.0, open=true, names=[a, b], addresses={a=1}, note=null]"));
+	}
+
+	@Test
+	void aFieldOfTheWrongTypeIsNamed() throws IOException {
+		assertThat(readAllTypes("\"count\": 1.5"), containsString("count must be an integer"));
+		assertThat(readAllTypes("\"count\": 99999999999"), containsString("types.json:1"));
+		assertThat(readAllTypes("\"count\": null"), containsString("count must be an integer"));
+		assertThat(readAllTypes("\"share\": \"2\""), containsString("share must be a number"));
+		assertThat(readAllTypes("\"open\": 1"), containsString("open must be true or false"));
+		assertThat(readAllTypes("\"names\": \"a\""), containsString("names must be an array of strings"));
+		assertThat(readAllTypes("\"names\": [1]"), containsString("names must be a string"));
+		assertThat(readAllTypes("\"addresses\": []"), containsString("addresses must be an object of strings"));
+		assertThat(readAllTypes("\"note\": 5"), containsString("note must be a string"));
+	}
+
+	@Test
+	void whatIsNoObjectOrEndsTooSoonIsRefused() throws IOException {
+		assertThat(readResult("[]"), containsString("the settings must be an object"));
+		assertThat(readResult(""), containsString("the settings must be an object"));
+		assertThat(readResult("{\"name\": \"a\""), containsString("x.json"));
+	}
+
+	/**
+	 * Example settings with a field of each type.
+	 *
+	 * @param count an integer
+	 * @param share a number
+	 * @param open a flag
+	 * @param names a list
+	 * @param addresses a map
+	 * @param note a text that may be null
+	 */
+	record AllTypes(int count, double share, boolean open, List<String> names, Map<String, String> addresses,
+			@Nullable String note) {
+	}
+
 	/**
 	 * Example settings.
 	 *
@@ -62,11 +115,9 @@
 	 */
 	record Example(String name, long waitMs) {
 
-		@JsonCreator
-		Example(@JsonProperty(value = "name", required = true) String name,
-				@JsonProperty(value = "waitMs", required = true) long waitMs) {
-			this.name = SettingsValidation.name("name", name);
-			this.waitMs = SettingsValidation.range("waitMs", waitMs, 1, 1000);
+		Example {
+			SettingsValidation.name("name", name);
+			SettingsValidation.range("waitMs", waitMs, 1, 1000);
 		}
 
 	}
