Let the owner of a control service say since when its data folder is idle

Cause: a replica counted the start of the process's clock as the latest time at which an earlier replica can have confirmed a lease. That holds for a daemon, not for a control service that a library's user stops and starts again within one process.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -91,6 +91,8 @@
 
 	private final ReplicaStore store;
 
+	private final long idleSinceMs;
+
 	private volatile @Nullable ReplicaDriver driver;
 
 	private @Nullable LeaderDuties duties;
@@ -112,7 +114,7 @@
 		this(ControlMembers.named(settings.name(), settings.members()), settings.name(), Path.of(settings.dataFolder()),
 				settings.listenAddress(), settings.clusterSecret(), new DutySettings(settings.failureDomains(),
 						settings.usageWindowMs(), settings.usageGraceMs(), settings.shrinkDelayMs()),
-				createPlatform(settings.platformUrl()));
+				createPlatform(settings.platformUrl()), clockMs());
 	}
 
 	/**
@@ -122,14 +124,30 @@
 	 * @throws ServiceException if the data folder cannot be opened
 	 */
 	public ControlService(SeededControlSettings settings, Platform platform) throws ServiceException {
+		this(settings, platform, clockMs());
+	}
+
+	/**
+	 * Creates a process that has not started and finds the others through seed addresses.
+	 * @param settings the settings
+	 * @param platform the platform's interfaces for the leader
+	 * @param idleSinceMs a time of the system ticker since which no replica has run on
+	 * the data folder, in milliseconds; the replica votes once an election timeout has
+	 * passed since then
+	 * @throws ServiceException if the data folder cannot be opened
+	 */
+	public ControlService(SeededControlSettings settings, Platform platform, long idleSinceMs) throws ServiceException {
 		this(ControlMembers.seeded(settings.listenAddress(), settings.clusterAddresses(), settings.firstStart(),
 				settings.voterCount()), settings.name(), Path.of(settings.dataFolder()), settings.listenAddress(),
 				settings.clusterSecret(),
-				new DutySettings(List.of(), settings.usageWindowMs(), settings.usageGraceMs(), 0), platform);
+				new DutySettings(List.of(), settings.usageWindowMs(), settings.usageGraceMs(), 0), platform,
+				idleSinceMs);
 	}
 
 	private ControlService(ControlMembers members, String operatorsName, Path dataFolder, String listenAddress,
-			String clusterSecret, DutySettings dutySettings, Platform platform) throws ServiceException {
+			String clusterSecret, DutySettings dutySettings, Platform platform, long idleSinceMs)
+			throws ServiceException {
+		this.idleSinceMs = idleSinceMs;
 		this.members = members;
 		this.listenAddress = listenAddress;
 		this.dutySettings = dutySettings;
@@ -141,6 +159,10 @@
 		this.memberLinks = new MemberLinks(this.network, members, this.directoryFeeds::subscribeTo);
 	}
 
+	private static long clockMs() {
+		return TimeUnit.NANOSECONDS.toMillis(Ticker.systemTicker().nanoTime());
+	}
+
 	@Override
 	public void start() throws ServiceException {
 		this.network.listen(this.listenAddress);
@@ -153,8 +175,8 @@
 			throw ServiceException.of(ResultCode.SHUTTING_DOWN,
 					"interrupted while waiting for the system to be formed");
 		}
-		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this.members.maximumVoters(),
-				this::sendConsensusMessage, this::onStateChanged);
+		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this.idleSinceMs,
+				this.members.maximumVoters(), this::sendConsensusMessage, this::onStateChanged);
 		started.start();
 		this.duties = new LeaderDuties(started, this.presence, this.platform, this.dutySettings,
 				System::currentTimeMillis);
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -62,9 +62,6 @@
 	/** The time of three elections; a restarting voter responds sooner. */
 	private static final long VOTER_TIMEOUT_MS = 2_000;
 
-	/** Tickers count from zero, the system's from its first use in the process. */
-	private static final long CLOCK_START_MS = 0;
-
 	private final ReplicaStore store;
 
 	private final Ticker ticker;
@@ -105,29 +102,29 @@
 
 	private volatile ReplicaStatus status;
 
-	ReplicaDriver(ReplicaStore store, Ticker ticker, int maximumVoters, Consumer<ConsensusMessage> messageSender,
-			Consumer<ControlState> stateListener) throws ServiceException {
+	ReplicaDriver(ReplicaStore store, Ticker ticker, long idleSinceMs, int maximumVoters,
+			Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener) throws ServiceException {
 		this.store = store;
 		this.maximumVoters = maximumVoters;
 		this.ticker = ticker;
 		this.messageSender = messageSender;
 		this.stateListener = stateListener;
 		this.snapshots = new SnapshotWriter(store);
-		this.replica = restartReplica(CLOCK_START_MS);
+		this.replica = restartReplica(idleSinceMs);
 		this.status = currentStatus();
 	}
 
 	/**
 	 * Restarts the replica from the state on disk.
-	 * @param startedAtMs a time since which this process has not acted as a replica
+	 * @param idleSinceMs a time since which no replica has acted on it
 	 */
-	private Replica restartReplica(long startedAtMs) throws ServiceException {
+	private Replica restartReplica(long idleSinceMs) throws ServiceException {
 		var persistent = this.store.load();
 		if (persistent.snapshot().index() > this.appliedIndex || this.appliedIndex == 0) {
 			restoreState(persistent.snapshot());
 		}
 		Replica restarted = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
-				RandomGenerator.getDefault(), startedAtMs, nowMs());
+				RandomGenerator.getDefault(), idleSinceMs, nowMs());
 		this.snapshotIndex = persistent.snapshot().index();
 		return restarted;
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -63,18 +63,17 @@
 
 	private boolean commitBroadcastPending;
 
-	RaftReplica(ReplicaSettings settings, PersistentState state, RandomGenerator random, long startedAtMs, long nowMs) {
+	RaftReplica(ReplicaSettings settings, PersistentState state, RandomGenerator random, long idleSinceMs, long nowMs) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.random = Objects.requireNonNull(random, "random");
 		this.hardState = state.hardState();
 		this.log = new ReplicaLog(state);
 		this.replication = Replication.none();
-		// The last leader contact is lost on a restart, but was before it. Counting it as
-		// the start withholds votes while a lease that this replica has confirmed may
-		// still be valid.
-		this.lastLeaderContactMs = startedAtMs;
+		// The last leader contact is lost on a restart, but cannot be later than this.
+		// It withholds votes while a lease that this replica has confirmed may be valid.
+		this.lastLeaderContactMs = idleSinceMs;
 		this.electionDelayMs = settings.heartbeatIntervalMs();
-		resetElectionDeadline(Math.max(startedAtMs + settings.electionTimeoutMs(), nowMs) - this.electionDelayMs);
+		resetElectionDeadline(Math.max(idleSinceMs + settings.electionTimeoutMs(), nowMs) - this.electionDelayMs);
 	}
 
 	@Override
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -18,14 +18,14 @@
 	 * @param settings the timing and the replica's id
 	 * @param state the state loaded from disk
 	 * @param random the source of randomness for election timeouts
-	 * @param startedAtMs a monotonic time since which no replica has acted on this state,
+	 * @param idleSinceMs a monotonic time since which no replica has acted on this state,
 	 * at most {@code nowMs}, in milliseconds
 	 * @param nowMs the monotonic time, in milliseconds
 	 * @return the replica, as a follower
 	 */
-	static Replica start(ReplicaSettings settings, PersistentState state, RandomGenerator random, long startedAtMs,
+	static Replica start(ReplicaSettings settings, PersistentState state, RandomGenerator random, long idleSinceMs,
 			long nowMs) {
-		return new RaftReplica(settings, state, random, startedAtMs, nowMs);
+		return new RaftReplica(settings, state, random, idleSinceMs, nowMs);
 	}
 
 	/**
