--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/EarlyRequests.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/EarlyRequests.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -37,11 +38,12 @@
 	 * @param request the request
 	 * @param bytes the size of its body
 	 * @param limitMs the time after which it can no longer be served, in milliseconds
-	 * @return an action that forgets the request, or null if it must be refused at once
+	 * @return an action that forgets the request, or empty if it is not held because it
+	 * has no time left or too much is held already
 	 */
-	public @Nullable Runnable hold(EarlyRequest request, long bytes, long limitMs) {
+	public Optional<Runnable> hold(EarlyRequest request, long bytes, long limitMs) {
 		if (limitMs <= 0 || this.held.size() >= MAXIMUM_COUNT || this.heldBytes + bytes > MAXIMUM_BYTES) {
-			return null;
+			return Optional.empty();
 		}
 		Held added = new Held(request, bytes);
 		this.held.add(added);
@@ -51,7 +53,7 @@
 				request.refuse();
 			}
 		}, limitMs, TimeUnit.MILLISECONDS);
-		return () -> remove(added);
+		return Optional.of(() -> remove(added));
 	}
 
 	/** Handles all held requests, in the order of their arrival. */
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/EarlyRequestsTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/EarlyRequestsTests.java
@@ -14,8 +14,6 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.notNullValue;
-import static org.hamcrest.Matchers.nullValue;
 
 /**
  * Pattern: all processes restart at once, and callers reach an entry before control has a
@@ -61,8 +59,8 @@
 
 	@Test
 	void aRequestIsHandledAsSoonAsTheTableArrives() {
-		assertThat(this.requests.hold(request("first"), 0, LIMIT_MS), notNullValue());
-		assertThat(this.requests.hold(request("second"), 0, LIMIT_MS), notNullValue());
+		assertThat(this.requests.hold(request("first"), 0, LIMIT_MS).isPresent(), is(true));
+		assertThat(this.requests.hold(request("second"), 0, LIMIT_MS).isPresent(), is(true));
 		advance(LIMIT_MS - 1);
 		assertThat(this.events, is(empty()));
 		this.requests.release();
@@ -82,27 +80,26 @@
 
 	@Test
 	void aRequestWithoutTimeLeftIsNotHeld() {
-		assertThat(this.requests.hold(request("late"), 0, 0), is(nullValue()));
+		assertThat(this.requests.hold(request("late"), 0, 0).isPresent(), is(false));
 	}
 
 	@Test
 	void aRequestWhoseCallerHasLeftIsForgotten() {
-		Runnable forget = this.requests.hold(request("gone"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS);
-		assertThat(forget, notNullValue());
+		Runnable forget = this.requests.hold(request("gone"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS).orElseThrow();
 		forget.run();
 		this.requests.release();
 		assertThat(this.events, is(empty()));
-		assertThat(this.requests.hold(request("next"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS), notNullValue());
+		assertThat(this.requests.hold(request("next"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS).isPresent(), is(true));
 	}
 
 	@Test
 	void theNumberAndTheBytesOfHeldRequestsAreBounded() {
-		assertThat(this.requests.hold(request("large"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS), notNullValue());
-		assertThat(this.requests.hold(request("another"), 1, LIMIT_MS), is(nullValue()));
+		assertThat(this.requests.hold(request("large"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS).isPresent(), is(true));
+		assertThat(this.requests.hold(request("another"), 1, LIMIT_MS).isPresent(), is(false));
 		for (int number = this.requests.count(); number < EarlyRequests.MAXIMUM_COUNT; number++) {
-			assertThat(this.requests.hold(request("small"), 0, LIMIT_MS), notNullValue());
+			assertThat(this.requests.hold(request("small"), 0, LIMIT_MS).isPresent(), is(true));
 		}
-		assertThat(this.requests.hold(request("one too many"), 0, LIMIT_MS), is(nullValue()));
+		assertThat(this.requests.hold(request("one too many"), 0, LIMIT_MS).isPresent(), is(false));
 	}
 
 }
