--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -257,9 +257,7 @@
 	long restartAllUntilLease(long startupMs, long limitMs) {
 		this.nodes.forEach((node) -> node.crash(this.nowMs, this.nowMs + startupMs));
 		long startedMs = this.nowMs + startupMs;
-		while (this.nowMs < startedMs) {
-			this.nowMs += STEP_MS;
-		}
+		this.nowMs = startedMs;
 		this.network.clear();
 		this.nodes.forEach((node) -> node.start(startedMs - startupMs, startedMs));
 		while (this.nowMs < startedMs + limitMs) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -345,7 +345,7 @@
 			run.moveCount++;
 			from.recordMove(nowMs);
 			to.recordMove(nowMs);
-			move(run, "slow");
+			move(run, slow);
 		}
 	}
 
@@ -353,13 +353,11 @@
 		return this.lengthEstimator.expectedEvents(run.job.model(), run.item.expectedTokens());
 	}
 
-	private void move(ItemRun run, String reason) {
-		TargetNotice from = run.target;
+	private void move(ItemRun run, TargetNotice from) {
 		run.canceller.run();
 		LOGGER.atInfo()
-			.log("event=item_moved job=%s item=%s from=%s event_ms=%.0f events=%d reason=%s", run.job.id().name(),
-					run.item.id(), (from != null) ? from.id() : "",
-					(from != null) ? this.targets.stats(from.id()).eventMs() : 0, run.text.eventCount(), reason);
+			.log("event=item_moved job=%s item=%s from=%s event_ms=%.0f events=%d reason=slow", run.job.id().name(),
+					run.item.id(), from.id(), this.targets.stats(from.id()).eventMs(), run.text.eventCount());
 		requeue(run, 0);
 	}
 
