Close no connection of a stopping listener before its response is written

Cause: closing idle connections took a connection whose response had been handed to the channel, but not yet to the socket, for idle. Since a stopping front closes them again at each poll, so a page of results that its caller reads slowly was cut off there.

Change: a connection with unsent bytes counts as busy when the listener stops. A caller that neither sends nor reads is still closed by the idle timeout. The new test, 32 MB read while the listener stops, failed before (0 busy connections in place of 1).

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
@@ -228,7 +228,11 @@
 	 * @return the bytes that were not yet written to the socket
 	 */
 	public long unsentBytes() {
-		ChannelOutboundBuffer pending = this.channel.unsafe().outboundBuffer();
+		return unsentBytes(this.channel);
+	}
+
+	static long unsentBytes(Channel channel) {
+		ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
 		return (pending != null) ? pending.totalPendingWriteBytes() : 0;
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -131,17 +131,21 @@
 	}
 
 	/**
-	 * Stops accepting connections and closes those without a running request.
-	 * @return the number of running requests, counted on the event loop, since another
-	 * thread would miss requests that the loop is about to handle
+	 * Stops accepting connections and closes those that have nothing left to do.
+	 * @return the number of connections with a running request or a response that is not
+	 * yet written, counted on the event loop, since another thread would miss requests
+	 * that the loop is about to handle
 	 */
 	public Future<Integer> closeIdle() {
 		return this.group.submit(() -> {
 			if (this.server != null) {
 				this.server.close();
 			}
-			Set.copyOf(this.connections).forEach(ConnectionHandler::closeIfIdle);
-			return activeRequestCount();
+			Set.copyOf(this.connections)
+				.stream()
+				.filter((connection) -> !connection.isBusy())
+				.forEach(ConnectionHandler::close);
+			return (int) this.connections.stream().filter(ConnectionHandler::isBusy).count();
 		});
 	}
 
@@ -239,17 +243,29 @@
 			}
 		}
 
-		private void closeIfIdle() {
+		/** Returns whether a request runs or waits. */
+		private boolean hasRequest() {
+			return this.current != null || !this.pendingRequests.isEmpty();
+		}
+
+		/** Returns whether a request runs or waits, or a response is not yet written. */
+		private boolean isBusy() {
+			ChannelHandlerContext openContext = this.context;
+			return hasRequest() || (openContext != null && Exchange.unsentBytes(openContext.channel()) > 0);
+		}
+
+		private void close() {
 			ChannelHandlerContext openContext = this.context;
-			if (openContext != null && this.current == null && this.pendingRequests.isEmpty()) {
+			if (openContext != null) {
 				openContext.close();
 			}
 		}
 
+		/** Closes the connection of a caller that neither sends nor reads anything. */
 		@Override
 		public void userEventTriggered(ChannelHandlerContext context, Object event) {
-			if (event instanceof IdleStateEvent) {
-				closeIfIdle();
+			if (event instanceof IdleStateEvent && !hasRequest()) {
+				close();
 			}
 		}
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/PlannedStopTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/PlannedStopTests.java
@@ -48,6 +48,11 @@
 
 	private static final int BODY_BYTES = 20_000;
 
+	private static final String LARGE_PATH = "/large";
+
+	/** More than the buffers of both sockets hold. */
+	private static final int LARGE_BODY_BYTES = 32 * 1024 * 1024;
+
 	private static final int SOCKET_TIMEOUT_MS = 10_000;
 
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -70,6 +75,11 @@
 
 	private void handle(Exchange exchange) {
 		this.receivedPaths.add(exchange.path());
+		if (exchange.path().equals(LARGE_PATH)) {
+			exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(),
+					Unpooled.buffer().writeZero(LARGE_BODY_BYTES));
+			return;
+		}
 		exchange.eventLoop()
 			.schedule(
 					() -> exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(),
@@ -175,6 +185,26 @@
 		}
 	}
 
+	/**
+	 * The pattern: a caller reads a large page of results slowly while the process stops.
+	 */
+	@Test
+	void aResponseThatIsNotWrittenYetIsNotCutOff() throws Exception {
+		int port = this.listener.open("127.0.0.1:0");
+		try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+			caller.setSoTimeout(SOCKET_TIMEOUT_MS);
+			caller.getOutputStream()
+				.write(("GET " + LARGE_PATH + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+			readHead(caller.getInputStream());
+			assertThat(this.listener.closeIdle().get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS), is(1));
+			assertThat(caller.getInputStream().readNBytes(LARGE_BODY_BYTES).length, is(LARGE_BODY_BYTES));
+			while (this.listener.closeIdle().get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS) > 0) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+			assertThat(caller.getInputStream().read(), is(-1));
+		}
+	}
+
 	private static void awaitUninterruptibly(CountDownLatch latch) {
 		try {
 			latch.await();
