--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaSettings.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaSettings.java
@@ -7,8 +7,8 @@
  *
  * @param id the replica's id, unique for each data folder
  * @param heartbeatIntervalMs the time between two heartbeats, in milliseconds
- * @param electionTimeoutMs the shortest election timeout, in milliseconds; each timeout
- * is drawn between this and twice this
+ * @param electionTimeoutMs how long a replica that heard from a leader waits for it, in
+ * milliseconds; each wait is drawn between this and twice this
  * @param leaseDurationMs how long the leader's lease lasts after it sent a message that a
  * quorum acknowledged, in milliseconds
  * @param maximumBatchEntries the largest number of entries in one message
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -78,7 +78,7 @@
 	/** The spending ceiling is reached. */
 	SPENDING_CEILING_REACHED(2009, 429, Outcome.NOT_RUN, "The customer has reached the spending ceiling."),
 
-	/** Whether the request ran is unknown. */
+	/** The request may have run. */
 	OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "The target was lost and it is unknown whether the request ran."),
 
 	/** The response ended early. */
@@ -125,7 +125,7 @@
 	/** The change was not accepted. */
 	NOT_ACCEPTED(4007, 503, Outcome.NOT_RUN, "The change was not accepted and will not take effect."),
 
-	/** Whether the change was accepted is unknown. */
+	/** The change may have been accepted. */
 	CHANGE_UNDECIDED(4008, 504, Outcome.UNKNOWN,
 			"It is unknown whether the change was accepted; resend it with the same request id."),
 
--- a/zinniatack-process/src/main/java/org/zinniatack/process/Settings.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/Settings.java
@@ -28,7 +28,7 @@
 
 /**
  * Reads and validates settings files: JSON with comments and trailing commas. It reads
- * tokens itself, since setting up data binding takes a tenth of the startup time.
+ * tokens itself, since data binding would delay each start.
  */
 public final class Settings {
 
@@ -88,11 +88,8 @@
 		return values;
 	}
 
-	private static @Nullable Object readValue(JsonParser parser, String name, Class<?> type) throws IOException {
+	private static Object readValue(JsonParser parser, String name, Class<?> type) throws IOException {
 		JsonToken token = parser.currentToken();
-		if (token == JsonToken.VALUE_NULL && !type.isPrimitive()) {
-			return null;
-		}
 		if (type == long.class || type == int.class) {
 			require(parser, token == JsonToken.VALUE_NUMBER_INT, name + " must be an integer");
 			return (type == int.class) ? (Object) parser.getIntValue() : (Object) parser.getLongValue();
@@ -106,35 +103,38 @@
 			return parser.getBooleanValue();
 		}
 		if (type == List.class) {
-			return readList(parser, name);
+			return readList(parser, name + " must be an array of strings");
 		}
 		if (type == Map.class) {
-			return readMap(parser, name);
+			return readMap(parser, name + " must be an object of strings");
+		}
+		if (type == String.class) {
+			return readString(parser, name + " must be a string");
 		}
-		return readString(parser, name);
+		throw new IllegalArgumentException("settings have no field type " + type);
 	}
 
-	private static String readString(JsonParser parser, String name) throws IOException {
-		require(parser, parser.currentToken() == JsonToken.VALUE_STRING, name + " must be a string");
+	private static String readString(JsonParser parser, String rule) throws IOException {
+		require(parser, parser.currentToken() == JsonToken.VALUE_STRING, rule);
 		return parser.getText();
 	}
 
-	private static List<String> readList(JsonParser parser, String name) throws IOException {
-		require(parser, parser.currentToken() == JsonToken.START_ARRAY, name + " must be an array of strings");
+	private static List<String> readList(JsonParser parser, String rule) throws IOException {
+		require(parser, parser.currentToken() == JsonToken.START_ARRAY, rule);
 		List<String> values = new ArrayList<>();
 		while (parser.nextToken() != JsonToken.END_ARRAY) {
-			values.add(readString(parser, name));
+			values.add(readString(parser, rule));
 		}
 		return values;
 	}
 
-	private static Map<String, String> readMap(JsonParser parser, String name) throws IOException {
-		require(parser, parser.currentToken() == JsonToken.START_OBJECT, name + " must be an object of strings");
+	private static Map<String, String> readMap(JsonParser parser, String rule) throws IOException {
+		require(parser, parser.currentToken() == JsonToken.START_OBJECT, rule);
 		Map<String, String> values = new LinkedHashMap<>();
 		while (parser.nextToken() == JsonToken.FIELD_NAME) {
 			String key = parser.currentName();
 			parser.nextToken();
-			values.put(key, readString(parser, name));
+			values.put(key, readString(parser, rule));
 		}
 		return values;
 	}
@@ -156,7 +156,7 @@
 				.newInstance(Arrays.stream(components).map((component) -> values.get(component.getName())).toArray());
 		}
 		catch (InvocationTargetException ex) {
-			throw invalid(file, end, ex.getCause().getMessage());
+			throw invalid(file, end, String.valueOf(ex.getCause().getMessage()));
 		}
 		catch (ReflectiveOperationException ex) {
 			throw new IllegalArgumentException(type + " is not a record of settings", ex);
--- a/zinniatack-process/src/test/java/org/zinniatack/process/SettingsTests.java
+++ b/zinniatack-process/src/test/java/org/zinniatack/process/SettingsTests.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -68,9 +67,9 @@
 
 	@Test
 	void eachTypeOfFieldIsRead() throws IOException {
-		String fields = "\"count\": 3, \"share\": 2, \"open\": true, \"names\": [\"a\", \"b\",], \"addresses\": {\"a\": \"1\"}, \"note\": null";
+		String fields = "\"count\": 3, \"share\": 2, \"open\": true, \"names\": [\"a\", \"b\",], \"addresses\": {\"a\": \"1\"}, \"note\": \"n\"";
 		assertThat(readAllTypes(fields),
-				is("AllTypes[count=3, share=2.0, open=true, names=[a, b], addresses={a=1}, note=null]"));
+				is("AllTypes[count=3, share=2.0, open=true, names=[a, b], addresses={a=1}, note=n]"));
 	}
 
 	@Test
@@ -81,9 +80,10 @@
 		assertThat(readAllTypes("\"share\": \"2\""), containsString("share must be a number"));
 		assertThat(readAllTypes("\"open\": 1"), containsString("open must be true or false"));
 		assertThat(readAllTypes("\"names\": \"a\""), containsString("names must be an array of strings"));
-		assertThat(readAllTypes("\"names\": [1]"), containsString("names must be a string"));
+		assertThat(readAllTypes("\"names\": [1]"), containsString("names must be an array of strings"));
 		assertThat(readAllTypes("\"addresses\": []"), containsString("addresses must be an object of strings"));
 		assertThat(readAllTypes("\"note\": 5"), containsString("note must be a string"));
+		assertThat(readAllTypes("\"note\": null"), containsString("note must be a string"));
 	}
 
 	@Test
@@ -101,10 +101,10 @@
 	 * @param open a flag
 	 * @param names a list
 	 * @param addresses a map
-	 * @param note a text that may be null
+	 * @param note a text
 	 */
 	record AllTypes(int count, double share, boolean open, List<String> names, Map<String, String> addresses,
-			@Nullable String note) {
+			String note) {
 	}
 
 	/**
