Move the reads of jobs out of ControlService

ControlService wires a control process; paging through results, waiting for them and reading bodies is a job of its own. No change of behaviour.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -26,7 +25,6 @@
 
 import org.zinniatack.core.consensus.ConsensusMessage;
 import org.zinniatack.core.consensus.Membership;
-import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -64,12 +62,6 @@
 
 	private static final int NETWORK_THREADS = 2;
 
-	/** The poll interval of waiting reads; a tenth of the delay that a caller notices. */
-	private static final long RESULT_POLL_MS = 50;
-
-	/** The most output in one page of results; callers accept up to a megabyte. */
-	private static final long MAX_PAGE_BYTES = 900_000;
-
 	private final ControlMembers members;
 
 	private final String listenAddress;
@@ -89,6 +81,8 @@
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "control-timer"));
 
+	private final JobReads jobReads = new JobReads(this, this.timer);
+
 	private final ReplicaStore store;
 
 	private final long idleSinceMs;
@@ -318,6 +312,11 @@
 		return running;
 	}
 
+	/** Returns the monotonic time of the replica, in milliseconds. */
+	long nowMs() {
+		return requireDriver().nowMs();
+	}
+
 	private PresenceExchange requireExchange() {
 		PresenceExchange runningExchange = this.exchange;
 		if (runningExchange == null) {
@@ -594,10 +593,10 @@
 			return readBatch(fetch).thenApply(Message.Batch::new);
 		}
 		if (message instanceof Message.ReadJob read) {
-			return readJob(read).thenApply(Message.class::cast);
+			return this.jobReads.page(read).thenApply(Message.class::cast);
 		}
 		if (message instanceof Message.ReadItem read) {
-			return readItem(read).thenApply(Message.ItemBody::new);
+			return this.jobReads.itemBody(read).thenApply(Message.ItemBody::new);
 		}
 		if (message instanceof Message.PresenceRequest) {
 			return CompletableFuture.completedFuture(this.presence.fullReport(this.store.replicaId(), running.nowMs()));
@@ -618,40 +617,6 @@
 		}
 	}
 
-	private CompletableFuture<Message.JobPage> readJob(Message.ReadJob read) {
-		long untilMs = requireDriver().nowMs() + read.waitMs();
-		return readCurrent((state) -> pageOf(state, read)).thenCompose((page) -> waitForResults(read, page, untilMs));
-	}
-
-	private CompletableFuture<Message.JobPage> waitForResults(Message.ReadJob read, Message.JobPage page,
-			long untilMs) {
-		boolean done = !page.found() || !page.results().isEmpty() || read.position() >= page.itemCount();
-		if (done || requireDriver().nowMs() >= untilMs) {
-			return CompletableFuture.completedFuture(page);
-		}
-		Executor delayed = CompletableFuture.delayedExecutor(RESULT_POLL_MS, TimeUnit.MILLISECONDS, this.timer);
-		return CompletableFuture.supplyAsync(() -> null, delayed)
-			.thenCompose((waited) -> readApplied((state) -> pageOf(state, read)))
-			.thenCompose((next) -> waitForResults(read, next, untilMs));
-	}
-
-	private static Message.JobPage pageOf(ControlState state, Message.ReadJob read) {
-		return state.jobs()
-			.job(read.id())
-			.map((job) -> new Message.JobPage(true, job.submission().items().size(),
-					job.resultsFrom(read.position(), MAX_PAGE_BYTES)))
-			.orElseGet(() -> new Message.JobPage(false, 0, List.of()));
-	}
-
-	private CompletableFuture<byte @Nullable []> readItem(Message.ReadItem read) {
-		return readCurrent((state) -> state.jobs()
-			.job(read.id())
-			.filter((job) -> !job.isEnded() && !job.isFinished(read.itemId()))
-			.flatMap((job) -> job.item(read.itemId()))
-			.map(JobItem::body)
-			.orElse(null));
-	}
-
 	private CompletableFuture<List<Sample>> readBatch(Message.FetchBatch fetch) {
 		return readCurrent((state) -> {
 			try {
