Decide in the product how long an early request is held

The limit and the decision to hold stood in the platform adapter, which only translates. EarlyRequests now takes the caller's deadline, decides, and logs the inputs.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -153,7 +153,11 @@
 		this.memberLinks = new MemberLinks(this.network, members, this.directoryFeeds::subscribeTo);
 	}
 
-	private static long clockMs() {
+	/**
+	 * Returns the time of the system ticker.
+	 * @return the monotonic time, in milliseconds
+	 */
+	public static long clockMs() {
 		return TimeUnit.NANOSECONDS.toMillis(Ticker.systemTicker().nanoTime());
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/EarlyRequests.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/EarlyRequests.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +18,14 @@
  */
 public final class EarlyRequests {
 
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	/** Enough for a target to answer and for the answer to reach the caller. */
+	static final long MINIMUM_SERVICE_MS = 100;
+
+	/** Bounds how long a request with a late deadline is held. */
+	static final long MAXIMUM_HOLD_MS = 1_000;
+
 	/** Bounds the number of held requests. */
 	static final int MAXIMUM_COUNT = 512;
 
@@ -34,25 +43,30 @@
 	}
 
 	/**
-	 * Holds a request until the routing table arrives or its time is up.
+	 * Holds a request until the routing table arrives or a target could no longer answer
+	 * it in time.
 	 * @param request the request
-	 * @param bytes the size of its body
-	 * @param limitMs the time after which it can no longer be served, in milliseconds
+	 * @param bodyBytes the size of its body
+	 * @param deadlineMs how long its caller waits, in milliseconds
 	 * @return an action that forgets the request, or empty if it is not held because it
 	 * has no time left or too much is held already
 	 */
-	public Optional<Runnable> hold(EarlyRequest request, long bytes, long limitMs) {
-		if (limitMs <= 0 || this.held.size() >= MAXIMUM_COUNT || this.heldBytes + bytes > MAXIMUM_BYTES) {
+	public Optional<Runnable> hold(EarlyRequest request, long bodyBytes, long deadlineMs) {
+		long limitMs = Math.min(deadlineMs - MINIMUM_SERVICE_MS, MAXIMUM_HOLD_MS);
+		if (limitMs <= 0 || this.held.size() >= MAXIMUM_COUNT || this.heldBytes + bodyBytes > MAXIMUM_BYTES) {
 			return Optional.empty();
 		}
-		Held added = new Held(request, bytes);
+		Held added = new Held(request, bodyBytes);
 		this.held.add(added);
-		this.heldBytes += bytes;
+		this.heldBytes += bodyBytes;
 		added.timeout = this.loop.schedule(() -> {
 			if (remove(added)) {
 				request.refuse();
 			}
 		}, limitMs, TimeUnit.MILLISECONDS);
+		LOGGER.atInfo()
+			.log("event=request_held request=%s limit_ms=%d held=%d held_bytes=%d", request.id(), limitMs,
+					this.held.size(), this.heldBytes);
 		return Optional.of(() -> remove(added));
 	}
 
@@ -84,6 +98,12 @@
 	/** A request that arrived before the first routing table. */
 	public interface EarlyRequest {
 
+		/**
+		 * Returns the id of the request for the log.
+		 * @return the id
+		 */
+		String id();
+
 		/** Handles the request now that there is a routing table. */
 		void handle();
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/EarlyRequestsTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/EarlyRequestsTests.java
@@ -21,7 +21,9 @@
  */
 class EarlyRequestsTests {
 
-	private static final long LIMIT_MS = 600;
+	private static final long DEADLINE_MS = 700;
+
+	private static final long LIMIT_MS = DEADLINE_MS - EarlyRequests.MINIMUM_SERVICE_MS;
 
 	private final MockTicker ticker = Ticker.newMockTicker();
 
@@ -39,6 +41,11 @@
 	private EarlyRequests.EarlyRequest request(String name) {
 		return new EarlyRequests.EarlyRequest() {
 
+			@Override
+			public String id() {
+				return name;
+			}
+
 			@Override
 			public void handle() {
 				EarlyRequestsTests.this.events.add("handle " + name);
@@ -59,8 +66,8 @@
 
 	@Test
 	void aRequestIsHandledAsSoonAsTheTableArrives() {
-		assertThat(this.requests.hold(request("first"), 0, LIMIT_MS).isPresent(), is(true));
-		assertThat(this.requests.hold(request("second"), 0, LIMIT_MS).isPresent(), is(true));
+		assertThat(this.requests.hold(request("first"), 0, DEADLINE_MS).isPresent(), is(true));
+		assertThat(this.requests.hold(request("second"), 0, DEADLINE_MS).isPresent(), is(true));
 		advance(LIMIT_MS - 1);
 		assertThat(this.events, is(empty()));
 		this.requests.release();
@@ -71,7 +78,7 @@
 
 	@Test
 	void aRequestIsRefusedOnceItCanNoLongerBeServed() {
-		this.requests.hold(request("late"), 0, LIMIT_MS);
+		this.requests.hold(request("late"), 0, DEADLINE_MS);
 		advance(LIMIT_MS);
 		assertThat(this.events, contains("refuse late"));
 		this.requests.release();
@@ -80,26 +87,34 @@
 
 	@Test
 	void aRequestWithoutTimeLeftIsNotHeld() {
-		assertThat(this.requests.hold(request("late"), 0, 0).isPresent(), is(false));
+		assertThat(this.requests.hold(request("late"), 0, EarlyRequests.MINIMUM_SERVICE_MS).isPresent(), is(false));
+	}
+
+	@Test
+	void aRequestWithALateDeadlineIsHeldForABoundedTime() {
+		this.requests.hold(request("patient"), 0, Long.MAX_VALUE);
+		advance(EarlyRequests.MAXIMUM_HOLD_MS);
+		assertThat(this.events, contains("refuse patient"));
 	}
 
 	@Test
 	void aRequestWhoseCallerHasLeftIsForgotten() {
-		Runnable forget = this.requests.hold(request("gone"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS).orElseThrow();
+		Runnable forget = this.requests.hold(request("gone"), EarlyRequests.MAXIMUM_BYTES, DEADLINE_MS).orElseThrow();
 		forget.run();
 		this.requests.release();
 		assertThat(this.events, is(empty()));
-		assertThat(this.requests.hold(request("next"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS).isPresent(), is(true));
+		assertThat(this.requests.hold(request("next"), EarlyRequests.MAXIMUM_BYTES, DEADLINE_MS).isPresent(), is(true));
 	}
 
 	@Test
 	void theNumberAndTheBytesOfHeldRequestsAreBounded() {
-		assertThat(this.requests.hold(request("large"), EarlyRequests.MAXIMUM_BYTES, LIMIT_MS).isPresent(), is(true));
-		assertThat(this.requests.hold(request("another"), 1, LIMIT_MS).isPresent(), is(false));
+		assertThat(this.requests.hold(request("large"), EarlyRequests.MAXIMUM_BYTES, DEADLINE_MS).isPresent(),
+				is(true));
+		assertThat(this.requests.hold(request("another"), 1, DEADLINE_MS).isPresent(), is(false));
 		for (int number = this.requests.count(); number < EarlyRequests.MAXIMUM_COUNT; number++) {
-			assertThat(this.requests.hold(request("small"), 0, LIMIT_MS).isPresent(), is(true));
+			assertThat(this.requests.hold(request("small"), 0, DEADLINE_MS).isPresent(), is(true));
 		}
-		assertThat(this.requests.hold(request("one too many"), 0, LIMIT_MS).isPresent(), is(false));
+		assertThat(this.requests.hold(request("one too many"), 0, DEADLINE_MS).isPresent(), is(false));
 	}
 
 }
