Keep the wait for long items where a load lets requests finish first

Cause: removed the wait for all loads, on measurements of loads that keep requests running.

Change: the wait is back for those loads, as a decision of LoadPlan.Load with a test. Loads that keep requests running behave as since.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/weight/LoadPlan.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/weight/LoadPlan.java
@@ -75,6 +75,19 @@
 	 * @param urgent true if the target cannot serve the next step without it
 	 */
 	public record Load(String id, boolean urgent) {
+
+		/**
+		 * Returns whether the load may start now. A load that lets requests finish first
+		 * blocks its target until the longest of them ends, so it waits for long ones
+		 * unless it is urgent.
+		 * @param keepsRunning true if running requests continue under the new version
+		 * @param longItemCount the number of long items that the target generates
+		 * @return true if it need not wait
+		 */
+		public boolean mayStart(boolean keepsRunning, int longItemCount) {
+			return this.urgent || keepsRunning || longItemCount == 0;
+		}
+
 	}
 
 }
--- a/zinniatack-core/src/test/java/org/zinniatack/core/weight/LoadPlanTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/weight/LoadPlanTests.java
@@ -15,6 +15,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
@@ -56,6 +57,16 @@
 		assertThat(LoadPlan.loads(new Demand("a", 4, 4, 2), targets), hasSize(4));
 	}
 
+	/** Pattern: a step of long-tailed items while the next version is named. */
+	@Test
+	void aLoadWaitsForLongItemsOnlyIfItWouldLetThemFinishFirst() {
+		Load notUrgent = new Load("t1", false);
+		assertThat(notUrgent.mayStart(true, 3), is(true));
+		assertThat(notUrgent.mayStart(false, 3), is(false));
+		assertThat(notUrgent.mayStart(false, 0), is(true));
+		assertThat(new Load("t1", true).mayStart(false, 3), is(true));
+	}
+
 	@Test
 	void aFreshModelTakesTargetsThatNoOtherKeepsBusy() {
 		List<ModelShares.TargetVersions> targets = List.of(targetWith("t1", 5, 1), targetWith("t2", 1, 1),
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -58,6 +58,12 @@
 
 	private static final long TICK_MS = 50;
 
+	/**
+	 * An item with more events is probably one of the long ones that determine the
+	 * duration of a step. This is about the mean length of an item.
+	 */
+	private static final int LONG_ITEM_EVENTS = 20;
+
 	/** Enough events for the moving average of a target's speed to reflect a change. */
 	private static final int MINIMUM_EVENTS_TO_MOVE = 3;
 
@@ -288,6 +294,7 @@
 				return;
 			}
 			retryStalled();
+			countLongItems();
 			moveSlow();
 			dispatch();
 		}
@@ -313,6 +320,19 @@
 		}
 	}
 
+	private void countLongItems() {
+		Map<String, Integer> longItems = new HashMap<>();
+		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
+			for (ItemRun run : runs.values()) {
+				TargetNotice target = run.target;
+				if (target != null && run.text.eventCount() > LONG_ITEM_EVENTS) {
+					longItems.merge(target.id(), 1, Integer::sum);
+				}
+			}
+		}
+		this.targets.setLongItemCounts(longItems);
+	}
+
 	/**
 	 * Moves items from targets that have become slow to much faster ones with free slots.
 	 */
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetSelector.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetSelector.java
@@ -71,6 +71,14 @@
 		this.onLeaving.accept(target);
 	}
 
+	/**
+	 * Sets the number of long items that each target is generating.
+	 * @param countsById the number of long items by target id; absent targets have none
+	 */
+	public void setLongItemCounts(Map<String, Integer> countsById) {
+		this.statsById.forEach((id, stats) -> stats.setLongItemCount(countsById.getOrDefault(id, 0)));
+	}
+
 	/**
 	 * Returns the targets of a pool that accept requests.
 	 * @param pool the pool
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetStats.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetStats.java
@@ -38,6 +38,8 @@
 
 	private long movedAtMs = Long.MIN_VALUE / 2;
 
+	private int longItemCount;
+
 	/**
 	 * Records events of a stream and the time that they took.
 	 * @param eventCount the number of events
@@ -73,6 +75,22 @@
 		return new MovePolicy.TargetSpeed(this.eventMs, this.movedAtMs);
 	}
 
+	/**
+	 * Sets the number of long items that the target is generating.
+	 * @param count the number of items
+	 */
+	public void setLongItemCount(int count) {
+		this.longItemCount = count;
+	}
+
+	/**
+	 * Returns the number of long items that the target is generating.
+	 * @return the number of items
+	 */
+	public int longItemCount() {
+		return this.longItemCount;
+	}
+
 	/** Records that a request was sent. */
 	public void recordSent() {
 		this.outstandingCount++;
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -228,7 +228,8 @@
 				.map((target) -> targetVersions(target, models))
 				.toList();
 			for (LoadPlan.Load load : LoadPlan.loads(demand, versionsOfTargets)) {
-				if (load.urgent() == urgent && loadingCount(pool.name()) < limit
+				boolean mayStart = load.mayStart(keepRunning, this.targets.stats(load.id()).longItemCount());
+				if (load.urgent() == urgent && mayStart && loadingCount(pool.name()) < limit
 						&& !this.loadsByTarget.containsKey(load.id())) {
 					begin(ready.get(load.id()), pool.name(), model, newest, keepRunning);
 				}
