Show that jobs of an open route cannot be read

Cause: a job of an open route is stored without a customer, and looked up under the customer of the key.

--- a/review/standin/Scenario.java
+++ b/review/standin/Scenario.java
@@ -108,16 +108,21 @@
 
 	/** Sends the configuration until it is acknowledged. */
 	final void putConfiguration() {
+		addRoute("");
+	}
+
+	/** Sends the configuration with a further route until it is acknowledged. */
+	final void addRoute(String route) {
 		long number = this.tableNumber.incrementAndGet();
 		String body = """
 				{"version":%d,"routes":[
 				{"name":"r-call","host":"%2$s","pathPrefix":"/call/","kind":"idempotent","timeoutMs":2000,"targetLatencyMs":186,"priority":2,"service":"%3$s","maxAttempts":2,"public":false},
-				{"name":"r-job","host":"%2$s","pathPrefix":"/job/","kind":"rollout","timeoutMs":10000,"targetLatencyMs":400,"priority":0,"service":"%4$s","maxAttempts":3,"public":false,"resultDeadlineMs":7500,"queueTtlS":40,"resumable":true,"sticky":true}],
+				{"name":"r-job","host":"%2$s","pathPrefix":"/job/","kind":"rollout","timeoutMs":10000,"targetLatencyMs":400,"priority":0,"service":"%4$s","maxAttempts":3,"public":false,"resultDeadlineMs":7500,"queueTtlS":40,"resumable":true,"sticky":true}%6$s],
 				"services":[{"name":"%4$s","healthPath":"/health","maxConns":180,"protocol":"h1","tls":false,"engine":{"slots":8,"kvCapacityTokens":100000,"models":[{"name":"m0"}]}},
 				{"name":"%3$s","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}],
 				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":33554432,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 				"tenants":[{"name":"huka270","apiKeys":["%5$s"],"priority":1}]}"""
-			.formatted(number, HOST, PORTAL, LLM, KEY);
+			.formatted(number, HOST, PORTAL, LLM, KEY, route.isEmpty() ? "" : "," + route);
 		callControl("POST", "/zinniatack/config/replace", body, 30_000);
 		this.recorder.log("configuration %d acknowledged", number);
 	}
