Show that a cut stream ends as complete

Cause: a streamed call is ended as complete when the connection of an answer without a length closes, whatever its last event.

--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -224,6 +224,19 @@
 		out.flush();
 	}
 
+	/**
+	 * Ends like a killed process that has read all that it was sent: its sockets are
+	 * closed without a reset.
+	 */
+	final void endQuietly() throws IOException {
+		this.closed = true;
+		this.announcing.set(false);
+		this.server.close();
+		for (Socket socket : this.sockets) {
+			socket.close();
+		}
+	}
+
 	/** Ends like a process that crashes: all connections and the listening socket close. */
 	@Override
 	public void close() throws IOException {
