--- a/review/standin/CrashingRequest.java
+++ b/review/standin/CrashingRequest.java
@@ -19,6 +19,14 @@
 
 	private static final int RETRIES = 16;
 
+	private static final int OTHER_CLIENTS = 6;
+
+	private static final long WORK_MS = 150;
+
+	private final AtomicInteger others = new AtomicInteger();
+
+	private final AtomicInteger failedOthers = new AtomicInteger();
+
 	private final AtomicInteger crashes = new AtomicInteger();
 
 	private final AtomicInteger incarnations = new AtomicInteger();
@@ -44,6 +52,10 @@
 		}
 		awaitService();
 		Worker.sleep(3_000);
+		for (int n = 0; n < OTHER_CLIENTS; n++) {
+			String front = this.deployment.frontAddresses().get(n % 2);
+			Worker.thread(() -> sendOthers(front));
+		}
 		int sent = 0;
 		long endMs = this.recorder.nowMs() + 60_000;
 		while (this.recorder.nowMs() < endMs && sent < RETRIES + 3) {
@@ -55,9 +67,21 @@
 		this.recorder.say(
 				"the request was sent %d times; %d workers crashed; %d retries reached %d workers later than contactMs after the third crash",
 				sent, this.crashes.get(), this.lateRetries.size(), this.lateRuns.get());
+		this.recorder.say("of %d requests of other clients %d were not answered with success", this.others.get(),
+				this.failedOthers.get());
 		return this.lateRetries.size() > ALLOWED_RETRIES;
 	}
 
+	/** Sends requests that crash no worker, one after the other. */
+	private void sendOthers(String front) {
+		while (true) {
+			int status = attempt(front, "/call/other", newId(), "", 1_500);
+			this.others.incrementAndGet();
+			this.failedOthers.addAndGet((status == 200) ? 0 : 1);
+			Worker.sleep(100);
+		}
+	}
+
 	private void onPoison(PortalWorker worker, Http.Message request) throws IOException {
 		if (this.recorder.nowMs() > this.thirdCrashMs + CONTACT_MS) {
 			this.lateRuns.incrementAndGet();
@@ -97,6 +121,7 @@
 				}
 				return;
 			}
+			sleep(WORK_MS);
 			super.run(out, request);
 		}
 
