Leave no process behind at the end of a case

Cause: a thread of case 1 could restart a control process while the deployment was being closed, and that process stayed.

Change: a closed deployment starts no process.

--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -35,7 +35,9 @@
 
 	private final int frontCount;
 
-	private final Map<String, Process> processes = new TreeMap<>();
+	private final Map<String, Process> processes = new ConcurrentSkipListMap<>();
+
+	private boolean closed;
 
 	Deployment(Path root, Recorder recorder, int frontCount, String platformAddress) throws IOException {
 		this.root = root;
@@ -101,8 +103,11 @@
 		}
 	}
 
-	/** Starts a process. */
-	void start(String name, boolean firstStart) throws IOException {
+	/** Starts a process, unless the deployment is closed. */
+	synchronized void start(String name, boolean firstStart) throws IOException {
+		if (this.closed) {
+			return;
+		}
 		Path settings = this.folder.resolve(name + ".json");
 		Files.writeString(settings, name.startsWith("control") ? controlSettings(name, firstStart) : frontSettings(name));
 		ProcessBuilder builder = new ProcessBuilder(runLine(name.substring(0, name.indexOf('-'))))
@@ -173,7 +178,8 @@
 	}
 
 	@Override
-	public void close() throws IOException, InterruptedException {
+	public synchronized void close() throws IOException, InterruptedException {
+		this.closed = true;
 		this.processes.values().forEach(Process::destroyForcibly);
 		for (Process process : this.processes.values()) {
 			process.waitFor(5, TimeUnit.SECONDS);
