Log which target's answer a caller got, and what preceded a bad response

The lines of an incident could not tell whether a front had read another status than the target had sent, nor whether a malformed or foreign response was the first on its connection. call_answered names the status and the target of the answer; a failed response says how many requests its connection had carried and how much of the body had come; bytes on an idle connection, until now closed in silence, are logged as stray_bytes.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -147,6 +147,12 @@
 
 		private boolean executionReported;
 
+		/** The target whose response the caller gets, or empty without a response. */
+		private String answeringTargetId = "";
+
+		/** The status of that response, or 0. */
+		private int answerStatus;
+
 		private @Nullable FullResponse lastFailure;
 
 		private @Nullable Future<?> timeout;
@@ -300,6 +306,7 @@
 
 		private void finish(FullResponse response) {
 			end();
+			recordAnswer(response.targetId(), response.head());
 			log("answered", ResultCode.OK);
 			this.sink.answer(response.head(), response.body());
 		}
@@ -311,11 +318,17 @@
 		}
 
 		/** Starts to forward a stream; a streamed call has one attempt at a time. */
-		void beginStream(HttpResponse head) {
+		void beginStream(TargetNotice target, HttpResponse head) {
 			this.streaming = true;
+			recordAnswer(target.id(), head);
 			this.sink.beginStream(head);
 		}
 
+		private void recordAnswer(String targetId, HttpResponse head) {
+			this.answeringTargetId = targetId;
+			this.answerStatus = head.status().code();
+		}
+
 		void endStream() {
 			end();
 			log("answered", ResultCode.OK);
@@ -353,9 +366,10 @@
 
 		private void log(String outcome, ResultCode code) {
 			LOGGER.atInfo()
-				.log("event=call_%s request=%s route=%s customer=%s code=%d sent=%d targets=%s elapsed_ms=%d", outcome,
-						this.call.requestId(), this.call.route().name(), this.call.customer(), code.number(),
-						this.sentCount, this.triedTargetIds, nowMs() - this.startedAtMs);
+				.log("event=call_%s request=%s route=%s customer=%s code=%d status=%d target=%s sent=%d targets=%s elapsed_ms=%d",
+						outcome, this.call.requestId(), this.call.route().name(), this.call.customer(), code.number(),
+						this.answerStatus, this.answeringTargetId, this.sentCount, this.triedTargetIds,
+						nowMs() - this.startedAtMs);
 		}
 
 	}
@@ -363,10 +377,11 @@
 	/**
 	 * A target's complete response.
 	 *
+	 * @param targetId the id of the target
 	 * @param head the status and headers
 	 * @param body the body
 	 */
-	private record FullResponse(HttpResponse head, ByteBuf body) {
+	private record FullResponse(String targetId, HttpResponse head, ByteBuf body) {
 	}
 
 	/** One attempt to run a call on one target. */
@@ -434,7 +449,7 @@
 			}
 			if (this.requestOutcome == RequestOutcome.ANSWERED
 					&& this.pendingCall.call.route().kind() == RouteKind.STREAM) {
-				this.pendingCall.beginStream(head);
+				this.pendingCall.beginStream(this.target, head);
 			}
 		}
 
@@ -483,11 +498,11 @@
 			switch (finalOutcome) {
 				case ANSWERED -> {
 					this.stats.recordSuccess();
-					this.pendingCall.onAnswered(this, new FullResponse(head, this.body));
+					this.pendingCall.onAnswered(this, new FullResponse(this.target.id(), head, this.body));
 				}
 				case FAILED -> {
 					this.stats.recordFailure();
-					this.pendingCall.onFailed(this, new FullResponse(head, this.body));
+					this.pendingCall.onFailed(this, new FullResponse(this.target.id(), head, this.body));
 				}
 				case NOT_RUN -> {
 					this.body.release();
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -37,6 +38,8 @@
  */
 public final class TargetClient {
 
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
 	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
 	private static final int MAXIMUM_HEADER_BYTES = 32 * 1024;
@@ -223,6 +226,9 @@
 
 		private String failureCause = "the target closed the connection";
 
+		/** The number of requests sent on this connection. */
+		private int requestCount;
+
 		/** The bytes received so far of the current response's body. */
 		private long bodyBytes;
 
@@ -263,6 +269,7 @@
 				pending.fail(new RequestFailure(false, "the target closed the idle connection"));
 				return;
 			}
+			this.requestCount++;
 			this.channel.writeAndFlush(pending.request);
 		}
 
@@ -289,20 +296,36 @@
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			try {
-				if (this.current == null || this.closed || !(message instanceof HttpObject object)) {
-					close();
-					return;
+				if (message instanceof HttpObject object && this.current != null && !this.closed) {
+					onObject(this.current, object);
+				}
+				else {
+					closeAfterStrayBytes();
 				}
-				onObject(this.current, object);
 			}
 			finally {
 				ReferenceCountUtil.release(message);
 			}
 		}
 
+		private void closeAfterStrayBytes() {
+			if (!this.closed) {
+				LOGGER.atInfo()
+					.log("event=stray_bytes address=%s detail=\"bytes arrived while no response was expected, %s\"",
+							this.address, describeConnection());
+			}
+			close();
+		}
+
+		private String describeConnection() {
+			return "after %d requests on the connection and %d bytes of the body".formatted(this.requestCount,
+					this.bodyBytes);
+		}
+
 		private void onObject(PendingRequest pending, HttpObject object) {
 			if (object.decoderResult().isFailure()) {
-				failCurrent("the response is malformed");
+				failCurrent("the response is malformed: " + object.decoderResult().cause().getClass().getSimpleName()
+						+ ", " + describeConnection());
 				return;
 			}
 			if (object instanceof HttpResponse response) {
@@ -311,7 +334,7 @@
 					return;
 				}
 				if (!TargetClient.this.matcher.matches(pending.request, response)) {
-					failCurrent("the response belongs to another request");
+					failCurrent("the response belongs to another request, " + describeConnection());
 					return;
 				}
 				this.head = response;
