Don't delay an item for targets that it didn't reach

Several targets crashed under the same sound item; afterwards all was calm and targets had room, but the item was placed only seconds later, in the worst case after each of the targets that were gone had been tried.

Cause: after its third loss an item waited one second after each further loss, as a guard against items that crash targets. A refused connection counted as a loss. A target that has ended stays in the directory for five seconds and looks the emptiest of all, so an item went from one ended target to the next, a second each, beside free targets. Items are never requests that crash targets by themselves; the guard had no purpose.

The log of one item: losses 8 to 13 are all "cannot connect: Connection refused", 1.0 s apart, at two ended targets in turn.

Fix: an attempt that did not reach its target is no loss and is retried at once; the target is avoided as before, so a target is tried once for each avoidance. Losses delay an item only if several in a row bring no usable event, for 250 ms, which bounds the rate at which an item is sent to targets that answer nonsense.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
@@ -189,7 +189,12 @@
 	public void onFailure(RequestFailure failure) {
 		end();
 		this.stats.recordUnreachable(nowMs());
-		this.handler.handleLoss(this.run, failure.detail());
+		if (failure.mayHaveRun()) {
+			this.handler.handleLoss(this.run, failure.detail());
+		}
+		else {
+			this.handler.handleNotSent(this.run, failure.detail());
+		}
 	}
 
 	/** Handles items after an attempt. */
@@ -198,6 +203,9 @@
 		/** Retries an item whose attempt was lost. */
 		void handleLoss(ItemRun run, String detail);
 
+		/** Retries an item that did not reach its target. */
+		void handleNotSent(ItemRun run, String detail);
+
 		/** Makes the item wait for a target again. */
 		void requeue(ItemRun run);
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
@@ -34,6 +34,11 @@
 	 */
 	static final long ATTEMPT_TIMEOUT_MS = 30_000;
 
+	/** An item that yields no event this often may be sent to no target at once. */
+	private static final int FRUITLESS_LOSSES_WITHOUT_PAUSE = 3;
+
+	private static final long LOSS_PAUSE_MS = 250;
+
 	final JobSubmission job;
 
 	final JobItem item;
@@ -72,8 +77,12 @@
 
 	int scoringFailureCount;
 
+	/** The number of attempts that were lost after the item was sent. */
 	int lossCount;
 
+	/** The number of consecutive losses without a usable event. */
+	private int fruitlessLossCount;
+
 	/** The number of moves to a faster target. */
 	int moveCount;
 
@@ -83,7 +92,7 @@
 	/** The time of the last complete event, or before that of the head or the sending. */
 	long lastProgressAtMs;
 
-	/** The number of events from the current target. */
+	/** The number of usable events from the current target. */
 	int attemptEventCount;
 
 	long notBeforeMs;
@@ -113,6 +122,16 @@
 		this.startedAtMs = (this.startedAtMs == 0) ? nowMs : this.startedAtMs;
 	}
 
+	/**
+	 * Records that the attempt was lost.
+	 * @return the pause before the next attempt, in milliseconds
+	 */
+	long recordLoss() {
+		this.lossCount++;
+		this.fruitlessLossCount = (this.attemptEventCount > 0) ? 0 : this.fruitlessLossCount + 1;
+		return (this.fruitlessLossCount > FRUITLESS_LOSSES_WITHOUT_PAUSE) ? LOSS_PAUSE_MS : 0;
+	}
+
 	/**
 	 * Returns whether the target is considered to have lost the item. Only complete
 	 * events count as progress, because a target may send other bytes forever.
@@ -132,6 +151,7 @@
 	/** Discards the output so far because it cannot be used. */
 	void restart() {
 		this.text.reset();
+		this.attemptEventCount = 0;
 		this.restoredComplete = false;
 		this.pendingProgress = null;
 		resetStoredCounts();
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -73,11 +73,6 @@
 	/** When the leader fails, an item loses about twice this and the election time. */
 	private static final long STORE_INTERVAL_MS = 500;
 
-	/** An item that is lost more often is delayed, since it may crash its targets. */
-	private static final int LOSSES_WITHOUT_PAUSE = 3;
-
-	private static final long LOSS_PAUSE_MS = 1_000;
-
 	private final EventLoop loop;
 
 	private final ControlService control;
@@ -495,9 +490,15 @@
 		LOGGER.atInfo()
 			.log("event=item_lost job=%s item=%s target=%s events=%d losses=%d detail=\"%s\"", run.job.id().name(),
 					run.item.id(), (target != null) ? target.id() : "", run.text.eventCount(), run.lossCount, detail);
-		run.lossCount++;
-		long pauseMs = (run.lossCount > LOSSES_WITHOUT_PAUSE) ? LOSS_PAUSE_MS : 0;
-		requeue(run, pauseMs);
+		requeue(run, run.recordLoss());
+	}
+
+	private void handleNotSent(ItemRun run, String detail) {
+		TargetNotice target = run.target;
+		LOGGER.atInfo()
+			.log("event=item_not_sent job=%s item=%s target=%s detail=\"%s\"", run.job.id().name(), run.item.id(),
+					(target != null) ? target.id() : "", detail);
+		requeue(run, 0);
 	}
 
 	private void requeue(ItemRun run, long pauseMs) {
@@ -578,6 +579,11 @@
 			JobRunner.this.handleLoss(run, detail);
 		}
 
+		@Override
+		public void handleNotSent(ItemRun run, String detail) {
+			JobRunner.this.handleNotSent(run, detail);
+		}
+
 		@Override
 		public void requeue(ItemRun run) {
 			JobRunner.this.requeue(run, 0);
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemAttemptTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemAttemptTests.java
@@ -27,6 +27,7 @@
 import org.zinniatack.core.table.PoolShare;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.gateway.http.RequestFailure;
 import org.zinniatack.gateway.http.ScriptedProtocol;
 import org.zinniatack.gateway.target.LoadedVersions;
 import org.zinniatack.gateway.target.TargetSelector;
@@ -191,6 +192,19 @@
 		assertThat(this.outcomes, empty());
 	}
 
+	/** An item that met several targets that were gone was delayed each time. */
+	@Test
+	void anItemThatDidNotReachItsTargetIsNotLost() {
+		this.attempt.onFailure(new RequestFailure(false, "cannot connect"));
+		assertThat(this.outcomes, contains("not sent"));
+	}
+
+	@Test
+	void anItemThatMayHaveReachedItsTargetIsLost() {
+		this.attempt.onFailure(new RequestFailure(true, "connection lost"));
+		assertThat(this.outcomes, contains("lost"));
+	}
+
 	/** Records the handling of the item. */
 	private final class RecordingHandler implements ItemAttempt.AttemptHandler {
 
@@ -199,6 +213,11 @@
 			ItemAttemptTests.this.outcomes.add("lost");
 		}
 
+		@Override
+		public void handleNotSent(ItemRun unsent, String detail) {
+			ItemAttemptTests.this.outcomes.add("not sent");
+		}
+
 		@Override
 		public void requeue(ItemRun waiting) {
 			ItemAttemptTests.this.outcomes.add("waits");
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 import io.netty.buffer.Unpooled;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,7 @@
 import org.zinniatack.core.result.ServiceException;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -231,4 +233,25 @@
 		assertThat(finish(second), is(text(14)));
 	}
 
+	/** An item under which many targets crashed was delayed as if it crashed them. */
+	@Test
+	void lossesAfterFurtherEventsDoNotDelayAnItem() {
+		ItemRun run = run(submitted("j", 1));
+		for (int loss = 0; loss < 100; loss++) {
+			run.beginAttempt(loss);
+			run.attemptEventCount = 1;
+			assertThat(run.recordLoss(), is(0L));
+		}
+	}
+
+	@Test
+	void lossesWithoutAnEventDelayAnItemUntilTheNextEvent() {
+		ItemRun run = run(submitted("j", 1));
+		run.beginAttempt(0);
+		List<Long> pausesMs = Stream.generate(run::recordLoss).limit(5).toList();
+		assertThat(pausesMs, contains(0L, 0L, 0L, 250L, 250L));
+		run.attemptEventCount = 1;
+		assertThat(run.recordLoss(), is(0L));
+	}
+
 }
