Use a connection of an agent to its target for one request

Seen in a test, not by callers: on the path with agents a failure is passed on as a success, or lost, when the beginning of a second copy of a response arrives before the connection is used again.

The HTTP client of the agent keeps its connections, and reads a response behind the bytes that followed the one before it; requests carry no id that targets repeat.

Fix: the client doesn't keep connections. Agent and target run on one VM, so a connection costs no way over the network.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
@@ -16,7 +16,6 @@
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.MutableHttpRequest;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
-import io.micronaut.http.client.HttpClientConfiguration;
 import io.micronaut.http.client.StreamingHttpClient;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -42,8 +41,6 @@
 
 	private static final Duration LOAD_WEIGHTS_TIMEOUT = Duration.ofSeconds(30);
 
-	private static final int MAXIMUM_CONNECTIONS = 10_000;
-
 	private static final int HTTP_THREADS = 2;
 
 	private static final int FIRST_ERROR_STATUS = 400;
@@ -60,8 +57,9 @@
 		configuration.setExceptionOnErrorStatus(false);
 		configuration.setMaxContentLength(Integer.MAX_VALUE);
 		configuration.setNumOfThreads(HTTP_THREADS);
-		HttpClientConfiguration.ConnectionPoolConfiguration pool = configuration.getConnectionPoolConfiguration();
-		pool.setMaxConcurrentHttp1Connections(MAXIMUM_CONNECTIONS);
+		// The client reads a response behind whatever followed the one before it, and
+		// targets do not repeat the id of a request.
+		configuration.getConnectionPoolConfiguration().setEnabled(false);
 		try {
 			this.client = StreamingHttpClient.create(URI.create(url).toURL(), configuration);
 		}
