Show that the beginning of a late copy changes the status of the next response

Callers saw a success where the target had answered with a failure. A target that sends its response twice may send only the beginning of the copy before the connection is used again. Those bytes make no whole head, so they stay in the decoder without an event, and the next response is read behind them.

The test sends the first n of the 93 bytes of a copy for each n, waits, and sends the next request, which is answered 503. Only whole copies are noticed.

--- /dev/null
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
@@ -0,0 +1,138 @@
+package org.zinniatack.gateway.http;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link TargetClient} with targets that send a response twice, the second time
+ * late and not whole.
+ */
+class SecondCopyTests {
+
+	private static final long WAIT_S = 10;
+
+	/** Time for the client to read what a target wrote on the same VM. */
+	private static final long READ_MS = 5;
+
+	private static final String SUCCESS = "HTTP/1.1 200 OK\r\nServer: t\r\nKeep-Alive: timeout=10\r\nid: 1\r\n"
+			+ "seal: s1\r\nContent-Length: 3\r\n\r\none";
+
+	private static final String FAILURE = "HTTP/1.1 503 Service Unavailable\r\nServer: t\r\nid: 2\r\nseal: s2\r\n"
+			+ "Content-Length: 3\r\n\r\ntwo";
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	private final TargetClient client = new TargetClient(this.loop, new ScriptedProtocol());
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	/** Returns the status, seal and body of the response, or the failure. */
+	private String send(String address, String id) throws Exception {
+		CompletableFuture<String> outcome = new CompletableFuture<>();
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		request.headers().set("id", id);
+		this.loop.execute(() -> this.client.send(address, request, new Collector(outcome)));
+		return outcome.get(WAIT_S, TimeUnit.SECONDS);
+	}
+
+	/** Writes a response, and after a pause the beginning of a second copy of it. */
+	private static void succeedAndBeginAgain(WireTarget.Wire wire, int copyBytes) throws IOException {
+		wire.readHead();
+		wire.write(SUCCESS);
+		wire.pause(READ_MS);
+		wire.write(SUCCESS.substring(0, copyBytes));
+	}
+
+	/** Writes a failure as the response to each request with the second id. */
+	private static void fail(WireTarget.Wire wire) throws IOException {
+		while (!wire.readHead().isEmpty()) {
+			wire.write(FAILURE);
+		}
+	}
+
+	// Guards against a failure that a caller got as a success, under the status line of a
+	// late copy.
+	@Test
+	@Tag("known-red")
+	void theBeginningOfACopyOnAnIdleConnectionReachesNoOtherRequest() throws Exception {
+		for (int cut = 1; cut <= SUCCESS.length(); cut++) {
+			int copyBytes = cut;
+			CompletableFuture<Void> copied = new CompletableFuture<>();
+			try (WireTarget target = new WireTarget((wire) -> {
+				if (!copied.isDone()) {
+					succeedAndBeginAgain(wire, copyBytes);
+					copied.complete(null);
+				}
+				fail(wire);
+			})) {
+				assertThat(send(target.address(), "1"), is("200 s1 one"));
+				copied.get(WAIT_S, TimeUnit.SECONDS);
+				TimeUnit.MILLISECONDS.sleep(READ_MS);
+				assertThat("after %d bytes of a copy".formatted(cut), send(target.address(), "2"), is("503 s2 two"));
+			}
+		}
+	}
+
+	/** Collects the response, or the failure after "not run:" or "lost:". */
+	private static final class Collector implements ResponseListener {
+
+		private final CompletableFuture<String> outcome;
+
+		private final StringBuilder body = new StringBuilder();
+
+		Collector(CompletableFuture<String> outcome) {
+			this.outcome = outcome;
+		}
+
+		@Override
+		public void onHead(HttpResponse head) {
+			// The head comes again with the end.
+		}
+
+		@Override
+		public long maximumBodyBytes() {
+			return 1_000_000;
+		}
+
+		@Override
+		public void onContent(ByteBuf content) {
+			this.body.append(content.toString(StandardCharsets.ISO_8859_1));
+		}
+
+		@Override
+		public void onEnd(HttpResponse head) {
+			this.outcome.complete("%d %s %s".formatted(head.status().code(), head.headers().get("seal"), this.body));
+		}
+
+		@Override
+		public void onFailure(RequestFailure failure) {
+			this.outcome.complete((failure.mayHaveRun() ? "lost: " : "not run: ") + failure.detail());
+		}
+
+	}
+
+}
