Close a connection on which bytes follow a response

Callers saw a success where the target had answered with a failure, and lost requests to responses that were malformed.

Cause: a connection was reused although bytes had followed its response. The decoder keeps bytes that make no whole head, and skips line ends and control characters, without an event; only whole copies were seen. The next response was then read behind the remainder.

The decoder now decodes one response for each request. All bytes that arrive while none is expected are passed on as stray bytes and close the connection, so no remainder is left when a request is written. A request that had been given such a connection and was not written yet gets a new one; before, it was reported as not run.

Evidence: the test of the beginning of a copy failed for 89 of 93 lengths (18 of them a 200 in place of a 503) and passes for all 93. Of the two new tests, the one of an empty line behind a response failed because the connection was used again, and the one of the request that waits for its connection failed with "not run: the target closed the idle connection".

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -19,10 +19,11 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -40,11 +41,9 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
-
-	private static final int MAXIMUM_HEADER_BYTES = 32 * 1024;
-
-	private static final int CHUNK_BYTES = 8 * 1024;
+	private static final HttpDecoderConfig DECODER_CONFIG = new HttpDecoderConfig().setMaxInitialLineLength(8 * 1024)
+		.setMaxHeaderSize(32 * 1024)
+		.setMaxChunkSize(8 * 1024);
 
 	/** Ten round trips across a region; a running target accepts without delay. */
 	private static final int CONNECT_TIMEOUT_MS = 400;
@@ -129,7 +128,7 @@
 				@Override
 				protected void initChannel(SocketChannel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, CHUNK_BYTES),
+						.addLast(new HttpRequestEncoder(), new ResponseDecoder(DECODER_CONFIG),
 								new Connection(address));
 				}
 			})
@@ -259,20 +258,29 @@
 			if (this.expiry != null) {
 				this.expiry.cancel(false);
 			}
+			if (this.closed || this.channel == null || !this.channel.isActive()) {
+				replaceConnection(pending);
+				return;
+			}
 			pending.connection = this;
 			this.current = pending;
 			this.head = null;
 			this.bodyBytes = 0;
-			if (this.channel == null || !this.channel.isActive()) {
-				pending.request.release();
-				this.current = null;
-				pending.fail(new RequestFailure(false, "the target closed the idle connection"));
-				return;
-			}
 			this.requestCount++;
+			this.channel.pipeline().get(ResponseDecoder.class).expectResponse(pending.request.method());
 			this.channel.writeAndFlush(pending.request);
 		}
 
+		/** Sends a request elsewhere if its connection was closed before it was sent. */
+		private void replaceConnection(PendingRequest pending) {
+			if (this.requestCount > 0) {
+				connect(this.address, pending);
+			}
+			else {
+				pending.fail(new RequestFailure(false, "the target closed the new connection"));
+			}
+		}
+
 		private void returnToPool() {
 			this.current = null;
 			this.head = null;
@@ -296,11 +304,11 @@
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			try {
-				if (message instanceof HttpObject object && this.current != null && !this.closed) {
-					onObject(this.current, object);
+				if (message instanceof ResponseDecoder.StrayBytes strayBytes) {
+					closeAfterStrayBytes(strayBytes.count());
 				}
-				else {
-					closeAfterStrayBytes();
+				else if (message instanceof HttpObject object && this.current != null && !this.closed) {
+					onObject(this.current, object);
 				}
 			}
 			finally {
@@ -308,11 +316,11 @@
 			}
 		}
 
-		private void closeAfterStrayBytes() {
+		private void closeAfterStrayBytes(int count) {
 			if (!this.closed) {
 				LOGGER.atInfo()
-					.log("event=stray_bytes address=%s detail=\"bytes arrived while no response was expected, %s\"",
-							this.address, describeConnection());
+					.log("event=stray_bytes address=%s detail=\"%d bytes arrived while no response was expected, %s\"",
+							this.address, count, describeConnection());
 			}
 			close();
 		}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -53,10 +52,14 @@
 	/** Returns the status, seal and body of the response, or the failure. */
 	private String send(String address, String id) throws Exception {
 		CompletableFuture<String> outcome = new CompletableFuture<>();
+		this.loop.execute(() -> this.client.send(address, request(id), new Collector(outcome)));
+		return outcome.get(WAIT_S, TimeUnit.SECONDS);
+	}
+
+	private static FullHttpRequest request(String id) {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
 		request.headers().set("id", id);
-		this.loop.execute(() -> this.client.send(address, request, new Collector(outcome)));
-		return outcome.get(WAIT_S, TimeUnit.SECONDS);
+		return request;
 	}
 
 	/** Writes a response, and after a pause the beginning of a second copy of it. */
@@ -77,7 +80,6 @@
 	// Guards against a failure that a caller got as a success, under the status line of a
 	// late copy.
 	@Test
-	@Tag("known-red")
 	void theBeginningOfACopyOnAnIdleConnectionReachesNoOtherRequest() throws Exception {
 		for (int cut = 1; cut <= SUCCESS.length(); cut++) {
 			int copyBytes = cut;
@@ -97,6 +99,45 @@
 		}
 	}
 
+	// Guards against bytes that make no event and stay before the next response, such as
+	// an empty line.
+	@Test
+	void aConnectionIsNotUsedAgainWhateverFollowsAResponse() throws Exception {
+		for (String stray : new String[] { "\r\n", "\n", "\u0000", " ", "x", "no response", "no response\r\n\r\n",
+				SUCCESS, SUCCESS + SUCCESS, FAILURE }) {
+			try (WireTarget target = new WireTarget((wire) -> {
+				if (!wire.readHead().contains("id: 2")) {
+					wire.write(SUCCESS + stray);
+					fail(wire);
+				}
+				wire.write(FAILURE);
+			})) {
+				assertThat(send(target.address(), "1"), is("200 s1 one"));
+				assertThat("after " + stray, send(target.address(), "2"), is("503 s2 two"));
+				assertThat("after " + stray, target.connectionCount(), is(2));
+			}
+		}
+	}
+
+	// Guards against a request that is refused because stray bytes closed the connection
+	// it was about to use.
+	@Test
+	void aRequestWhoseConnectionIsClosedBeforeItIsSentGetsAnother() throws Exception {
+		try (WireTarget target = new WireTarget((wire) -> {
+			if (!wire.readHead().contains("id: 2")) {
+				wire.write(SUCCESS + SUCCESS);
+				fail(wire);
+			}
+			wire.write(FAILURE);
+		})) {
+			CompletableFuture<String> first = new CompletableFuture<>();
+			CompletableFuture<String> second = new CompletableFuture<>();
+			first.thenRun(() -> this.client.send(target.address(), request("2"), new Collector(second)));
+			this.loop.execute(() -> this.client.send(target.address(), request("1"), new Collector(first)));
+			assertThat(second.get(WAIT_S, TimeUnit.SECONDS), is("503 s2 two"));
+		}
+	}
+
 	/** Collects the response, or the failure after "not run:" or "lost:". */
 	private static final class Collector implements ResponseListener {
 
