Refuse a response head that holds two status lines

Callers saw a success where the target had answered with a failure. If the beginning of a late copy arrives after the next request was sent, no check of the connection can keep the two apart: the copy's head goes on with the next response, whose id follows and matches.

In such a head, the line in which the copy was cut ends with the status line of the response. The decoder marks a head as malformed if its reason phrase or the value of a header holds a status line, so the request counts as lost. Where the copy is cut at any other byte, the head is malformed already or carries the id of the copy.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseDecoder.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseDecoder.java
@@ -1,12 +1,16 @@
 package org.zinniatack.gateway.http;
 
 import java.util.List;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
@@ -18,6 +22,8 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}");
+
 	private @Nullable HttpMethod requestMethod;
 
 	ResponseDecoder(HttpDecoderConfig config) {
@@ -40,11 +46,26 @@
 			return;
 		}
 		super.decode(context, buffer, output);
+		if (!output.isEmpty() && output.get(0) instanceof HttpResponse response && holdsSecondStatusLine(response)) {
+			response
+				.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("two status lines in one head")));
+		}
 		if (!output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent) {
 			this.requestMethod = null;
 		}
 	}
 
+	/**
+	 * Returns whether a head that was cut is joined to the head of another response. Its
+	 * last line then ends with the status line of the other one.
+	 */
+	private static boolean holdsSecondStatusLine(HttpResponse response) {
+		return STATUS_LINE.matcher(response.status().reasonPhrase()).find() || response.headers()
+			.entries()
+			.stream()
+			.anyMatch((header) -> STATUS_LINE.matcher(header.getValue()).find());
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return HttpMethod.HEAD.equals(this.requestMethod) || super.isContentAlwaysEmpty(message);
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
@@ -19,7 +19,9 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 /**
  * Tests of {@link TargetClient} with targets that send a response twice, the second time
@@ -62,6 +64,18 @@
 		return request;
 	}
 
+	/**
+	 * Waits until the client has read the stray bytes, or for a while if it keeps the
+	 * connection.
+	 */
+	private void awaitNoIdleConnection(String address) throws Exception {
+		long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+		while (this.loop.submit(() -> this.client.hasIdleConnection(address)).get(WAIT_S, TimeUnit.SECONDS)
+				&& System.nanoTime() < deadlineNs) {
+			TimeUnit.MILLISECONDS.sleep(1);
+		}
+	}
+
 	/** Writes a response, and after a pause the beginning of a second copy of it. */
 	private static void succeedAndBeginAgain(WireTarget.Wire wire, int copyBytes) throws IOException {
 		wire.readHead();
@@ -93,7 +107,7 @@
 			})) {
 				assertThat(send(target.address(), "1"), is("200 s1 one"));
 				copied.get(WAIT_S, TimeUnit.SECONDS);
-				TimeUnit.MILLISECONDS.sleep(READ_MS);
+				awaitNoIdleConnection(target.address());
 				assertThat("after %d bytes of a copy".formatted(cut), send(target.address(), "2"), is("503 s2 two"));
 			}
 		}
@@ -138,6 +152,26 @@
 		}
 	}
 
+	// Guards against a failure that a caller got as a success because a copy began after
+	// the request was sent.
+	@Test
+	void theBeginningOfACopyThatArrivesAfterTheNextRequestIsNotTheHeadOfItsResponse() throws Exception {
+		for (int cut = 1; cut <= SUCCESS.length(); cut++) {
+			String copy = SUCCESS.substring(0, cut);
+			try (WireTarget target = new WireTarget((wire) -> {
+				wire.readHead();
+				wire.write(SUCCESS);
+				wire.readHead();
+				wire.write(copy);
+				wire.write(FAILURE);
+			})) {
+				assertThat(send(target.address(), "1"), is("200 s1 one"));
+				assertThat("after %d bytes of a copy".formatted(cut), send(target.address(), "2"),
+						anyOf(is("503 s2 two"), startsWith("lost: ")));
+			}
+		}
+	}
+
 	/** Collects the response, or the failure after "not run:" or "lost:". */
 	private static final class Collector implements ResponseListener {
 
