Send an id only on a connection that has not carried it

A request that is repeated under its id, such as an item or a scoring call, could get the late copy of the response to its first attempt: the id does not tell the two apart. Callers saw a text or a score of an earlier run; a copy of a failure counted as a second failure.

Another connection can't carry the copy. The check of the response's id moves from the protocol to the client with the same decisions; its test moves with it and now runs on a connection. Clients of servers that are no targets say so and compare no ids.

Evidence: the new test got "200 s1 one", the copy, in place of "200 s3 now" while connections were chosen without regard to ids, and passes now.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -22,9 +23,11 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -58,16 +61,25 @@
 
 	private final Map<String, Deque<Connection>> idleConnectionsByAddress = new HashMap<>();
 
-	private final ResponseMatcher matcher;
+	private final RequestIds ids;
 
 	/**
-	 * Creates a client without connections.
+	 * Creates a client for targets that may send a response twice. Responses are told
+	 * apart by the id of their request.
 	 * @param loop the event loop to run on
-	 * @param matcher checks that a response belongs to its request
+	 * @param ids reads the ids of requests and responses
 	 */
-	public TargetClient(EventLoop loop, ResponseMatcher matcher) {
+	public TargetClient(EventLoop loop, RequestIds ids) {
 		this.loop = loop;
-		this.matcher = matcher;
+		this.ids = ids;
+	}
+
+	/**
+	 * Creates a client for servers that send one response to each request.
+	 * @param loop the event loop to run on
+	 */
+	public TargetClient(EventLoop loop) {
+		this(loop, (message) -> null);
 	}
 
 	/**
@@ -79,8 +91,8 @@
 	 * the listener is not called again
 	 */
 	public Runnable send(String address, FullHttpRequest request, ResponseListener listener) {
-		PendingRequest pending = new PendingRequest(request, listener);
-		Connection idle = takeIdle(address);
+		PendingRequest pending = new PendingRequest(request, this.ids.requestId(request), listener);
+		Connection idle = takeIdle(address, pending.id);
 		if (idle != null) {
 			this.loop.execute(() -> idle.sendRequest(pending));
 		}
@@ -101,15 +113,27 @@
 		return idle != null && idle.stream().anyMatch((connection) -> connection.isUsable(nowMs));
 	}
 
-	private @Nullable Connection takeIdle(String address) {
+	/**
+	 * Takes the idle connection that was used last, except those on which a late copy of
+	 * the response to the same id may still arrive.
+	 */
+	private @Nullable Connection takeIdle(String address, @Nullable String id) {
 		Deque<Connection> idle = this.idleConnectionsByAddress.get(address);
+		if (idle == null) {
+			return null;
+		}
 		long nowMs = nowMs();
-		while (idle != null && !idle.isEmpty()) {
-			Connection connection = idle.pollLast();
-			if (connection.isUsable(nowMs)) {
+		Iterator<Connection> latestFirst = idle.descendingIterator();
+		while (latestFirst.hasNext()) {
+			Connection connection = latestFirst.next();
+			if (!connection.isUsable(nowMs)) {
+				latestFirst.remove();
+				connection.close();
+			}
+			else if (id == null || !connection.recentIds.mayContain(id)) {
+				latestFirst.remove();
 				return connection;
 			}
-			connection.close();
 		}
 		return null;
 	}
@@ -175,14 +199,17 @@
 
 		private final FullHttpRequest request;
 
+		private final @Nullable String id;
+
 		private final ResponseListener listener;
 
 		private @Nullable Connection connection;
 
 		private boolean finished;
 
-		PendingRequest(FullHttpRequest request, ResponseListener listener) {
+		PendingRequest(FullHttpRequest request, @Nullable String id, ResponseListener listener) {
 			this.request = request;
+			this.id = id;
 			this.listener = listener;
 		}
 
@@ -217,6 +244,8 @@
 
 		private final String address;
 
+		private final RecentIds recentIds = new RecentIds();
+
 		private @Nullable Channel channel;
 
 		private @Nullable PendingRequest current;
@@ -267,6 +296,9 @@
 			this.head = null;
 			this.bodyBytes = 0;
 			this.requestCount++;
+			if (pending.id != null) {
+				this.recentIds.add(pending.id);
+			}
 			this.channel.pipeline().get(ResponseDecoder.class).expectResponse(pending.request.method());
 			this.channel.writeAndFlush(pending.request);
 		}
@@ -341,7 +373,7 @@
 					failCurrent("the target sent an interim response with status " + response.status().code());
 					return;
 				}
-				if (!TargetClient.this.matcher.matches(pending.request, response)) {
+				if (!isAnswer(pending, response)) {
 					failCurrent("the response belongs to another request, " + describeConnection());
 					return;
 				}
@@ -363,6 +395,17 @@
 			}
 		}
 
+		private boolean isAnswer(PendingRequest pending, HttpResponse response) {
+			String receivedId = TargetClient.this.ids.requestId(response);
+			if (pending.id == null || pending.id.equals(receivedId)) {
+				return true;
+			}
+			// A target may refuse a request before it has read the id, but a success
+			// always
+			// carries the id.
+			return receivedId == null && response.status().code() >= HttpResponseStatus.MULTIPLE_CHOICES.code();
+		}
+
 		private void end(PendingRequest pending) {
 			HttpResponse completeHead = this.head;
 			if (completeHead == null) {
@@ -417,17 +460,16 @@
 
 	}
 
-	/** Checks that a response belongs to its request. */
+	/** Reads the id that a target repeats in the response to a request. */
 	@FunctionalInterface
-	public interface ResponseMatcher {
+	public interface RequestIds {
 
 		/**
-		 * Compares a response with the request sent before it.
-		 * @param request the request
-		 * @param response the status line and headers of the response
-		 * @return true if the response belongs to the request
+		 * Returns the id of a request or response.
+		 * @param message the headers
+		 * @return the id, or null if there is none
 		 */
-		boolean matches(FullHttpRequest request, HttpResponse response);
+		@Nullable String requestId(HttpMessage message);
 
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetProtocol.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetProtocol.java
@@ -14,7 +14,7 @@
 /**
  * The HTTP protocol of a kind of targets: its headers, requests and message formats.
  */
-public interface TargetProtocol extends TargetClient.ResponseMatcher {
+public interface TargetProtocol extends TargetClient.RequestIds {
 
 	/**
 	 * Sets the headers that the system controls, and removes those of the same names that
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
@@ -5,7 +5,9 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.gateway.target.TargetProtocol;
 
@@ -15,8 +17,8 @@
 public final class ScriptedProtocol implements TargetProtocol {
 
 	@Override
-	public boolean matches(FullHttpRequest request, HttpResponse response) {
-		return request.headers().get("id").equals(response.headers().get("id"));
+	public @Nullable String requestId(HttpMessage message) {
+		return message.headers().get("id");
 	}
 
 	@Override
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
@@ -53,8 +53,12 @@
 
 	/** Returns the status, seal and body of the response, or the failure. */
 	private String send(String address, String id) throws Exception {
+		return send(address, request(id));
+	}
+
+	private String send(String address, FullHttpRequest request) throws Exception {
 		CompletableFuture<String> outcome = new CompletableFuture<>();
-		this.loop.execute(() -> this.client.send(address, request(id), new Collector(outcome)));
+		this.loop.execute(() -> this.client.send(address, request, new Collector(outcome)));
 		return outcome.get(WAIT_S, TimeUnit.SECONDS);
 	}
 
@@ -172,6 +176,27 @@
 		}
 	}
 
+	// Guards against a repeated request that got the late copy of the response to its
+	// first attempt.
+	@Test
+	void anIdIsNotSentAgainOnAConnectionOnWhichACopyOfItsResponseMayArrive() throws Exception {
+		String again = SUCCESS.replace("s1", "s3").replace("one", "now");
+		try (WireTarget target = new WireTarget((wire) -> {
+			if (!wire.readHead().contains("again")) {
+				wire.write(SUCCESS);
+				wire.readHead();
+				wire.write(SUCCESS);
+			}
+			wire.write(again);
+			wire.readHead();
+		})) {
+			assertThat(send(target.address(), "1"), is("200 s1 one"));
+			FullHttpRequest repeated = request("1");
+			repeated.headers().set("again", "1");
+			assertThat(send(target.address(), repeated), is("200 s3 now"));
+		}
+	}
+
 	/** Collects the response, or the failure after "not run:" or "lost:". */
 	private static final class Collector implements ResponseListener {
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
@@ -33,11 +33,7 @@
 
 	private final EventLoop loop = this.group.next();
 
-	private final TargetClient client = new TargetClient(this.loop, TargetClientTests::hasSameId);
-
-	private static boolean hasSameId(FullHttpRequest request, HttpResponse response) {
-		return request.headers().get("id").equals(response.headers().get("id"));
-	}
+	private final TargetClient client = new TargetClient(this.loop, new ScriptedProtocol());
 
 	@AfterEach
 	void stop() {
@@ -91,6 +87,15 @@
 		}
 	}
 
+	@Test
+	void aSuccessThatDoesNotNameItsRequestAnswersNone() throws Exception {
+		String unnamed = ScriptedTarget.answer("1", "", "one").replace("id: 1\r\n", "");
+		try (ScriptedTarget target = new ScriptedTarget(unnamed, unnamed.replace("200 OK", "503 Full"))) {
+			assertThat(send(target.address(), "1"), startsWith("lost: the response belongs to another request"));
+			assertThat(send(target.address(), "1"), is("one"));
+		}
+	}
+
 	@Test
 	void anAnswerThatEndsEarlyIsNotWhole() throws Exception {
 		String cut = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 50\r\n\r\nhalf";
