Give a request without an id a connection of its own

Reports and orders carry no id and accepted any response, and a failure without an id was taken for the response to whatever had been asked. The late copy of the response to a report could stand for the response to an order ("holds already"), and a stray refusal without an id made a request "not run" that ran.

Now a request without an id is the only one on a new connection. A response without an id counts only as a failure and only as the first response of its connection, where nothing can have come before; the connection is not used again after it. Else the request counts as lost.

Evidence: three new tests failed before: the stray refusal was taken for the response, the connection was used again after a response without an id, and a report shared the connection of a caller's request. The price is one new connection for each report and each order.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -61,11 +61,13 @@
 
 	private final Map<String, Deque<Connection>> idleConnectionsByAddress = new HashMap<>();
 
-	private final RequestIds ids;
+	/** Null if connections carry nothing but one response to each request. */
+	private final @Nullable RequestIds ids;
 
 	/**
 	 * Creates a client for targets that may send a response twice. Responses are told
-	 * apart by the id of their request.
+	 * apart by the id of their request; a request without an id is the only one on its
+	 * connection.
 	 * @param loop the event loop to run on
 	 * @param ids reads the ids of requests and responses
 	 */
@@ -79,7 +81,8 @@
 	 * @param loop the event loop to run on
 	 */
 	public TargetClient(EventLoop loop) {
-		this(loop, (message) -> null);
+		this.loop = loop;
+		this.ids = null;
 	}
 
 	/**
@@ -91,8 +94,8 @@
 	 * the listener is not called again
 	 */
 	public Runnable send(String address, FullHttpRequest request, ResponseListener listener) {
-		PendingRequest pending = new PendingRequest(request, this.ids.requestId(request), listener);
-		Connection idle = takeIdle(address, pending.id);
+		PendingRequest pending = new PendingRequest(request, idOf(request), listener);
+		Connection idle = mayShareConnection(pending.id) ? takeIdle(address, pending.id) : null;
 		if (idle != null) {
 			this.loop.execute(() -> idle.sendRequest(pending));
 		}
@@ -102,6 +105,14 @@
 		return pending::cancel;
 	}
 
+	private @Nullable String idOf(HttpMessage message) {
+		return (this.ids != null) ? this.ids.requestId(message) : null;
+	}
+
+	private boolean mayShareConnection(@Nullable String id) {
+		return this.ids == null || id != null;
+	}
+
 	/**
 	 * Returns whether a request to a target can use an idle connection.
 	 * @param address host and port of the target
@@ -396,14 +407,15 @@
 		}
 
 		private boolean isAnswer(PendingRequest pending, HttpResponse response) {
-			String receivedId = TargetClient.this.ids.requestId(response);
+			String receivedId = idOf(response);
 			if (pending.id == null || pending.id.equals(receivedId)) {
 				return true;
 			}
 			// A target may refuse a request before it has read the id, but a success
 			// always
 			// carries the id.
-			return receivedId == null && response.status().code() >= HttpResponseStatus.MULTIPLE_CHOICES.code();
+			return receivedId == null && this.requestCount == 1
+					&& response.status().code() >= HttpResponseStatus.MULTIPLE_CHOICES.code();
 		}
 
 		private void end(PendingRequest pending) {
@@ -414,7 +426,8 @@
 			}
 			pending.finished = true;
 			this.current = null;
-			if (HttpUtil.isKeepAlive(completeHead) && isFramed(completeHead)) {
+			if (HttpUtil.isKeepAlive(completeHead) && isFramed(completeHead) && mayShareConnection(pending.id)
+					&& mayShareConnection(idOf(completeHead))) {
 				this.usableUntilMs = nowMs() + idleTimeoutMs(completeHead) - IDLE_MARGIN_MS;
 				returnToPool();
 			}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
@@ -197,6 +197,62 @@
 		}
 	}
 
+	// Guards against a running request that counts as not run because of a stray refusal
+	// without an id.
+	@Test
+	void aResponseWithoutAnIdCountsOnlyWhereNothingCameBefore() throws Exception {
+		String refusal = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+		try (WireTarget target = new WireTarget((wire) -> {
+			if (wire.readHead().contains("id: 1")) {
+				wire.write(SUCCESS);
+				wire.readHead();
+			}
+			wire.write(refusal);
+			wire.readHead();
+		})) {
+			assertThat(send(target.address(), "1"), is("200 s1 one"));
+			assertThat(send(target.address(), "2"), startsWith("lost: the response belongs to another request"));
+			assertThat(send(target.address(), "2"), is("503 null "));
+		}
+	}
+
+	// Guards against a late copy of a refusal without an id as the response to the next
+	// request.
+	@Test
+	void aConnectionIsNotUsedAgainAfterAResponseWithoutAnId() throws Exception {
+		String refusal = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+		try (WireTarget target = new WireTarget((wire) -> {
+			wire.readHead();
+			wire.write(refusal);
+			wire.readHead();
+			wire.write(refusal);
+		})) {
+			send(target.address(), "1");
+			send(target.address(), "2");
+			assertThat(target.connectionCount(), is(2));
+		}
+	}
+
+	// Guards against the response to a report, or to a caller's request, as the response
+	// to an order.
+	@Test
+	void aRequestWithoutAnIdHasAConnectionOfItsOwn() throws Exception {
+		try (WireTarget target = new WireTarget((wire) -> {
+			String response = wire.readHead().contains("id: 1") ? SUCCESS : SUCCESS.replace("id: 1\r\n", "");
+			wire.write(response);
+			wire.readHead();
+			wire.write(response + FAILURE);
+		})) {
+			assertThat(send(target.address(), "1"), is("200 s1 one"));
+			for (int count = 2; count <= 3; count++) {
+				FullHttpRequest report = request("");
+				report.headers().remove("id");
+				assertThat(send(target.address(), report), is("200 s1 one"));
+				assertThat(target.connectionCount(), is(count));
+			}
+		}
+	}
+
 	/** Collects the response, or the failure after "not run:" or "lost:". */
 	private static final class Collector implements ResponseListener {
 
