Read only the body of a 200 as the output of an item

Cause: the protocol reports any response with a seal as answered, since a caller gets it unchanged. An item took each such response for the beginning of its output. A sealed 422 without a weight version was a loss and was retried; one with a version and an event completed the item.

Evidence: ItemAnswerTests on the code before: a sealed 422 without a version had no result "after 21 runs" in 5 s; one with an event completed the item; the event in the body of a sealed 201, 206, 302, 400, 404 or 429 became the text ("but: was "failure"", six of six).

Fix: the status decides first. Only 200 begins an output; 422 gives the item up as soon as its head arrives, so a body without an end changes nothing. A response that states that it did not run is handled as before.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
@@ -10,7 +10,6 @@
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.directory.TargetNotice;
-import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.gateway.http.RequestFailure;
 import org.zinniatack.gateway.http.ResponseListener;
@@ -33,6 +32,13 @@
 	/** Four times the longest text, to allow for the framing of its events. */
 	private static final long MAXIMUM_STREAM_BYTES = 4 * EventText.MAXIMUM_TEXT_BYTES;
 
+	private static final int OUTPUT_STATUS = 200;
+
+	private static final int NEVER_POSSIBLE_STATUS = 422;
+
+	/** Only failures with this status count towards giving up an item. */
+	static final int FAILED_STATUS = 500;
+
 	private final EventLoop loop;
 
 	private final TargetProtocol protocol;
@@ -82,11 +88,16 @@
 
 	@Override
 	public void onHead(HttpResponse head) {
-		this.outcome = this.protocol.outcome(head);
+		this.outcome = outcomeOf(head);
 		this.protocol.reportedLoad(head).ifPresent((load) -> this.stats.recordLoad(load, nowMs()));
 		if (this.protocol.isLeaving(head)) {
 			this.targets.markLeaving(this.target);
 		}
+		if (this.outcome == RequestOutcome.FAILED && head.status().code() == NEVER_POSSIBLE_STATUS) {
+			this.run.canceller.run();
+			this.handler.finish(this.run, ItemOutcome.givenUp(this.run), "status " + NEVER_POSSIBLE_STATUS);
+			return;
+		}
 		if (this.outcome != RequestOutcome.ANSWERED) {
 			return;
 		}
@@ -108,6 +119,13 @@
 		this.run.text.beginStream(version.getAsLong());
 	}
 
+	/** Only the body of one status is an output, whether or not others are sealed. */
+	private RequestOutcome outcomeOf(HttpResponse head) {
+		RequestOutcome reported = this.protocol.outcome(head);
+		return (reported == RequestOutcome.ANSWERED && head.status().code() != OUTPUT_STATUS) ? RequestOutcome.FAILED
+				: reported;
+	}
+
 	@Override
 	public long maximumBodyBytes() {
 		return MAXIMUM_STREAM_BYTES;
@@ -176,8 +194,7 @@
 	private void onFailed(int status) {
 		this.stats.recordFailure();
 		this.run.failureCount++;
-		boolean quarantined = status == ResultCode.QUARANTINED.httpStatus();
-		if (quarantined || this.run.failureCount >= this.route.maximumAttempts()) {
+		if (this.run.failureCount >= this.route.maximumAttempts()) {
 			this.handler.finish(this.run, ItemOutcome.givenUp(this.run), "status " + status);
 		}
 		else {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemScorer.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemScorer.java
@@ -39,9 +39,6 @@
 
 	private static final long RETRY_MS = 100;
 
-	/** Only failures with this status count towards giving up an item. */
-	private static final int FAILED_STATUS = 500;
-
 	/** The share of the slots of a pool that scoring uses; the rest is for callers. */
 	private static final double SLOT_SHARE = 0.5;
 
@@ -191,7 +188,7 @@
 
 		@Override
 		public void attemptFailed(int status) {
-			if (status == FAILED_STATUS) {
+			if (status == ItemAttempt.FAILED_STATUS) {
 				this.run.scoringFailureCount++;
 			}
 		}
