Count only a 500 as a failed attempt of an item

Seen: an item was listed as given up after maximumAttempts responses of any status but 422, such as 404, 503 without a statement that it did not run, 504 at the target's deadline, or a 200 without a seal (MIXED: given up before that many answers of 500).

Cause: each response that was no success and no refusal counted.

Evidence: ItemAnswerTests.anItemIsOwedAfterOtherStatuses on the code before: given up after three of six responses of 200 without a seal, 302, 400, 404, 429, 502, 503 and 504 (8 of 9; the ninth, a sealed 404, was then taken for an output).

Fix: other statuses are losses: the item stays owed and the target's failure rate grows. Several in a row delay the item like other losses that bring no event, so that it is sent to targets at most four times a second.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
@@ -193,6 +193,10 @@
 
 	private void onFailed(int status) {
 		this.stats.recordFailure();
+		if (status != FAILED_STATUS) {
+			this.handler.handleLoss(this.run, "status " + status);
+			return;
+		}
 		this.run.failureCount++;
 		if (this.run.failureCount >= this.route.maximumAttempts()) {
 			this.handler.finish(this.run, ItemOutcome.givenUp(this.run), "status " + status);
