Count each announcement of a target once, whoever tells of it

What callers saw: a target that nobody heard from any more stayed in use for good, and hid others at its address; each request to it was lost or refused.

Cause: control processes send each other the ids of targets that were heard since the last feed, and counted such a word as news of their own, so two of them kept a silent target alive by telling each other of it. A process that connected took all notices that it received as heard at that moment.

Change: a feed names the announcement that was heard (id, start, number), and one that is not newer than what a process knows changes nothing, over however many processes it comes back. News still travels through a third process when two are cut off from each other. Notices carry for how long their targets have been silent.

Versions side by side: the ids are sent as before, and the additions are optional, so each version reads the other's feeds. Processes of the earlier version still keep a target alive among themselves, until they are replaced; those of this version do not pass their word on.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -149,7 +149,8 @@
 		this.store = ReplicaStore.open(dataFolder, members.ownName());
 		this.network = new PeerNetwork(new PeerIdentity("control", members.ownName()), ClusterSecret.of(clusterSecret),
 				this, NETWORK_THREADS);
-		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses, members.ownName(), operatorsName);
+		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses, members.ownName(), operatorsName,
+				() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
 		this.memberLinks = new MemberLinks(this.network, members, this.directoryFeeds::subscribeTo);
 	}
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -1,18 +1,20 @@
 package org.zinniatack.control;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
 import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.core.directory.HeardTarget;
 import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.table.RoutingTable;
@@ -41,24 +43,35 @@
 
 	private final Supplier<List<String>> controlAddresses;
 
+	private final LongSupplier clockMs;
+
 	private final TargetDirectory directory = new TargetDirectory(SILENCE_LIMIT_MS, EVICTION_MS);
 
 	private final Set<Peer> subscribers = new HashSet<>();
 
 	private @Nullable RoutingTable table;
 
-	private long lastSentMs = nowMs();
+	private long lastSentMs;
 
 	/** The names that operators use for control processes, by address. */
 	private final Map<String, String> namesByAddress = new TreeMap<>();
 
-	DirectoryFeeds(Supplier<List<String>> controlAddresses, String ownAddress, String ownName) {
+	/**
+	 * Creates the feeds of a process without targets and subscribers.
+	 * @param controlAddresses returns the addresses of all known control processes
+	 * @param ownAddress the address of this process
+	 * @param ownName the operators' name of this process
+	 * @param clockMs the monotonic clock, in milliseconds
+	 */
+	DirectoryFeeds(Supplier<List<String>> controlAddresses, String ownAddress, String ownName, LongSupplier clockMs) {
 		this.controlAddresses = controlAddresses;
+		this.clockMs = clockMs;
+		this.lastSentMs = clockMs.getAsLong();
 		this.namesByAddress.put(ownAddress, ownName);
 	}
 
-	private static long nowMs() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	private long nowMs() {
+		return this.clockMs.getAsLong();
 	}
 
 	/**
@@ -129,17 +142,33 @@
 	synchronized void onFeed(Message.SystemFeed feed) {
 		List<TargetNotice> changed = new ArrayList<>();
 		for (TargetNotice notice : feed.targets()) {
-			if (this.directory.merge(notice, nowMs())) {
+			if (this.directory.mergeRelayed(notice, feed.silenceMs(notice.id()), nowMs())) {
 				this.directory.notice(notice.id()).ifPresent(changed::add);
 			}
 		}
-		this.directory.recordHeard(feed.heardTargetIds(), nowMs());
+		recordHeard(feed, this.directory, nowMs());
 		this.namesByAddress.putAll(feed.namesByAddress());
 		if (!changed.isEmpty()) {
 			sendToSubscribers(changed);
 		}
 	}
 
+	/**
+	 * Records in a directory what a feed says of targets that were heard.
+	 * @param feed the feed
+	 * @param directory the directory
+	 * @param nowMs the monotonic time of the directory, in milliseconds
+	 */
+	public static void recordHeard(Message.SystemFeed feed, TargetDirectory directory, long nowMs) {
+		List<HeardTarget> heard = feed.heardTargets();
+		if (heard != null) {
+			heard.forEach((target) -> directory.recordHeard(target, nowMs));
+		}
+		else {
+			directory.recordHeard(feed.heardTargetIds(), nowMs);
+		}
+	}
+
 	synchronized void updateTable(RoutingTable newest) {
 		if (this.table == null || newest.number() > this.table.number()) {
 			this.table = newest;
@@ -154,14 +183,15 @@
 	}
 
 	/**
-	 * Sends the ids of the targets heard since the last call and evicts silent targets.
+	 * Sends the targets of which news has arrived since the last call and evicts silent
+	 * targets.
 	 */
 	synchronized void sendHeardTargets() {
 		long nowMs = nowMs();
-		List<String> heardIds = this.directory.heardSince(this.lastSentMs);
+		List<HeardTarget> heard = this.directory.heardSince(this.lastSentMs);
 		this.lastSentMs = nowMs;
 		this.directory.evictSilent(nowMs);
-		this.subscribers.forEach((peer) -> send(peer, null, List.of(), heardIds));
+		this.subscribers.forEach((peer) -> send(peer, null, List.of(), heard));
 	}
 
 	private void sendToSubscribers(List<TargetNotice> changed) {
@@ -169,10 +199,13 @@
 	}
 
 	private void send(Peer peer, @Nullable RoutingTable requestedTable, List<TargetNotice> changed,
-			List<String> heardIds) {
+			List<HeardTarget> heard) {
 		RoutingTable newest = this.table;
+		Map<String, Long> silenceMsById = new HashMap<>();
+		changed.forEach((notice) -> silenceMsById.put(notice.id(), this.directory.silenceMs(notice.id(), nowMs())));
 		peer.send(new Message.SystemFeed(this.controlAddresses.get(), Map.copyOf(this.namesByAddress),
-				(newest != null) ? newest.number() : 0, requestedTable, changed, heardIds));
+				(newest != null) ? newest.number() : 0, requestedTable, changed,
+				heard.stream().map(HeardTarget::id).toList(), heard, silenceMsById));
 	}
 
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
@@ -33,15 +33,31 @@
 	}
 
 	/**
-	 * Merges a notice.
+	 * Merges a notice that has just arrived from the target itself.
 	 * @param notice the notice
 	 * @param nowMs the monotonic time, in milliseconds
 	 * @return true if a change must be forwarded to other processes
 	 */
 	public boolean merge(TargetNotice notice, long nowMs) {
+		return merge(notice, nowMs, nowMs);
+	}
+
+	/**
+	 * Merges a notice that another process passed on.
+	 * @param notice the notice
+	 * @param silenceMs the time since a process received the newest announcement of the
+	 * target, in milliseconds
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return true if a change must be forwarded to other processes
+	 */
+	public boolean mergeRelayed(TargetNotice notice, long silenceMs, long nowMs) {
+		return merge(notice, nowMs - silenceMs, nowMs);
+	}
+
+	private boolean merge(TargetNotice notice, long heardAtMs, long nowMs) {
 		Entry known = this.entries.get(notice.id());
 		if (known == null) {
-			this.entries.put(notice.id(), new Entry(notice, nowMs));
+			this.entries.put(notice.id(), new Entry(notice, heardAtMs, nowMs));
 			return true;
 		}
 		TargetNotice before = known.notice;
@@ -51,10 +67,12 @@
 			known.notice = advances ? before.withState(notice.state()) : before;
 			return advances;
 		}
-		known.heardAtMs = nowMs;
 		TargetNotice merged = (sameStart && before.state().compareTo(notice.state()) > 0)
 				? notice.withState(before.state()) : notice;
 		known.notice = merged;
+		if (!sameStart || notice.sequence() > known.heardSequence) {
+			known.hear(notice.sequence(), heardAtMs, nowMs);
+		}
 		return !haveSameRelevantFields(before, merged);
 	}
 
@@ -64,7 +82,7 @@
 	}
 
 	/**
-	 * Records that another process has heard from targets.
+	 * Records that another process has heard from targets without telling what.
 	 * @param ids the ids of the targets
 	 * @param nowMs the monotonic time, in milliseconds
 	 */
@@ -73,18 +91,42 @@
 	}
 
 	/**
-	 * Returns the targets that were heard from since a point in time.
-	 * @param sinceMs the earliest monotonic time of contact, in milliseconds
-	 * @return the ids of the targets
+	 * Records an announcement that another process received. One that is not newer than
+	 * what is known changes nothing, so that processes cannot keep a silent target alive
+	 * by telling each other of it.
+	 * @param heard the announcement
+	 * @param nowMs the monotonic time, in milliseconds
 	 */
-	public List<String> heardSince(long sinceMs) {
-		return this.entries.entrySet()
+	public void recordHeard(HeardTarget heard, long nowMs) {
+		Entry known = this.entries.get(heard.id());
+		if (known != null && known.notice.bornMs() == heard.bornMs() && heard.sequence() > known.heardSequence) {
+			known.hear(heard.sequence(), nowMs, nowMs);
+		}
+	}
+
+	/**
+	 * Returns the targets of which news has arrived since a point in time.
+	 * @param sinceMs the earliest monotonic time of arrival, in milliseconds
+	 * @return the newest announcement of each of these targets
+	 */
+	public List<HeardTarget> heardSince(long sinceMs) {
+		return this.entries.values()
 			.stream()
-			.filter((entry) -> entry.getValue().heardAtMs >= sinceMs)
-			.map(Map.Entry::getKey)
+			.filter((entry) -> entry.learnedAtMs >= sinceMs)
+			.map((entry) -> new HeardTarget(entry.notice.id(), entry.notice.bornMs(), entry.heardSequence))
 			.toList();
 	}
 
+	/**
+	 * Returns the time since a process heard from a target.
+	 * @param id the id of a known target
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return the time in milliseconds
+	 */
+	public long silenceMs(String id, long nowMs) {
+		return nowMs - this.entries.get(id).heardAtMs;
+	}
+
 	/**
 	 * Returns the newest notice of each known target.
 	 * @return the notices, including those of targets that are gone
@@ -139,11 +181,24 @@
 
 		private TargetNotice notice;
 
-		private long heardAtMs;
+		/** The number of the newest announcement that some process received. */
+		private long heardSequence;
+
+		/** When that announcement was received. */
+		private long heardAtMs = Long.MIN_VALUE / 2;
 
-		Entry(TargetNotice notice, long heardAtMs) {
+		/** When this process learned of that announcement. */
+		private long learnedAtMs;
+
+		Entry(TargetNotice notice, long heardAtMs, long nowMs) {
 			this.notice = notice;
-			this.heardAtMs = heardAtMs;
+			hear(notice.sequence(), heardAtMs, nowMs);
+		}
+
+		void hear(long sequence, long atMs, long nowMs) {
+			this.heardSequence = sequence;
+			this.heardAtMs = Math.max(this.heardAtMs, atMs);
+			this.learnedAtMs = nowMs;
 		}
 
 	}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/directory/TargetDirectoryTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/directory/TargetDirectoryTests.java
@@ -102,11 +102,33 @@
 		assertThat(readyIds(SILENCE_MS + 1), contains("t"));
 	}
 
+	/** Guards against an announcement that counts again when it is told again. */
+	@Test
+	void anAnnouncementCountsOnceHoweverOftenItIsTold() {
+		this.directory.mergeRelayed(notice("t", 2, 4, "10.0.0.1:1", State.READY), 0, 0);
+		this.directory.recordHeard(new HeardTarget("t", 2, 5), 1_000);
+		this.directory.recordHeard(new HeardTarget("t", 2, 5), 3_000);
+		this.directory.merge(notice("t", 2, 5, "10.0.0.1:1", State.READY), 4_000);
+		this.directory.recordHeard(new HeardTarget("t", 1, 99), 4_000);
+		assertThat(readyIds(1_000 + SILENCE_MS), contains("t"));
+		assertThat(readyIds(1_000 + SILENCE_MS + 1), empty());
+		this.directory.recordHeard(new HeardTarget("t", 2, 6), 7_000);
+		assertThat(readyIds(7_000), contains("t"));
+	}
+
+	@Test
+	void aRestartUnderTheSameIdCountsItsAnnouncementsAnew() {
+		this.directory.merge(notice("t", 1, 50, "10.0.0.1:1", State.READY), 0);
+		this.directory.mergeRelayed(notice("t", 2, 1, "10.0.0.1:1", State.READY), 0, 2_000);
+		this.directory.recordHeard(new HeardTarget("t", 2, 2), 6_000);
+		assertThat(readyIds(6_000 + SILENCE_MS), contains("t"));
+	}
+
 	@Test
 	void onlyWhatMattersToOthersIsPassedOn() {
 		this.directory.merge(notice("t", 1, 1, "10.0.0.1:1", State.READY), 0);
 		assertThat(this.directory.merge(notice("t", 1, 2, "10.0.0.1:1", State.READY), 10), is(false));
-		assertThat(this.directory.heardSince(5), contains("t"));
+		assertThat(this.directory.heardSince(5), contains(new HeardTarget("t", 1, 2)));
 		assertThat(this.directory.merge(notice("t", 1, 3, "10.0.0.1:1", State.DRAINING), 20), is(true));
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.control.DirectoryFeeds;
 import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.result.ResultCode;
@@ -200,7 +201,7 @@
 		this.lastFeedAtMs = nowMs();
 		this.control.addAddresses(feed.controlAddresses());
 		for (TargetNotice notice : feed.targets()) {
-			if (this.directory.merge(notice, nowMs())) {
+			if (this.directory.mergeRelayed(notice, feed.silenceMs(notice.id()), nowMs())) {
 				LOGGER.atInfo()
 					.log("event=target_learned target=%s state=%s pool=%s address=%s sequence=%d control=%s",
 							notice.id(), notice.state(), notice.pool(), notice.address(), notice.sequence(),
@@ -210,7 +211,7 @@
 				}
 			}
 		}
-		this.directory.recordHeard(feed.heardTargetIds(), nowMs());
+		DirectoryFeeds.recordHeard(feed, this.directory, nowMs());
 		this.directory.evictSilent(nowMs());
 		RoutingTable table = feed.table();
 		if (table != null && table.number() > tableNumber()) {
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -9,6 +9,7 @@
 
 import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.consensus.ConsensusMessage;
+import org.zinniatack.core.directory.HeardTarget;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobId;
@@ -476,10 +477,26 @@
 	 * @param tableNumber the number of the sender's routing table, 0 for none
 	 * @param table the routing table if it was requested, otherwise null
 	 * @param targets the newest notices of targets that changed
-	 * @param heardTargetIds the ids of targets that sent something recently
+	 * @param heardTargetIds the ids of the heard targets, for receivers of an earlier
+	 * version
+	 * @param heardTargets the newest announcements of targets of which the sender learned
+	 * recently, null from a sender of an earlier version
+	 * @param silenceMsById for each of the notices the time since a process heard from
+	 * the target, in milliseconds, null from a sender of an earlier version
 	 */
 	record SystemFeed(List<String> controlAddresses, Map<String, String> namesByAddress, long tableNumber,
-			@Nullable RoutingTable table, List<TargetNotice> targets, List<String> heardTargetIds) implements Message {
+			@Nullable RoutingTable table, List<TargetNotice> targets, List<String> heardTargetIds,
+			@Nullable List<HeardTarget> heardTargets, @Nullable Map<String, Long> silenceMsById) implements Message {
+
+		/**
+		 * Returns the time since a process heard from a target.
+		 * @param targetId the id of a target whose notice the feed holds
+		 * @return the time in milliseconds, 0 if the sender does not tell
+		 */
+		public long silenceMs(String targetId) {
+			return (this.silenceMsById != null) ? this.silenceMsById.getOrDefault(targetId, 0L) : 0;
+		}
+
 	}
 
 	/**
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
@@ -1,23 +1,32 @@
 package org.zinniatack.wire;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
+import org.zinniatack.core.directory.HeardTarget;
+import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
 
 /**
  * Tests connections, their handshake, their exchanges and the shutdown of the network.
@@ -151,4 +160,30 @@
 		}
 	}
 
+	/**
+	 * Guards against a feed that processes of the previous or the next version cannot
+	 * read.
+	 */
+	@Test
+	void aFeedOfAnEarlierVersionLacksWhatWasAddedAndIsReadable() throws Exception {
+		TargetNotice notice = new TargetNotice("t", 1, 2, "p", "10.0.0.1:1", "a", TargetNotice.State.READY, 8,
+				Map.of());
+		Message.SystemFeed feed = new Message.SystemFeed(List.of(), Map.of(), 3, null, List.of(notice), List.of("t"),
+				List.of(new HeardTarget("t", 1, 2)), Map.of("t", 70L));
+		assertThat(decoded(FrameCodec.encode(new Frame(0, true, feed))), equalTo(feed));
+		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+		JsonNode frame = mapper.readTree(FrameCodec.encode(new Frame(0, true, feed)));
+		((ObjectNode) frame.get(2)).remove(List.of("heardTargets", "silenceMsById"));
+		Message.SystemFeed earlier = (Message.SystemFeed) decoded(mapper.writeValueAsBytes(frame));
+		assertThat(earlier.heardTargetIds(), contains("t"));
+		assertThat(earlier.heardTargets(), is(nullValue()));
+		assertThat(earlier.silenceMs("t"), is(0L));
+		((ObjectNode) frame.get(2)).put("addedLater", 1);
+		assertThat(decoded(mapper.writeValueAsBytes(frame)), equalTo(earlier));
+	}
+
+	private static Message decoded(byte[] bytes) throws IOException {
+		return FrameCodec.decode(bytes).message();
+	}
+
 }
