Believe the target that is heard, and the address itself

What callers saw: once a target with a later start had been announced at the address of a running one, the running one got no request until the other was forgotten, though it went on with its announcements and the address answered 421 to each request for the other.

Cause: of several targets at one address only the latest start counted. When each was heard was not looked at, and a 421 only made the target avoided. Without start times the choice depended on the order of a hash table.

Change: the target that started later has the address, unless it has been silent for half the silence limit while the other is heard, or the address refused to be it later than it refused to be the other. Half the limit is two intervals of announcement, so that late announcements of a target that has ended do not bring it back over its successor. A refusal only decides between two targets that announce one address; it takes none out of use alone, since a 421 may have another cause. Fronts and the leader log the first refusal of a target as target_absent. Without start times the target that was learned last counts as the later one.

Evidence: these new tests failed before: aTargetThatStaysSilentLosesItsAddressToOneThatIsHeard: Expected: iterable containing ["heard"] but: item 0: was "silent" aSilentTargetThatLeavesLosesItsAddressToo: no item was "heard" withoutStartTimesTheTargetThatWasKnownLastHasTheAddress: was "ended" With the refusal recorded by nobody, as before: anAddressThatRefusesToBeATargetGetsTheCallUnderItsOtherId: Expected: is "200 fine" but: was "refused TARGET_BUSY" anAddressThatRefusesToBeTheTargetIsNoted: no item was "t" lateAnnouncementsDoNotBringBackATargetWhoseAddressAnotherHas passed before and passes.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -89,6 +89,18 @@
 		}
 	}
 
+	/**
+	 * Records that another target answered at the address of a target.
+	 * @param target the notice of the target at the time of the request
+	 */
+	public synchronized void recordAbsent(TargetNotice target) {
+		if (this.directory.recordAbsent(target, nowMs())) {
+			LOGGER.atInfo()
+				.log("event=target_absent target=%s pool=%s address=%s sequence=%d", target.id(), target.pool(),
+						target.address(), target.sequence());
+		}
+	}
+
 	/**
 	 * Returns the newest notice of a target.
 	 * @param targetId the id of the target
--- a/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,14 @@
  */
 public final class TargetDirectory {
 
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
+	/** Targets without a start time are taken to have started when they were learned. */
+	private static final Comparator<Entry> STARTED_FIRST = Comparator
+		.<Entry>comparingLong((entry) -> entry.notice.bornMs())
+		.thenComparingLong((entry) -> entry.knownSinceMs)
+		.thenComparing((entry) -> entry.notice.id());
+
 	private final Map<String, Entry> entries = new HashMap<>();
 
 	private final long silenceLimitMs;
@@ -70,6 +79,9 @@
 		TargetNotice merged = (sameStart && before.state().compareTo(notice.state()) > 0)
 				? notice.withState(before.state()) : notice;
 		known.notice = merged;
+		if (!sameStart || !before.address().equals(merged.address())) {
+			known.absentAtMs = NEVER_MS;
+		}
 		if (!sameStart || notice.sequence() > known.heardSequence) {
 			known.hear(notice.sequence(), heardAtMs, nowMs);
 		}
@@ -145,30 +157,69 @@
 	}
 
 	/**
-	 * Returns the targets that accept requests of a pool. Of several targets at one
-	 * address only the one that started last is considered, since the others must have
-	 * ended.
+	 * Records that another target answered at the address of a target.
+	 * @param target the notice of the target at the time of the request
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return true if it is the first such answer since the target started
+	 */
+	public boolean recordAbsent(TargetNotice target, long nowMs) {
+		Entry known = this.entries.get(target.id());
+		if (known == null || known.notice.bornMs() != target.bornMs()
+				|| !known.notice.address().equals(target.address())) {
+			return false;
+		}
+		boolean first = known.absentAtMs == NEVER_MS;
+		known.absentAtMs = nowMs;
+		return first;
+	}
+
+	/**
+	 * Returns the targets that accept requests of a pool, of several at one address only
+	 * one: the one that started last, since the others must have ended, unless it is
+	 * silent while another is heard, or its address refused to be it.
 	 * @param pool the pool
 	 * @param nowMs the monotonic time, in milliseconds
 	 * @return the notices of the targets
 	 */
 	public List<TargetNotice> ready(String pool, long nowMs) {
-		Map<String, TargetNotice> lastByAddress = new HashMap<>();
+		Map<String, Entry> believedByAddress = new HashMap<>();
 		this.entries.values()
-			.forEach((entry) -> lastByAddress.merge(entry.notice.address(), entry.notice,
-					(one, other) -> (one.bornMs() >= other.bornMs()) ? one : other));
+			.forEach((entry) -> believedByAddress.merge(entry.notice.address(), entry,
+					(one, other) -> believed(one, other, nowMs)));
 		List<TargetNotice> ready = new ArrayList<>();
 		for (Entry entry : this.entries.values()) {
 			TargetNotice notice = entry.notice;
-			if (notice.state() == TargetNotice.State.READY && notice.pool().equals(pool)
-					&& nowMs - entry.heardAtMs <= this.silenceLimitMs
-					&& notice.equals(lastByAddress.get(notice.address()))) {
+			if (notice.pool().equals(pool) && isReady(entry, nowMs)
+					&& entry == believedByAddress.get(notice.address())) {
 				ready.add(notice);
 			}
 		}
 		return ready;
 	}
 
+	private boolean isReady(Entry entry, long nowMs) {
+		return entry.notice.state() == TargetNotice.State.READY && nowMs - entry.heardAtMs <= this.silenceLimitMs;
+	}
+
+	/** Returns which of two targets at one address is more likely to be there. */
+	private Entry believed(Entry one, Entry other, long nowMs) {
+		boolean oneIsLater = STARTED_FIRST.compare(one, other) > 0;
+		Entry later = oneIsLater ? one : other;
+		Entry earlier = oneIsLater ? other : one;
+		if (!isReady(earlier, nowMs)) {
+			return later;
+		}
+		// An announcement of a target that has ended may arrive late.
+		boolean heardWhileLaterIsSilent = earlier.heardAtMs - later.heardAtMs > this.silenceLimitMs / 2;
+		if (heardWhileLaterIsSilent && !isReady(later, nowMs)) {
+			return earlier;
+		}
+		if (earlier.absentAtMs != later.absentAtMs) {
+			return (earlier.absentAtMs < later.absentAtMs) ? earlier : later;
+		}
+		return heardWhileLaterIsSilent ? earlier : later;
+	}
+
 	/**
 	 * Removes the targets that have not been heard from for the eviction time.
 	 * @param nowMs the monotonic time, in milliseconds
@@ -185,13 +236,19 @@
 		private long heardSequence;
 
 		/** When that announcement was received. */
-		private long heardAtMs = Long.MIN_VALUE / 2;
+		private long heardAtMs = NEVER_MS;
 
 		/** When this process learned of that announcement. */
 		private long learnedAtMs;
 
+		private final long knownSinceMs;
+
+		/** When another target last answered at the address. */
+		private long absentAtMs = NEVER_MS;
+
 		Entry(TargetNotice notice, long heardAtMs, long nowMs) {
 			this.notice = notice;
+			this.knownSinceMs = nowMs;
 			hear(notice.sequence(), heardAtMs, nowMs);
 		}
 
--- a/zinniatack-core/src/test/java/org/zinniatack/core/directory/TargetDirectoryTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/directory/TargetDirectoryTests.java
@@ -19,6 +19,8 @@
 
 	private static final long SILENCE_MS = 5_000;
 
+	private static final long INTERVAL_MS = SILENCE_MS / 4;
+
 	private final TargetDirectory directory = new TargetDirectory(SILENCE_MS, 60_000);
 
 	private static TargetNotice notice(String id, long bornMs, long sequence, String address, State state) {
@@ -94,6 +96,89 @@
 		assertThat(readyIds(10), contains("new"));
 	}
 
+	/**
+	 * Guards against a target that another writer's single announcement hides for good.
+	 */
+	@Test
+	void aTargetThatStaysSilentLosesItsAddressToOneThatIsHeard() {
+		this.directory.merge(notice("heard", 1, 1, "10.0.0.1:1", State.READY), 0);
+		this.directory.merge(notice("silent", 9, 1, "10.0.0.1:1", State.READY), 1_000);
+		assertThat(readyIds(1_000), contains("silent"));
+		for (int sequence = 2; sequence < 200; sequence++) {
+			long nowMs = sequence * INTERVAL_MS;
+			this.directory.merge(notice("heard", 1, sequence, "10.0.0.1:1", State.READY), nowMs);
+			if (nowMs > 1_000 + SILENCE_MS / 2) {
+				assertThat(readyIds(nowMs), contains("heard"));
+			}
+		}
+	}
+
+	/** Guards against a draining notice of another writer that hides a target. */
+	@Test
+	void aSilentTargetThatLeavesLosesItsAddressToo() {
+		this.directory.merge(notice("silent", 9, 1, "10.0.0.1:1", State.GONE), 0);
+		this.directory.merge(notice("heard", 1, 1, "10.0.0.1:1", State.READY), SILENCE_MS / 2);
+		assertThat(readyIds(SILENCE_MS / 2), empty());
+		this.directory.merge(notice("heard", 1, 2, "10.0.0.1:1", State.READY), SILENCE_MS);
+		assertThat(readyIds(SILENCE_MS), contains("heard"));
+	}
+
+	@Test
+	void lateAnnouncementsDoNotBringBackATargetWhoseAddressAnotherHas() {
+		for (int sequence = 1; sequence < 30; sequence++) {
+			long nowMs = sequence * INTERVAL_MS;
+			this.directory.merge(notice("new", 2, sequence, "10.0.0.1:1", State.READY), nowMs);
+			this.directory.merge(notice("ended", 1, 50 + sequence, "10.0.0.1:1", State.READY), nowMs + INTERVAL_MS - 1);
+			assertThat(readyIds(nowMs + INTERVAL_MS - 1), contains("new"));
+		}
+	}
+
+	/** Guards against an address whose own word counts less than a start time. */
+	@Test
+	void anAddressThatRefusesToBeATargetIsLeftToTheOther() {
+		TargetNotice there = notice("there", 1, 1, "10.0.0.1:1", State.READY);
+		TargetNotice absent = notice("absent", 9, 1, "10.0.0.1:1", State.READY);
+		this.directory.merge(there, 0);
+		this.directory.merge(absent, 0);
+		assertThat(this.directory.recordAbsent(absent, 10), is(true));
+		assertThat(this.directory.recordAbsent(absent, 20), is(false));
+		assertThat(readyIds(20), contains("there"));
+		this.directory.merge(notice("absent", 9, 2, "10.0.0.1:1", State.READY), INTERVAL_MS);
+		assertThat(readyIds(INTERVAL_MS), contains("there"));
+		this.directory.recordAbsent(there, INTERVAL_MS + 1);
+		assertThat(readyIds(INTERVAL_MS + 1), contains("absent"));
+		this.directory.merge(notice("there", 10, 1, "10.0.0.1:1", State.READY), 2 * INTERVAL_MS);
+		assertThat(readyIds(2 * INTERVAL_MS), contains("there"));
+	}
+
+	@Test
+	void aRefusalAloneTakesNoTargetOutOfUse() {
+		TargetNotice only = notice("only", 1, 1, "10.0.0.1:1", State.READY);
+		this.directory.merge(notice("ended", 0, 1, "10.0.0.1:1", State.DRAINING), 0);
+		this.directory.merge(only, 0);
+		this.directory.recordAbsent(only, 10);
+		assertThat(readyIds(10), contains("only"));
+		assertThat(this.directory.recordAbsent(notice("unknown", 1, 1, "10.0.0.1:1", State.READY), 10), is(false));
+	}
+
+	@Test
+	void aRefusedTargetIsUsedAgainOnceTheOtherIsSilent() {
+		TargetNotice there = notice("there", 1, 1, "10.0.0.1:1", State.READY);
+		this.directory.merge(there, 0);
+		this.directory.merge(notice("silent", 9, 1, "10.0.0.1:1", State.READY), 0);
+		this.directory.recordAbsent(there, 10);
+		this.directory.merge(notice("there", 1, 2, "10.0.0.1:1", State.READY), SILENCE_MS + 1);
+		assertThat(readyIds(SILENCE_MS + 1), contains("there"));
+	}
+
+	@Test
+	void withoutStartTimesTheTargetThatWasKnownLastHasTheAddress() {
+		this.directory.merge(notice("ended", 0, 1, "10.0.0.1:1", State.READY), 0);
+		this.directory.merge(notice("a-new", 0, 1, "10.0.0.1:1", State.READY), 10);
+		this.directory.merge(notice("ended", 0, 2, "10.0.0.1:1", State.READY), 20);
+		assertThat(readyIds(20), contains("a-new"));
+	}
+
 	@Test
 	void aSilentTargetIsNotUsedUntilSomeProcessHearsFromIt() {
 		this.directory.merge(notice("t", 1, 1, "10.0.0.1:1", State.READY), 0);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -511,7 +511,7 @@
 				}
 				case WRONG_TARGET -> {
 					this.body.release();
-					this.stats.recordUnreachable(nowMs());
+					CallDispatcher.this.targets.markAbsent(this.target, nowMs());
 					this.pendingCall.onNotRun(this);
 				}
 			}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
@@ -171,7 +171,7 @@
 				this.handler.requeue(this.run);
 			}
 			case WRONG_TARGET -> {
-				this.stats.recordUnreachable(nowMs());
+				this.targets.markAbsent(this.target, nowMs());
 				this.handler.requeue(this.run);
 			}
 		}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -25,6 +25,7 @@
 import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.gateway.call.CallDispatcher;
 import org.zinniatack.gateway.http.TargetClient;
+import org.zinniatack.gateway.target.TargetObserver;
 import org.zinniatack.gateway.target.TargetProtocol;
 import org.zinniatack.gateway.target.TargetSelector;
 import org.zinniatack.process.ProcessStatus;
@@ -108,7 +109,7 @@
 		this.usageCounter = new UsageCounter(Math.round(1_000 * settings.usageWindowS()));
 		this.client = new TargetClient(loop, protocol);
 		this.targets = new TargetSelector((pool) -> this.directory.ready(pool, nowMs()), settings.failureDomain(),
-				this.client::hasIdleConnection, this::onTargetLeaving);
+				this.client::hasIdleConnection, new AnswerObserver());
 		this.dispatcher = new CallDispatcher(loop, this.client, protocol, this.targets);
 	}
 
@@ -224,15 +225,6 @@
 		this.tableRequests.recordAnnouncement(peer, feed.tableNumber());
 	}
 
-	private void onTargetLeaving(TargetNotice target) {
-		if (this.directory.merge(target.asDraining(), nowMs())) {
-			LOGGER.atInfo()
-				.log("event=target_leaving target=%s pool=%s address=%s sequence=%d source=answer", target.id(),
-						target.pool(), target.address(), target.sequence());
-			this.client.closeIdleConnections(target.address());
-		}
-	}
-
 	/**
 	 * Returns the routes and customers of the current routing table.
 	 * @return the index, or empty before the first table has arrived
@@ -344,4 +336,28 @@
 		return this.targets.ready(pool);
 	}
 
+	/** Changes the directory according to the answers of targets. */
+	private final class AnswerObserver implements TargetObserver {
+
+		@Override
+		public void onLeaving(TargetNotice target) {
+			if (GatewayService.this.directory.merge(target.asDraining(), nowMs())) {
+				LOGGER.atInfo()
+					.log("event=target_leaving target=%s pool=%s address=%s sequence=%d source=answer", target.id(),
+							target.pool(), target.address(), target.sequence());
+				GatewayService.this.client.closeIdleConnections(target.address());
+			}
+		}
+
+		@Override
+		public void onAbsent(TargetNotice target) {
+			if (GatewayService.this.directory.recordAbsent(target, nowMs())) {
+				LOGGER.atInfo()
+					.log("event=target_absent target=%s pool=%s address=%s sequence=%d", target.id(), target.pool(),
+							target.address(), target.sequence());
+			}
+		}
+
+	}
+
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetSelector.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetSelector.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -32,7 +31,7 @@
 
 	private final Predicate<String> hasIdleConnection;
 
-	private final Consumer<TargetNotice> onLeaving;
+	private final TargetObserver observer;
 
 	private final Map<String, TargetStats> statsById = new HashMap<>();
 
@@ -42,15 +41,14 @@
 	 * @param failureDomain the failure domain of this process
 	 * @param hasIdleConnection returns for an address whether an idle connection to it
 	 * exists
-	 * @param onLeaving accepts the notice of a target that announced in an answer that it
-	 * is leaving
+	 * @param observer accepts what answers tell about targets
 	 */
 	public TargetSelector(Function<String, List<TargetNotice>> readyByPool, String failureDomain,
-			Predicate<String> hasIdleConnection, Consumer<TargetNotice> onLeaving) {
+			Predicate<String> hasIdleConnection, TargetObserver observer) {
 		this.readyByPool = readyByPool;
 		this.failureDomain = failureDomain;
 		this.hasIdleConnection = hasIdleConnection;
-		this.onLeaving = onLeaving;
+		this.observer = observer;
 	}
 
 	/**
@@ -68,7 +66,18 @@
 	 * @param target the notice of the target at the time of the request
 	 */
 	public void markLeaving(TargetNotice target) {
-		this.onLeaving.accept(target);
+		this.observer.onLeaving(target);
+	}
+
+	/**
+	 * Records that another target answered at the address of a target, which is avoided
+	 * for a while and loses its address to another that announces the same.
+	 * @param target the notice of the target at the time of the request
+	 * @param nowMs the monotonic time, in milliseconds
+	 */
+	public void markAbsent(TargetNotice target, long nowMs) {
+		stats(target.id()).recordUnreachable(nowMs);
+		this.observer.onAbsent(target);
 	}
 
 	/**
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CallDispatcherTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CallDispatcherTests.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.result.Outcome;
 import org.zinniatack.core.result.ResultCode;
@@ -29,6 +30,7 @@
 import org.zinniatack.gateway.http.ScriptedProtocol;
 import org.zinniatack.gateway.http.ScriptedTarget;
 import org.zinniatack.gateway.http.TargetClient;
+import org.zinniatack.gateway.target.TargetObserver;
 import org.zinniatack.gateway.target.TargetSelector;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -81,12 +83,16 @@
 	}
 
 	private String run(RouteKind kind, long timeoutMs) throws Exception {
+		return run(this.dispatcher, kind, timeoutMs);
+	}
+
+	private String run(CallDispatcher callDispatcher, RouteKind kind, long timeoutMs) throws Exception {
 		Route route = new Route("r", "h", "/", kind, false, true, timeoutMs, 100, 0, 2, List.of(new PoolShare("p", 1)),
 				0, 0, false);
 		Call call = new Call("r", route, "customer", HttpMethod.POST, "/x",
 				new DefaultHttpHeaders().set("id", "r").set("key", "secret"), new byte[0], 5_000);
 		CompletableFuture<String> outcome = new CompletableFuture<>();
-		this.loop.execute(() -> this.dispatcher.dispatch(call, new TextSink(outcome)));
+		this.loop.execute(() -> callDispatcher.dispatch(call, new TextSink(outcome)));
 		return outcome.get(WAIT_S, TimeUnit.SECONDS);
 	}
 
@@ -194,6 +200,27 @@
 		}
 	}
 
+	/**
+	 * Guards against a call that is lost although its address runs it under another id.
+	 */
+	@Test
+	void anAddressThatRefusesToBeATargetGetsTheCallUnderItsOtherId() throws Exception {
+		String refusal = "HTTP/1.1 421 Misdirected Request\r\nid: r\r\nContent-Length: 0\r\n\r\n";
+		try (ScriptedTarget target = new ScriptedTarget(refusal, SUCCESS)) {
+			TargetDirectory directory = new TargetDirectory(5_000, 120_000);
+			for (String id : List.of("there", "absent")) {
+				directory.merge(new TargetNotice(id, 1 + directory.notices().size(), 1, "p", target.address(), "a",
+						TargetNotice.State.READY, 4, Map.of()), 0);
+			}
+			CallDispatcher callDispatcher = new CallDispatcher(this.loop, this.client, this.protocol,
+					new TargetSelector((pool) -> directory.ready(pool, 0), "a", this.client::hasIdleConnection,
+							new AbsenceRecorder(directory)));
+			assertThat(run(callDispatcher, RouteKind.AT_MOST_ONCE, 5_000), is("200 fine"));
+			assertThat(target.requests().get(0), containsString("expect: absent"));
+			assertThat(target.requests().get(1), containsString("expect: there"));
+		}
+	}
+
 	@Test
 	void noTargetSeesAKey() throws Exception {
 		try (ScriptedTarget first = target("t1", SUCCESS)) {
@@ -251,4 +278,18 @@
 
 	}
 
+	/** Records in a directory which targets are absent. */
+	private record AbsenceRecorder(TargetDirectory directory) implements TargetObserver {
+
+		@Override
+		public void onLeaving(TargetNotice target) {
+		}
+
+		@Override
+		public void onAbsent(TargetNotice target) {
+			this.directory.recordAbsent(target, 0);
+		}
+
+	}
+
 }
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
@@ -37,6 +37,9 @@
 		if (response.headers().contains("not-run")) {
 			return RequestOutcome.NOT_RUN;
 		}
+		if (response.status().code() == 421) {
+			return RequestOutcome.WRONG_TARGET;
+		}
 		return (response.status().code() == 200) ? RequestOutcome.ANSWERED : RequestOutcome.FAILED;
 	}
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemAttemptTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemAttemptTests.java
@@ -30,6 +30,7 @@
 import org.zinniatack.gateway.http.RequestFailure;
 import org.zinniatack.gateway.http.ScriptedProtocol;
 import org.zinniatack.gateway.target.LoadedVersions;
+import org.zinniatack.gateway.target.TargetObserver;
 import org.zinniatack.gateway.target.TargetSelector;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -62,11 +63,13 @@
 
 	private final List<String> leavingIds = new ArrayList<>();
 
+	private final List<String> absentIds = new ArrayList<>();
+
 	private final ItemRun run = new ItemRun(JOB, ITEM, 0, new EventText((line) -> OptionalLong.empty()), 0);
 
 	private final ItemAttempt attempt = new ItemAttempt(this.channel.eventLoop(), new ScriptedProtocol(),
-			new LoadedVersions(), new TargetSelector((pool) -> List.of(TARGET), "a", (address) -> true,
-					(target) -> this.leavingIds.add(target.id())),
+			new LoadedVersions(),
+			new TargetSelector((pool) -> List.of(TARGET), "a", (address) -> true, new RecordingObserver()),
 			new RecordingHandler(), this.run, ROUTE, TARGET);
 
 	@BeforeEach
@@ -205,6 +208,29 @@
 		assertThat(this.outcomes, contains("lost"));
 	}
 
+	/** Guards against an item whose target's absence only makes the target avoided. */
+	@Test
+	void anAddressThatRefusesToBeTheTargetIsNoted() {
+		head(421);
+		this.attempt.onEnd(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(421)));
+		assertThat(this.absentIds, contains("t"));
+	}
+
+	/** Records what answers tell about the target. */
+	private final class RecordingObserver implements TargetObserver {
+
+		@Override
+		public void onLeaving(TargetNotice target) {
+			ItemAttemptTests.this.leavingIds.add(target.id());
+		}
+
+		@Override
+		public void onAbsent(TargetNotice target) {
+			ItemAttemptTests.this.absentIds.add(target.id());
+		}
+
+	}
+
 	/** Records the handling of the item. */
 	private final class RecordingHandler implements ItemAttempt.AttemptHandler {
 
