End a stream as complete only at the end of an event

A head or a text that a target sent behind its events was passed on as if it were events.

Cause: the bytes of a stream were passed on as they came. A response without a length was taken as complete whenever its connection closed, and a process that crashes after it has read its request closes without a reset.

CallStream passes on whole events with rising ids only, and is complete if the framing says so and no part of an event is left; a response without a length also needs one event at least. Else the caller's connection is closed without a last chunk. A response that is no event stream (another status or content type) is answered whole instead of being streamed.

The endless stream of EndlessAnswerTests now consists of events: one without events is ended by the bound on an event before its caller's bound is reached.

A response without a length that is closed exactly at the end of an event can't be told from a whole one by its framing.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -125,6 +125,8 @@
 
 		private final CallSink sink;
 
+		private final CallStream stream;
+
 		private final long startedAtMs = nowMs();
 
 		/** The deadline given to targets. */
@@ -143,8 +145,6 @@
 
 		private boolean finished;
 
-		private boolean streaming;
-
 		private boolean executionReported;
 
 		/** The target whose response the caller gets, or empty without a response. */
@@ -162,6 +162,7 @@
 		PendingCall(Call call, CallSink sink) {
 			this.call = call;
 			this.sink = sink;
+			this.stream = new CallStream(sink);
 			this.targetDeadlineMs = this.startedAtMs
 					+ Math.min(Math.max(1, call.deadlineMs() - RETURN_MARGIN_MS), call.route().timeoutMs());
 			this.callDeadlineMs = this.startedAtMs
@@ -211,7 +212,7 @@
 		}
 
 		private void sendHedge() {
-			if (!this.finished && !this.streaming && sendNext()) {
+			if (!this.finished && !this.stream.isBegun() && sendNext()) {
 				log("hedged", ResultCode.OK);
 			}
 		}
@@ -221,7 +222,7 @@
 				return;
 			}
 			this.runningAttempts.forEach((attempt) -> attempt.stats.recordUnreachable(nowMs()));
-			if (this.streaming) {
+			if (this.stream.isBegun()) {
 				breakStream();
 				return;
 			}
@@ -318,10 +319,9 @@
 		}
 
 		/** Starts to forward a stream; a streamed call has one attempt at a time. */
-		void beginStream(TargetNotice target, HttpResponse head) {
-			this.streaming = true;
+		CallStream.Part beginStream(TargetNotice target, HttpResponse head) {
 			recordAnswer(target.id(), head);
-			this.sink.beginStream(head);
+			return this.stream.begin(head);
 		}
 
 		private void recordAnswer(String targetId, HttpResponse head) {
@@ -400,6 +400,9 @@
 
 		private @Nullable RequestOutcome requestOutcome;
 
+		/** What this target sends of the stream, or null if it sends a plain answer. */
+		private CallStream.@Nullable Part streamPart;
+
 		private Runnable canceller = () -> {
 		};
 
@@ -448,22 +451,20 @@
 				this.pendingCall.executionStarted();
 			}
 			if (this.requestOutcome == RequestOutcome.ANSWERED
-					&& this.pendingCall.call.route().kind() == RouteKind.STREAM) {
-				this.pendingCall.beginStream(this.target, head);
+					&& this.pendingCall.call.route().kind() == RouteKind.STREAM && CallStream.isStream(head)) {
+				this.streamPart = this.pendingCall.beginStream(this.target, head);
 			}
 		}
 
 		@Override
 		public long maximumBodyBytes() {
-			return this.pendingCall.streaming ? Long.MAX_VALUE : MAXIMUM_BODY_BYTES;
+			return (this.streamPart != null) ? Long.MAX_VALUE : MAXIMUM_BODY_BYTES;
 		}
 
 		@Override
 		public void onContent(ByteBuf content) {
-			if (this.pendingCall.streaming) {
-				if (!this.pendingCall.sink.continueStream(content)) {
-					this.pendingCall.breakStream();
-				}
+			if (this.streamPart != null) {
+				readStream(this.streamPart, content);
 			}
 			else if (canBuffer(content.readableBytes())) {
 				CallDispatcher.this.bufferedBytes += content.readableBytes();
@@ -474,6 +475,18 @@
 			}
 		}
 
+		private void readStream(CallStream.Part part, ByteBuf content) {
+			switch (part.read(content)) {
+				case PASSED_ON -> {
+				}
+				case UNREAD -> this.pendingCall.breakStream();
+				case INVALID -> {
+					this.canceller.run();
+					onFailure(new RequestFailure(true, "the stream goes on with something that is not its next event"));
+				}
+			}
+		}
+
 		private boolean canBuffer(int bytes) {
 			return this.body.readableBytes() + bytes <= ALWAYS_BUFFERED_BYTES
 					|| CallDispatcher.this.bufferedBytes + bytes <= MAXIMUM_BUFFERED_BYTES;
@@ -487,13 +500,11 @@
 
 		@Override
 		public void onEnd(HttpResponse head) {
-			end();
-			if (this.pendingCall.streaming) {
-				this.stats.recordSuccess();
-				this.body.release();
-				this.pendingCall.endStream();
+			if (this.streamPart != null) {
+				onStreamEnd(this.streamPart, head);
 				return;
 			}
+			end();
 			RequestOutcome finalOutcome = (this.requestOutcome != null) ? this.requestOutcome : RequestOutcome.FAILED;
 			switch (finalOutcome) {
 				case ANSWERED -> {
@@ -517,6 +528,17 @@
 			}
 		}
 
+		private void onStreamEnd(CallStream.Part part, HttpResponse head) {
+			if (!part.isCompleteAtEnd(head)) {
+				onFailure(new RequestFailure(true, "the stream ended without its last event"));
+				return;
+			}
+			end();
+			this.stats.recordSuccess();
+			this.body.release();
+			this.pendingCall.endStream();
+		}
+
 		@Override
 		public void onFailure(RequestFailure failure) {
 			end();
@@ -525,7 +547,7 @@
 				.log("event=attempt_lost request=%s target=%s may_have_run=%s detail=\"%s\"",
 						this.pendingCall.call.requestId(), this.target.id(), failure.mayHaveRun(), failure.detail());
 			this.stats.recordUnreachable(nowMs());
-			if (this.pendingCall.streaming) {
+			if (this.pendingCall.stream.isBegun()) {
 				this.pendingCall.breakStream();
 			}
 			else {
--- /dev/null
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/event/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Event streams: the framing of the events that targets send.
+ */
+@NullMarked
+package org.zinniatack.gateway.event;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
@@ -0,0 +1,320 @@
+package org.zinniatack.gateway.call;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.table.PoolShare;
+import org.zinniatack.core.table.Route;
+import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.gateway.http.ScriptedProtocol;
+import org.zinniatack.gateway.http.ScriptedTarget;
+import org.zinniatack.gateway.http.StreamTarget;
+import org.zinniatack.gateway.http.StreamTarget.Framing;
+import org.zinniatack.gateway.http.TargetClient;
+import org.zinniatack.gateway.target.TargetSelector;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.in;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link CallDispatcher} with responses that are cut: at every byte, for each
+ * kind of request and framing, by a close and by a reset of the connection.
+ */
+class CutAnswerTests {
+
+	private static final long WAIT_S = 10;
+
+	private static final String WHOLE = StreamTarget.events(1, StreamTarget.EVENT_COUNT);
+
+	/** A stream that breaks off in its third event. */
+	private static final String CUT_STREAM = "HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\n\r\n" + StreamTarget.events(1, 2)
+			+ "id: 3\nda" + ScriptedTarget.THEN_HANG_UP;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	private final List<TargetNotice> readyTargets = new ArrayList<>();
+
+	private final ScriptedProtocol protocol = new ScriptedProtocol();
+
+	private final TargetClient client = new TargetClient(this.loop, this.protocol);
+
+	private final CallDispatcher dispatcher = new CallDispatcher(this.loop, this.client, this.protocol,
+			new TargetSelector((pool) -> this.readyTargets, "a", (address) -> true, (target) -> {
+			}));
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	private void addTarget(String id, String address) {
+		this.readyTargets.add(new TargetNotice(id, 1, 1, "p", address, "a", TargetNotice.State.READY, 4, Map.of()));
+	}
+
+	private ScriptedTarget target(String id, String... script) throws IOException {
+		ScriptedTarget target = new ScriptedTarget(script);
+		addTarget(id, target.address());
+		return target;
+	}
+
+	private Outcome run(RouteKind kind, boolean resumable, int maximumAttempts) throws Exception {
+		Route route = new Route("r", "h", "/", kind, resumable, true, 5_000, 5_000, 0, maximumAttempts,
+				List.of(new PoolShare("p", 1)), 0, 0, false);
+		Call call = new Call("r", route, "customer", HttpMethod.POST, "/x", new DefaultHttpHeaders().set("id", "r"),
+				new byte[0], 5_000);
+		RecordingSink sink = new RecordingSink();
+		this.loop.execute(() -> this.dispatcher.dispatch(call, sink));
+		return sink.outcome.get(WAIT_S, TimeUnit.SECONDS);
+	}
+
+	/** Runs a check for each cut position, or in steps if not all are asked for. */
+	private void forEachCut(Framing framing, CutCheck check) throws Exception {
+		int step = Boolean.getBoolean("zinniatack.allCuts") ? 1 : 7;
+		try (StreamTarget target = new StreamTarget(framing)) {
+			addTarget("t1", target.address());
+			addTarget("t2", target.address());
+			int length = target.response(0).length();
+			for (int cut = 0; cut <= length; cut += (isNearBoundary(target, cut)) ? 1 : step) {
+				for (boolean reset : new boolean[] { false, true }) {
+					target.cutNext(cut, reset);
+					check.check(target, new Cut(framing, cut, reset, target.response(0)));
+				}
+			}
+		}
+	}
+
+	/** Cuts around the ends of the head, of an event and of the response always count. */
+	private static boolean isNearBoundary(StreamTarget target, int cut) {
+		String response = target.response(0);
+		String around = response.substring(Math.max(0, cut - 2), Math.min(response.length(), cut + 3));
+		return around.contains("\n\n") || around.contains("\r\n\r\n") || cut + 3 >= response.length();
+	}
+
+	// A target that crashed in the middle of an event made the caller's stream complete.
+	@ParameterizedTest
+	@EnumSource(Framing.class)
+	void aStreamThatMayNotBeResumedIsBrokenAfterItsLastWholeEventWhereverItIsCut(Framing framing) throws Exception {
+		forEachCut(framing, (target, cut) -> {
+			Outcome outcome = run(RouteKind.STREAM, false, 2);
+			assertThat(cut.toString(), outcome, is(in(cut.outcomesWithoutResumption())));
+			assertThat(cut.toString(), target.resumedAfter(), is(List.of(0)));
+		});
+	}
+
+	@ParameterizedTest
+	@EnumSource(Framing.class)
+	void aPlainAnswerIsWholeWhereverItIsCutUnlessOnlyItsConnectionMarksItsEnd(Framing framing) throws Exception {
+		forEachCut(framing, (target, cut) -> {
+			Outcome outcome = run(RouteKind.IDEMPOTENT, false, 2);
+			boolean looksWhole = cut.hasHead() && framing == Framing.NONE && !cut.reset();
+			assertThat(cut.toString(), outcome,
+					is(new Outcome("200 s", looksWhole ? cut.received() : WHOLE, "answered")));
+		});
+	}
+
+	// An error's head and text behind the events of a stream were passed on as events.
+	@Test
+	void aHeadGluedBehindTheEventsOfAStreamIsNotPassedOn() throws Exception {
+		String error = "HTTP/1.1 500 Bad\r\nContent-Length: 4\r\n\r\nbad\n\n";
+		for (String tail : List.of(error, "bad gateway\n\n", "error\n\n", "data: e3\n\n", "id: 2\ndata: e2\n\n")) {
+			this.readyTargets.clear();
+			try (ScriptedTarget first = target("t1", "HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\n\r\n"
+					+ StreamTarget.events(1, 2) + tail + ScriptedTarget.THEN_HANG_UP)) {
+				assertThat(run(RouteKind.STREAM, false, 2),
+						is(new Outcome("200 s", StreamTarget.events(1, 2), "broken")));
+			}
+		}
+	}
+
+	@Test
+	void aStreamWithoutIdsIsPassedOnAndNeverResumed() throws Exception {
+		String events = "data: a\n\ndata: b\n\n";
+		String cut = "HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\n\r\n" + events + "data" + ScriptedTarget.THEN_HANG_UP;
+		try (ScriptedTarget first = target("t1", cut); ScriptedTarget second = target("t2", cut)) {
+			assertThat(run(RouteKind.STREAM, true, 2), is(new Outcome("200 s", events, "broken")));
+			assertThat(first.requests().size() + second.requests().size(), is(1));
+		}
+	}
+
+	@Test
+	void anErrorInsteadOfAStreamIsAnsweredWhole() throws Exception {
+		String sealed = "HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+		try (ScriptedTarget first = target("t1", sealed)) {
+			assertThat(run(RouteKind.STREAM, false, 2), is(new Outcome("200 s", "{}", "answered")));
+		}
+	}
+
+	/** Checks the outcome of a call whose first response is cut. */
+	@FunctionalInterface
+	private interface CutCheck {
+
+		void check(StreamTarget target, Cut cut) throws Exception;
+
+	}
+
+	/**
+	 * A cut of the response of a {@link StreamTarget}.
+	 *
+	 * @param framing the framing of the response
+	 * @param bytes the bytes that are sent
+	 * @param reset true if the connection is reset
+	 * @param response the whole response
+	 */
+	private record Cut(Framing framing, int bytes, boolean reset, String response) {
+
+		boolean hasHead() {
+			return this.bytes >= headBytes();
+		}
+
+		private int headBytes() {
+			return this.response.indexOf("\r\n\r\n") + 4;
+		}
+
+		/** Returns the part of the body that is sent, as sent. */
+		String received() {
+			return hasHead() ? this.response.substring(headBytes(), this.bytes) : "";
+		}
+
+		int wholeEventCount() {
+			int count = 0;
+			for (int id = 1; id <= StreamTarget.EVENT_COUNT; id++) {
+				String event = StreamTarget.events(id, id);
+				count += (this.response.indexOf(event) + event.length() <= this.bytes) ? 1 : 0;
+			}
+			return count;
+		}
+
+		/**
+		 * Returns what a caller may get if the stream is not resumed. A reset may take
+		 * bytes with it that were sent before.
+		 */
+		List<Outcome> outcomesWithoutResumption() {
+			List<Outcome> outcomes = new ArrayList<>();
+			if (looksComplete()) {
+				outcomes.add(new Outcome("200 s", wholeEvents(), "whole"));
+			}
+			if (hasHead() && !looksComplete()) {
+				outcomes.add(new Outcome("200 s", wholeEvents(), "broken"));
+			}
+			for (int count = 0; this.reset && hasHead() && count < wholeEventCount(); count++) {
+				outcomes.add(new Outcome("200 s", StreamTarget.events(1, count), "broken"));
+			}
+			if (this.reset || !hasHead()) {
+				outcomes.add(new Outcome("", "", "refused " + ResultCode.OUTCOME_UNKNOWN));
+			}
+			return outcomes;
+		}
+
+		String wholeEvents() {
+			return StreamTarget.events(1, wholeEventCount());
+		}
+
+		/** Returns whether nothing tells the cut response from a whole one. */
+		boolean looksComplete() {
+			return switch (this.framing) {
+				case LENGTH, CHUNKED -> this.bytes == this.response.length();
+				case NONE -> !this.reset && wholeEventCount() > 0 && wholeEvents().equals(received());
+			};
+		}
+
+		@Override
+		public String toString() {
+			return "%s cut at byte %d of %d by a %s".formatted(this.framing, this.bytes, this.response.length(),
+					this.reset ? "reset" : "close");
+		}
+
+	}
+
+	/**
+	 * What a caller gets.
+	 *
+	 * @param head the status and seal
+	 * @param body the body
+	 * @param end how it ended
+	 */
+	private record Outcome(String head, String body, String end) {
+	}
+
+	/** Records what a caller gets. */
+	private final class RecordingSink implements CallSink {
+
+		private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+
+		private final StringBuilder body = new StringBuilder();
+
+		private String head = "";
+
+		private void setHead(HttpResponse response) {
+			assertThat(this.head.isEmpty(), is(true));
+			this.head = response.status().code() + " " + CutAnswerTests.this.protocol.seal(response).orElse("");
+		}
+
+		private void end(String how) {
+			this.outcome.complete(new Outcome(this.head, this.body.toString(), how));
+		}
+
+		@Override
+		public void answer(HttpResponse response, ByteBuf content) {
+			setHead(response);
+			this.body.append(content.toString(StandardCharsets.US_ASCII));
+			content.release();
+			end("answered");
+		}
+
+		@Override
+		public void refuse(ResultCode code, long retryAfterMs) {
+			end("refused " + code);
+		}
+
+		@Override
+		public void beginStream(HttpResponse response) {
+			setHead(response);
+		}
+
+		@Override
+		public boolean continueStream(ByteBuf content) {
+			this.body.append(content.toString(StandardCharsets.US_ASCII));
+			return true;
+		}
+
+		@Override
+		public void endStream() {
+			end("whole");
+		}
+
+		@Override
+		public void breakStream() {
+			end("broken");
+		}
+
+		@Override
+		public void executionStarted() {
+			// The tests do not check when execution starts.
+		}
+
+	}
+
+}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/EndlessAnswerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/EndlessAnswerTests.java
@@ -193,7 +193,7 @@
 	@Test
 	void aStreamWhoseCallerDoesNotReadIsBroken() throws Exception {
 		try (ScriptedTarget target = target("t",
-				ScriptedTarget.endless(CHUNKED, "4\r\nxxxx\r\n", ScriptedTarget.ENDLESSLY))) {
+				ScriptedTarget.endless(CHUNKED, "9\r\ndata: x\n\n\r\n", ScriptedTarget.ENDLESSLY))) {
 			assertThat(call(RouteKind.STREAM, LONG_TIMEOUT_MS).get(WAIT_S, TimeUnit.SECONDS), is("broken"));
 			awaitClosed(target);
 			assertThat(target.endlessByteCount(), lessThan(SOCKET_BYTES));
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
@@ -25,6 +25,9 @@
 	public void setSystemHeaders(HttpHeaders headers, RequestContext context) {
 		headers.remove("key");
 		headers.set("expect", context.targetId());
+		if (context.resumeAfterEvent() > 0) {
+			headers.set("after", context.resumeAfterEvent());
+		}
 	}
 
 	@Override
