Resume a stream that broke off at another target, in the same response

Cause: `resumable` was read into Route and used by nothing.

Evidence: CutAnswerTests on the code before: aStreamThatMayBeResumedIsWholeWhereverItIsCut LENGTH cut at byte 0 of 131 by a close Expected: Outcome[head=200 s, body=id: 1 ..., end=whole] but: was Outcome[head=, body=, end=refused OUTCOME_UNKNOWN] afterAnErrorAThirdTargetResumesTheStream, and eight cases of nothingOfAnotherAnswerEntersAStreamThatHasBegun (second target: expected 1 request, was 0).

Why the fix works: Route.isRepeatable names the streams that may be repeated. When one is cut, its connection is closed first; then the next target gets the request with the id of the last event that was passed on, within maxAttempts and the deadline. Its response continues the stream only if it has a seal, the first response's status, and the next event as its first. Nothing of any other response is passed on; then the next target is tried, or the caller's connection is closed without a last chunk. A stream lacks an event as long as one was begun and never passed on, whatever the framing of a later part says. A stream with events without ids is never resumed.

A part without a length and without any event does not complete a stream: its target may have crashed after the head. A stream that is reset right behind its last event and resumed by such a target is therefore broken.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/Route.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/Route.java
@@ -33,6 +33,14 @@
 		shares = List.copyOf(shares);
 	}
 
+	/**
+	 * Returns whether a request may be retried although it may already have run.
+	 * @return true if running the request twice is harmless
+	 */
+	public boolean isRepeatable() {
+		return this.kind.isRepeatable() || (this.kind == RouteKind.STREAM && this.resumable);
+	}
+
 	/**
 	 * Selects a pool in proportion to the weights of the shares.
 	 * @param position a number from 0 inclusive to 1 exclusive, evenly distributed over
--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteKind.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteKind.java
@@ -11,7 +11,10 @@
 	/** A request runs at most once for each attempt of its caller. */
 	AT_MOST_ONCE,
 
-	/** As {@link #AT_MOST_ONCE}, with an event stream as the response. */
+	/**
+	 * As {@link #AT_MOST_ONCE}, with an event stream as the response. A route may state
+	 * that its streams can be resumed, and so repeated.
+	 */
 	STREAM,
 
 	/** Requests arrive as jobs of many items, each of which may run more than once. */
--- a/zinniatack-core/src/test/java/org/zinniatack/core/table/RoutingTableTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/table/RoutingTableTests.java
@@ -48,6 +48,18 @@
 		throw new AssertionError("an invalid table was accepted, expected: " + reason);
 	}
 
+	@Test
+	void aStreamMayBeRepeatedOnlyIfItMayBeResumed() {
+		for (RouteKind kind : RouteKind.values()) {
+			for (boolean resumable : new boolean[] { false, true }) {
+				Route route = new Route("r", "h.example", "/a/", kind, resumable, false, 10, 100, 0, 2,
+						List.of(new PoolShare("p", 1)), 0, 0, false);
+				boolean expected = kind.isRepeatable() || (kind == RouteKind.STREAM && resumable);
+				assertThat(kind + " " + resumable, route.isRepeatable(), is(expected));
+			}
+		}
+	}
+
 	@Test
 	void aTableThatCannotBePutInForceIsRefusedWithTheReason() {
 		PoolShare share = new PoolShare("p", 1);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -250,12 +250,21 @@
 			if (this.finished) {
 				return;
 			}
-			boolean repeatable = !this.mayHaveRun || this.call.route().kind().isRepeatable();
+			boolean repeatable = !this.mayHaveRun || this.call.route().isRepeatable();
 			if (this.runningAttempts.isEmpty() && !(repeatable && sendNext())) {
 				finishUnanswered();
 			}
 		}
 
+		/** Lets another target resume the stream, or breaks it. */
+		void onStreamCut(Attempt attempt) {
+			this.runningAttempts.remove(attempt);
+			this.mayHaveRun = true;
+			if (!this.finished && !(this.call.route().isRepeatable() && this.stream.isResumable() && sendNext())) {
+				finishUnanswered();
+			}
+		}
+
 		void onFailed(Attempt attempt, FullResponse response) {
 			this.runningAttempts.remove(attempt);
 			this.mayHaveRun = true;
@@ -264,7 +273,7 @@
 				return;
 			}
 			this.sink.attemptFailed(response.head().status().code());
-			if (!this.call.route().kind().isRepeatable()) {
+			if (!this.call.route().isRepeatable()) {
 				finish(response);
 				return;
 			}
@@ -293,7 +302,10 @@
 		/** Ends the call with the outcome known so far when no target is left to try. */
 		private void finishUnanswered() {
 			FullResponse failure = this.lastFailure;
-			if (failure != null) {
+			if (this.stream.isBegun()) {
+				breakStream();
+			}
+			else if (failure != null) {
 				this.lastFailure = null;
 				finish(failure);
 			}
@@ -318,8 +330,15 @@
 			this.sink.refuse(code, retryAfterMs);
 		}
 
-		/** Starts to forward a stream; a streamed call has one attempt at a time. */
-		CallStream.Part beginStream(TargetNotice target, HttpResponse head) {
+		/** Forwards or resumes a stream; a streamed call has one attempt at a time. */
+		CallStream.Part forwardStream(TargetNotice target, HttpResponse head) {
+			if (this.stream.isBegun()) {
+				LOGGER.atInfo()
+					.log("event=stream_resumed request=%s target=%s after_event=%d first_target=%s sent=%d",
+							this.call.requestId(), target.id(), this.stream.resumeAfterEvent(), this.answeringTargetId,
+							this.sentCount);
+				return this.stream.resume();
+			}
 			recordAnswer(target.id(), head);
 			return this.stream.begin(head);
 		}
@@ -420,8 +439,10 @@
 					Unpooled.wrappedBuffer(call.body()));
 			request.headers().set(call.headers());
 			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
-			CallDispatcher.this.protocol.setSystemHeaders(request.headers(), new TargetProtocol.RequestContext(
-					this.target.id(), call.customer(), Math.max(1, this.pendingCall.targetDeadlineMs - nowMs()), 0));
+			CallDispatcher.this.protocol.setSystemHeaders(request.headers(),
+					new TargetProtocol.RequestContext(this.target.id(), call.customer(),
+							Math.max(1, this.pendingCall.targetDeadlineMs - nowMs()),
+							this.pendingCall.stream.resumeAfterEvent()));
 			this.stats.recordSent();
 			this.canceller = CallDispatcher.this.client.send(this.target.address(), request, this);
 		}
@@ -450,9 +471,19 @@
 			if (this.requestOutcome == RequestOutcome.ANSWERED || this.requestOutcome == RequestOutcome.FAILED) {
 				this.pendingCall.executionStarted();
 			}
-			if (this.requestOutcome == RequestOutcome.ANSWERED
-					&& this.pendingCall.call.route().kind() == RouteKind.STREAM && CallStream.isStream(head)) {
-				this.streamPart = this.pendingCall.beginStream(this.target, head);
+			if (this.requestOutcome == RequestOutcome.ANSWERED) {
+				onAnswerHead(head);
+			}
+		}
+
+		private void onAnswerHead(HttpResponse head) {
+			CallStream stream = this.pendingCall.stream;
+			boolean sealed = CallDispatcher.this.protocol.seal(head).isPresent();
+			if (stream.isBegun() && !(sealed && stream.isContinuedBy(head))) {
+				this.requestOutcome = RequestOutcome.FAILED;
+			}
+			else if (this.pendingCall.call.route().kind() == RouteKind.STREAM && CallStream.isStream(head)) {
+				this.streamPart = this.pendingCall.forwardStream(this.target, head);
 			}
 		}
 
@@ -547,8 +578,8 @@
 				.log("event=attempt_lost request=%s target=%s may_have_run=%s detail=\"%s\"",
 						this.pendingCall.call.requestId(), this.target.id(), failure.mayHaveRun(), failure.detail());
 			this.stats.recordUnreachable(nowMs());
-			if (this.pendingCall.stream.isBegun()) {
-				this.pendingCall.breakStream();
+			if (this.streamPart != null) {
+				this.pendingCall.onStreamCut(this);
 			}
 			else {
 				this.pendingCall.onLost(this, failure.mayHaveRun());
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallStream.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallStream.java
@@ -8,13 +8,15 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.gateway.event.EventSplitter;
 import org.zinniatack.gateway.event.StreamEvent;
 
 /**
- * The stream of a call as its caller gets it: only whole events, each once and in order.
- * An event is passed on when its last byte has arrived.
+ * The stream of a call as its caller gets it: only whole events, each once and in order,
+ * from one target or from several that resume it one after the other. An event is passed
+ * on when its last byte has arrived.
  */
 final class CallStream {
 
@@ -22,7 +24,8 @@
 
 	private final CallSink sink;
 
-	private boolean begun;
+	/** The head that the caller has, or null before it. */
+	private @Nullable HttpResponse head;
 
 	/** The id of the last event with an id. */
 	private OptionalLong lastEventId = OptionalLong.empty();
@@ -30,6 +33,9 @@
 	/** True if an event with data but without an id was passed on. */
 	private boolean unnumbered;
 
+	/** True if a target began an event that was not yet passed on. */
+	private boolean eventMissing;
+
 	CallStream(CallSink sink) {
 		this.sink = sink;
 	}
@@ -42,14 +48,35 @@
 
 	/** Returns whether the caller has the head of a response. */
 	boolean isBegun() {
-		return this.begun;
+		return this.head != null;
 	}
 
 	/** Passes on the head of the first response, and returns the part that follows it. */
-	Part begin(HttpResponse head) {
-		this.begun = true;
-		this.sink.beginStream(head);
-		return new Part();
+	Part begin(HttpResponse firstHead) {
+		this.head = firstHead;
+		this.sink.beginStream(firstHead);
+		return new Part(OptionalLong.empty());
+	}
+
+	/** Returns whether another target can continue after the events passed on. */
+	boolean isResumable() {
+		return !this.unnumbered && (this.lastEventId.isEmpty() || this.lastEventId.getAsLong() > 0);
+	}
+
+	/** Returns the id of the event after which a target resumes, or 0 for the start. */
+	long resumeAfterEvent() {
+		return this.lastEventId.orElse(0);
+	}
+
+	/** Returns whether a response with this head may continue the stream. */
+	boolean isContinuedBy(HttpResponse nextHead) {
+		return this.head != null && isStream(nextHead) && nextHead.status().equals(this.head.status());
+	}
+
+	/** Returns the part that another target sends; the caller keeps the first head. */
+	Part resume() {
+		return new Part(
+				this.lastEventId.isEmpty() ? OptionalLong.empty() : OptionalLong.of(this.lastEventId.getAsLong() + 1));
 	}
 
 	/** What one target sends of the stream. */
@@ -57,13 +84,21 @@
 
 		private final EventSplitter splitter = new EventSplitter();
 
+		/** The id that the first event must have, or empty if any will do. */
+		private final OptionalLong firstId;
+
 		private int eventCount;
 
+		private Part(OptionalLong firstId) {
+			this.firstId = firstId;
+		}
+
 		/** Passes on the events that the content completes. */
 		Reading read(ByteBuf content) {
 			ByteBuf events = Unpooled.buffer(content.readableBytes());
 			try {
 				boolean valid = this.splitter.read(content, (event) -> add(event, events));
+				CallStream.this.eventMissing |= valid && this.splitter.hasPartialEvent();
 				if (events.isReadable() && !CallStream.this.sink.continueStream(events)) {
 					return Reading.UNREAD;
 				}
@@ -80,7 +115,10 @@
 			}
 			event.id().ifPresent((id) -> CallStream.this.lastEventId = OptionalLong.of(id));
 			CallStream.this.unnumbered |= event.id().isEmpty() && !event.isMute();
-			this.eventCount += event.isMute() ? 0 : 1;
+			if (!event.isMute()) {
+				this.eventCount++;
+				CallStream.this.eventMissing = false;
+			}
 			events.writeBytes(event.bytes());
 			return true;
 		}
@@ -90,19 +128,24 @@
 			if (event.isMute()) {
 				return true;
 			}
-			if (event.id().isEmpty()) {
-				return last.isEmpty() && event.isWellFormed();
+			if (!event.isWellFormed() || event.id().isEmpty()) {
+				return event.isWellFormed() && last.isEmpty();
+			}
+			long id = event.id().getAsLong();
+			if (this.eventCount == 0 && this.firstId.isPresent()) {
+				return id == this.firstId.getAsLong();
 			}
-			return event.isWellFormed() && (last.isEmpty() || event.id().getAsLong() > last.getAsLong());
+			return last.isEmpty() || id > last.getAsLong();
 		}
 
 		/**
 		 * Returns whether the stream is complete when the response ends. One whose end
-		 * only the close of its connection marks is cut if it had no event.
+		 * only the close of its connection marks is cut if it had no event, and any is if
+		 * it lacks the event in whose middle an earlier one was cut.
 		 */
-		boolean isCompleteAtEnd(HttpResponse head) {
-			boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-			return !this.splitter.hasPartialEvent() && (framed || this.eventCount > 0);
+		boolean isCompleteAtEnd(HttpResponse partHead) {
+			boolean framed = HttpUtil.isContentLengthSet(partHead) || HttpUtil.isTransferEncodingChunked(partHead);
+			return !this.splitter.hasPartialEvent() && !CallStream.this.eventMissing && (framed || this.eventCount > 0);
 		}
 
 	}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 import org.zinniatack.core.directory.TargetNotice;
@@ -36,6 +37,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.in;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
  * Tests of {@link CallDispatcher} with responses that are cut: at every byte, for each
@@ -57,6 +59,8 @@
 
 	private final List<TargetNotice> readyTargets = new ArrayList<>();
 
+	private int generation;
+
 	private final ScriptedProtocol protocol = new ScriptedProtocol();
 
 	private final TargetClient client = new TargetClient(this.loop, this.protocol);
@@ -70,7 +74,16 @@
 		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
 	}
 
-	private void addTarget(String id, String address) {
+	/**
+	 * Starts anew with targets that have no history, chosen in the order of their start.
+	 */
+	private void clearTargets() {
+		this.readyTargets.clear();
+		this.generation++;
+	}
+
+	private void addTarget(String name, String address) {
+		String id = "%02d-%s".formatted(this.generation, name);
 		this.readyTargets.add(new TargetNotice(id, 1, 1, "p", address, "a", TargetNotice.State.READY, 4, Map.of()));
 	}
 
@@ -124,6 +137,27 @@
 		});
 	}
 
+	// Streams that may be resumed were broken, or ended as complete in the middle of an
+	// event.
+	@ParameterizedTest
+	@EnumSource(Framing.class)
+	void aStreamThatMayBeResumedIsWholeWhereverItIsCut(Framing framing) throws Exception {
+		forEachCut(framing, (target, cut) -> {
+			Outcome outcome = run(RouteKind.STREAM, true, 2);
+			assertThat(cut.toString(), outcome, is(in(cut.outcomesWithResumption())));
+			List<Integer> resumedAfter = target.resumedAfter();
+			assertThat(cut.toString(), resumedAfter.get(0), is(0));
+			int expected = cut.wholeEventCount();
+			if (cut.reset()) {
+				assertThat(cut.toString(), resumedAfter.size(), lessThanOrEqualTo(2));
+				assertThat(cut.toString(), resumedAfter.get(resumedAfter.size() - 1), lessThanOrEqualTo(expected));
+			}
+			else {
+				assertThat(cut.toString(), resumedAfter, is(cut.looksComplete() ? List.of(0) : List.of(0, expected)));
+			}
+		});
+	}
+
 	@ParameterizedTest
 	@EnumSource(Framing.class)
 	void aPlainAnswerIsWholeWhereverItIsCutUnlessOnlyItsConnectionMarksItsEnd(Framing framing) throws Exception {
@@ -135,12 +169,57 @@
 		});
 	}
 
+	// The status line and the text of an error stood in the middle of a caller's stream.
+	@ParameterizedTest
+	@CsvSource({ "500 Bad,seal: f", "500 Bad,x: y", "503 Full,not-run: 1", "503 Full,seal: f", "404 None,seal: f",
+			"404 None,x: y", "200 OK,x: y", "202 Taken,seal: f" })
+	void nothingOfAnotherAnswerEntersAStreamThatHasBegun(String status, String header) throws Exception {
+		String head = "HTTP/1.1 " + status + "\r\nid: r\r\n" + header + "\r\n";
+		for (String answer : List.of(head + "Content-Length: 6\r\n\r\nid: 3\n",
+				head + "Content-Length: 25\r\n\r\nid: 3\ndata: e3\n\nerror text",
+				head + "\r\nid: 3\ndata: e3\n\nerror text" + ScriptedTarget.THEN_HANG_UP)) {
+			clearTargets();
+			try (ScriptedTarget first = target("t1", CUT_STREAM); ScriptedTarget second = target("t2", answer)) {
+				assertThat(run(RouteKind.STREAM, true, 2),
+						is(new Outcome("200 s", StreamTarget.events(1, 2), "broken")));
+				assertThat(second.requests().size(), is(1));
+			}
+		}
+	}
+
+	@Test
+	void afterAnErrorAThirdTargetResumesTheStream() throws Exception {
+		String rest = StreamTarget.events(3, 4);
+		for (String error : List.of("HTTP/1.1 500 Bad\r\nid: r\r\nContent-Length: 3\r\n\r\nbad",
+				"HTTP/1.1 503 Full\r\nid: r\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\nfull", ScriptedTarget.HANG_UP,
+				"HTTP/1.1 200 OK\r\nid: r\r\nContent-Length: 30\r\n\r\n" + rest,
+				"HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\nContent-Length: 45\r\n\r\n" + StreamTarget.events(2, 4))) {
+			clearTargets();
+			try (ScriptedTarget first = target("t1", CUT_STREAM);
+					ScriptedTarget second = target("t2", error);
+					ScriptedTarget third = target("t3", ScriptedTarget.answer("r", "seal: other\r\n", rest))) {
+				assertThat(run(RouteKind.STREAM, true, 3), is(new Outcome("200 s", WHOLE, "whole")));
+				assertThat(third.requests().size(), is(1));
+			}
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1", "2", "4" })
+	void aStreamThatIsResumedAtAnotherEventIsBroken(int firstId) throws Exception {
+		try (ScriptedTarget first = target("t1", CUT_STREAM);
+				ScriptedTarget second = target("t2",
+						ScriptedTarget.answer("r", "seal: s\r\n", StreamTarget.events(firstId, 4)))) {
+			assertThat(run(RouteKind.STREAM, true, 2), is(new Outcome("200 s", StreamTarget.events(1, 2), "broken")));
+		}
+	}
+
 	// An error's head and text behind the events of a stream were passed on as events.
 	@Test
 	void aHeadGluedBehindTheEventsOfAStreamIsNotPassedOn() throws Exception {
 		String error = "HTTP/1.1 500 Bad\r\nContent-Length: 4\r\n\r\nbad\n\n";
 		for (String tail : List.of(error, "bad gateway\n\n", "error\n\n", "data: e3\n\n", "id: 2\ndata: e2\n\n")) {
-			this.readyTargets.clear();
+			clearTargets();
 			try (ScriptedTarget first = target("t1", "HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\n\r\n"
 					+ StreamTarget.events(1, 2) + tail + ScriptedTarget.THEN_HANG_UP)) {
 				assertThat(run(RouteKind.STREAM, false, 2),
@@ -149,6 +228,14 @@
 		}
 	}
 
+	@Test
+	void aStreamIsNotCompleteWithoutTheEventInWhoseMiddleItWasCut() throws Exception {
+		try (ScriptedTarget first = target("t1", CUT_STREAM);
+				ScriptedTarget second = target("t2", ScriptedTarget.answer("r", "seal: s\r\n", ""))) {
+			assertThat(run(RouteKind.STREAM, true, 2), is(new Outcome("200 s", StreamTarget.events(1, 2), "broken")));
+		}
+	}
+
 	@Test
 	void aStreamWithoutIdsIsPassedOnAndNeverResumed() throws Exception {
 		String events = "data: a\n\ndata: b\n\n";
@@ -167,6 +254,33 @@
 		}
 	}
 
+	@Test
+	void theCallersEndEndsAResumedStream() throws Exception {
+		try (ScriptedTarget first = target("t1", CUT_STREAM);
+				ScriptedTarget second = target("t2", ScriptedTarget
+					.endless("HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\n\r\n", ": on\n\n", ScriptedTarget.IN_TRICKLES))) {
+			Route route = new Route("r", "h", "/", RouteKind.STREAM, true, true, 5_000, 5_000, 0, 2,
+					List.of(new PoolShare("p", 1)), 0, 0, false);
+			Call call = new Call("r", route, "customer", HttpMethod.POST, "/x", new DefaultHttpHeaders().set("id", "r"),
+					new byte[0], 5_000);
+			RecordingSink sink = new RecordingSink();
+			CompletableFuture<Runnable> cancel = new CompletableFuture<>();
+			this.loop.execute(() -> cancel.complete(this.dispatcher.dispatch(call, sink)));
+			await(second::isEndless);
+			this.loop.execute(cancel.get());
+			await(() -> !second.isEndless());
+			assertThat(sink.outcome.isDone(), is(false));
+		}
+	}
+
+	private static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+		long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+		while (!condition.getAsBoolean() && System.nanoTime() < deadlineNs) {
+			TimeUnit.MILLISECONDS.sleep(5);
+		}
+		assertThat(condition.getAsBoolean(), is(true));
+	}
+
 	/** Checks the outcome of a call whose first response is cut. */
 	@FunctionalInterface
 	private interface CutCheck {
@@ -228,6 +342,17 @@
 			return outcomes;
 		}
 
+		/** Returns what a caller may get if the stream is resumed. */
+		List<Outcome> outcomesWithResumption() {
+			if (looksComplete() && !this.reset) {
+				return List.of(new Outcome("200 s", wholeEvents(), "whole"));
+			}
+			Outcome whole = new Outcome("200 s", WHOLE, "whole");
+			// A target without framing that sends no further event may have crashed too.
+			boolean endUnknown = this.framing == Framing.NONE && wholeEvents().equals(WHOLE);
+			return endUnknown ? List.of(whole, new Outcome("200 s", WHOLE, "broken")) : List.of(whole);
+		}
+
 		String wholeEvents() {
 			return StreamTarget.events(1, wholeEventCount());
 		}
