Count a caller's time from the first byte of its request

Cause: the time was counted from the moment at which the handler saw the whole request. What passed before was given away: while the body or the head arrived, while the request waited behind the one before it on its connection, and while the process or its VM stood still.

Each connection now records when the first byte of a request arrived (ArrivalClock), and the remaining time is counted from there, held requests included. A call without time left is refused as not run (2002) and reaches no target; before, it was sent with 1 ms.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -181,7 +181,7 @@
 			this.sink = sink;
 			this.stream = new CallStream(sink);
 			this.targetDeadlineMs = this.startedAtMs
-					+ Math.min(Math.max(1, call.deadlineMs() - RETURN_MARGIN_MS), call.route().timeoutMs());
+					+ Math.min(call.deadlineMs() - RETURN_MARGIN_MS, call.route().timeoutMs());
 			this.callDeadlineMs = this.startedAtMs
 					+ Math.min(call.deadlineMs(), call.route().timeoutMs() + TARGET_RESPONSE_MARGIN_MS);
 		}
@@ -191,6 +191,10 @@
 				refuse(ResultCode.QUARANTINED, CallDispatcher.this.crashGuard.retryAfterMs(this.call));
 				return;
 			}
+			if (this.call.deadlineMs() <= RETURN_MARGIN_MS) {
+				refuse(ResultCode.DEADLINE_UNREACHABLE, REFUSAL_PAUSE_MS);
+				return;
+			}
 			this.timeout = CallDispatcher.this.loop.schedule(this::onTimeout,
 					Math.max(0, this.callDeadlineMs - nowMs()), TimeUnit.MILLISECONDS);
 			if (!sendNext()) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -40,6 +41,8 @@
 
 	private final byte[] body;
 
+	private final long firstByteAtMs;
+
 	private final Runnable onCompleted;
 
 	private final List<Runnable> disconnectActions = new ArrayList<>();
@@ -50,9 +53,11 @@
 
 	private boolean streaming;
 
-	Exchange(Channel channel, FullHttpRequest request, boolean closeAfterResponse, Runnable onCompleted) {
+	Exchange(Channel channel, FullHttpRequest request, long firstByteAtMs, boolean closeAfterResponse,
+			Runnable onCompleted) {
 		this.channel = channel;
 		this.request = request;
+		this.firstByteAtMs = firstByteAtMs;
 		this.body = ByteBufUtil.getBytes(request.content());
 		this.closeAfterResponse = closeAfterResponse || !HttpUtil.isKeepAlive(request);
 		this.onCompleted = onCompleted;
@@ -107,6 +112,15 @@
 		return this.body;
 	}
 
+	/**
+	 * Returns the time since the first byte of the request arrived. If the process was
+	 * stopped meanwhile, it is the longest time for which the byte may have waited.
+	 * @return the time in milliseconds
+	 */
+	public long elapsedMs() {
+		return TimeUnit.NANOSECONDS.toMillis(eventLoop().ticker().nanoTime()) - this.firstByteAtMs;
+	}
+
 	/**
 	 * Returns the host of the Host header, without its port.
 	 * @return the host, or an empty string if there is no such header
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -99,11 +99,13 @@
 				@Override
 				protected void initChannel(SocketChannel channel) {
 					CallerLimits current = HttpListener.this.limits.get();
+					ArrivalClock arrivals = new ArrivalClock(() -> arrivalMs(channel));
 					channel.pipeline()
-						.addLast(new HttpServerCodec(MAXIMUM_LINE_BYTES, current.headerBytes(), CHUNK_BYTES),
-								new HttpObjectAggregator(current.bodyBytes(), true),
+						.addLast(arrivals.beforeDecoder(),
+								new HttpServerCodec(MAXIMUM_LINE_BYTES, current.headerBytes(), CHUNK_BYTES),
+								arrivals.afterDecoder(), new HttpObjectAggregator(current.bodyBytes(), true),
 								new IdleStateHandler(0, 0, current.idleTimeoutMs(), TimeUnit.MILLISECONDS),
-								new ConnectionHandler());
+								new ConnectionHandler(arrivals));
 				}
 			})
 			.bind(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
@@ -118,6 +120,13 @@
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
+	/** Returns the earliest time at which bytes that are read now may have arrived. */
+	private long arrivalMs(Channel channel) {
+		checkForFreeze();
+		return TimeUnit.NANOSECONDS.toMillis(channel.eventLoop().ticker().nanoTime())
+				- this.freezeDetector.unreadMs(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+	}
+
 	private void checkForFreeze() {
 		if (this.freezeDetector.check(System.currentTimeMillis(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))) {
 			LOGGER.atWarning().log("event=freeze_noticed active=%d", activeRequestCount());
@@ -153,15 +162,30 @@
 		return (int) this.connections.stream().filter((connection) -> connection.current != null).count();
 	}
 
+	/**
+	 * A request that was read.
+	 *
+	 * @param request the request
+	 * @param firstByteAtMs the time at which its first byte arrived
+	 */
+	private record PendingRequest(FullHttpRequest request, long firstByteAtMs) {
+	}
+
 	/** Handles the requests of one connection in order. */
 	private final class ConnectionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-		private final Queue<FullHttpRequest> pendingRequests = new ArrayDeque<>();
+		private final ArrivalClock arrivals;
+
+		private final Queue<PendingRequest> pendingRequests = new ArrayDeque<>();
 
 		private @Nullable ChannelHandlerContext context;
 
 		private volatile @Nullable Exchange current;
 
+		ConnectionHandler(ArrivalClock arrivals) {
+			this.arrivals = arrivals;
+		}
+
 		@Override
 		public void channelActive(ChannelHandlerContext context) {
 			this.context = context;
@@ -171,7 +195,7 @@
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			HttpListener.this.connections.remove(this);
-			this.pendingRequests.forEach(FullHttpRequest::release);
+			this.pendingRequests.forEach((pending) -> pending.request().release());
 			this.pendingRequests.clear();
 			Exchange interrupted = this.current;
 			this.current = null;
@@ -186,13 +210,14 @@
 				LOGGER.atInfo()
 					.log("event=request_malformed caller=%s cause=\"%s\"", context.channel().remoteAddress(),
 							request.decoderResult().cause().getMessage());
-				Exchange malformed = new Exchange(context.channel(), request, true, () -> {
-				});
+				Exchange malformed = new Exchange(context.channel(), request, this.arrivals.firstByteAtMs(), true,
+						() -> {
+						});
 				malformed.respond(HttpResponseStatus.BAD_REQUEST, new DefaultHttpHeaders(),
 						io.netty.buffer.Unpooled.EMPTY_BUFFER);
 				return;
 			}
-			this.pendingRequests.add(request.retain());
+			this.pendingRequests.add(new PendingRequest(request.retain(), this.arrivals.firstByteAtMs()));
 			if (this.pendingRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
 				context.channel().config().setAutoRead(false);
 			}
@@ -211,10 +236,10 @@
 			if (this.current != null || this.pendingRequests.isEmpty() || openContext == null) {
 				return;
 			}
-			FullHttpRequest request = this.pendingRequests.remove();
-			Exchange exchange = new Exchange(openContext.channel(), request, HttpListener.this.draining,
-					this::onExchangeCompleted);
-			request.release();
+			PendingRequest pending = this.pendingRequests.remove();
+			Exchange exchange = new Exchange(openContext.channel(), pending.request(), pending.firstByteAtMs(),
+					HttpListener.this.draining, this::onExchangeCompleted);
+			pending.request().release();
 			this.current = exchange;
 			openContext.channel().config().setAutoRead(true);
 			try {
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/FreezeDetectorTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/FreezeDetectorTests.java
@@ -28,4 +28,17 @@
 		assertThat(this.detector.check(1_003_000, 6_200), is(false));
 	}
 
+	@Test
+	void bytesMayHaveWaitedForAsLongAsTheProcessStoodStill() {
+		this.detector.check(1_000_000, 0);
+		this.detector.check(1_000_200, 200);
+		assertThat(this.detector.unreadMs(200), is(0L));
+		this.detector.check(1_005_400, 400);
+		assertThat("the VM was suspended", this.detector.unreadMs(401), is(5_200L));
+		this.detector.check(1_005_600, 600);
+		assertThat("what had arrived is read", this.detector.unreadMs(600), is(0L));
+		this.detector.check(1_008_600, 3_600);
+		assertThat("the process was stopped", this.detector.unreadMs(3_601), is(3_000L));
+	}
+
 }
