Try avoided targets for an item each second if all are avoided

After a burst all targets could be reached and had room, but items were placed up to four seconds later.

Cause: each time that a target cannot be reached it is avoided twice as long, up to four seconds, until a request succeeds. Calls fall back to avoided targets, items did not. A restart under the same id keeps the avoidance, and after a partition it is that of each target behind it.

Fix: if all targets with the weights of an item are avoided, those whose last failure is a second ago are suitable. Each is tried about once a second, since another failure starts the second anew; a target that refuses is not tried before its pause is over.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetStats.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetStats.java
@@ -16,6 +16,11 @@
 	/** The approximate interval at which a target that stays down is tried again. */
 	private static final long MAXIMUM_AVOIDANCE_MS = 4_000;
 
+	/**
+	 * The interval at which a target is tried again if all others are avoided as well.
+	 */
+	private static final long LAST_RESORT_INTERVAL_MS = 1_000;
+
 	/** The weight of the newest answer in the moving average of the failure rate. */
 	private static final double FAILURE_WEIGHT = 0.1;
 
@@ -30,6 +35,10 @@
 
 	private long avoidedUntilMs = Long.MIN_VALUE / 2;
 
+	private long unreachableAtMs = Long.MIN_VALUE / 2;
+
+	private long refusingUntilMs = Long.MIN_VALUE / 2;
+
 	private long avoidanceMs = INITIAL_AVOIDANCE_MS;
 
 	private double failureRate;
@@ -128,6 +137,7 @@
 	 * @param nowMs the monotonic time, in milliseconds
 	 */
 	public void recordUnreachable(long nowMs) {
+		this.unreachableAtMs = nowMs;
 		if (nowMs < this.avoidedUntilMs) {
 			return;
 		}
@@ -140,7 +150,7 @@
 	 * @param untilMs the monotonic time until which it is avoided, in milliseconds
 	 */
 	public void avoidUntil(long untilMs) {
-		this.avoidedUntilMs = Math.max(this.avoidedUntilMs, untilMs);
+		this.refusingUntilMs = Math.max(this.refusingUntilMs, untilMs);
 	}
 
 	/**
@@ -149,7 +159,16 @@
 	 * @return false while it is avoided
 	 */
 	public boolean isUsable(long nowMs) {
-		return nowMs >= this.avoidedUntilMs;
+		return nowMs >= this.avoidedUntilMs && nowMs >= this.refusingUntilMs;
+	}
+
+	/**
+	 * Returns whether the target may get requests if all others are avoided, too.
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @return false if it was unreachable a short time ago or refuses requests
+	 */
+	public boolean isLastResort(long nowMs) {
+		return nowMs - this.unreachableAtMs >= LAST_RESORT_INTERVAL_MS && nowMs >= this.refusingUntilMs;
 	}
 
 	/**
