Repeat scoring calls at growing intervals

A scoring call whose answer is neither a score nor a counted failure, such as a sealed 404, was repeated each 100 ms for as long as its job was open, for each item of a step.

Fix: the delay doubles from 100 ms to 800 ms. The item stays owed, and a call that was lost during a burst of crashes is sent again within 0.8 s.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
@@ -77,6 +77,9 @@
 
 	int scoringFailureCount;
 
+	/** The delay before the last scoring call that was repeated, or 0. */
+	long scoringRetryMs;
+
 	/** The number of attempts that were lost after the item was sent. */
 	int lossCount;
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemScorer.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemScorer.java
@@ -37,7 +37,9 @@
 
 	private static final long DEADLINE_MS = 2_000;
 
-	private static final long RETRY_MS = 100;
+	private static final long MINIMUM_RETRY_MS = 100;
+
+	private static final long MAXIMUM_RETRY_MS = 800;
 
 	/** The share of the slots of a pool that scoring uses; the rest is for callers. */
 	private static final double SLOT_SHARE = 0.5;
@@ -124,11 +126,12 @@
 	private void scoreLater(ItemRun run) {
 		run.canceller = () -> {
 		};
+		run.scoringRetryMs = Math.min(Math.max(MINIMUM_RETRY_MS, 2 * run.scoringRetryMs), MAXIMUM_RETRY_MS);
 		this.loop.schedule(() -> {
 			if (run.phase == ItemRun.Phase.SCORING) {
 				score(run);
 			}
-		}, RETRY_MS, TimeUnit.MILLISECONDS);
+		}, run.scoringRetryMs, TimeUnit.MILLISECONDS);
 	}
 
 	/** Callback for items that are scored or given up. */
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
@@ -32,9 +32,13 @@
 import org.zinniatack.gateway.target.TargetSelector;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Tests of {@link ItemScorer}: the items of a step complete in bursts, and their scoring
@@ -46,6 +50,8 @@
 
 	private static final int ITEM_COUNT = 20;
 
+	private static final int ITEM_ATTEMPTS = 4;
+
 	private static final long WAIT_MS = 10_000;
 
 	private static final long POLL_MS = 10;
@@ -55,6 +61,8 @@
 
 	private static final String SCORED_ANSWER = ScriptedTarget.answer("r", "seal: s\r\n", "fine");
 
+	private static final String NOT_FOUND = SCORED_ANSWER.replace("200 OK", "404 Not Found");
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.group.next();
@@ -65,6 +73,8 @@
 
 	private final Queue<String> finished = new ConcurrentLinkedQueue<>();
 
+	private final Queue<String> scores = new ConcurrentLinkedQueue<>();
+
 	@AfterEach
 	void stop() {
 		this.group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
@@ -80,12 +90,19 @@
 		TargetSelector targets = new TargetSelector((pool) -> List.of(notice), "a", this.client::hasIdleConnection,
 				(leaving) -> {
 				});
-		Route route = new Route("r", "h", "/", RouteKind.IDEMPOTENT, false, true, 5_000, 2_000, 0, 2,
-				List.of(new PoolShare("p", 1)), 0, 0, false);
-		RouteIndex index = new RouteIndex(
-				new RoutingTable(1, List.of(route), Map.of(), List.of(), new CallerLimits(1, 1, 1, 1)));
+		RouteIndex index = new RouteIndex(new RoutingTable(1,
+				List.of(route("/p/", RouteKind.JOB, ITEM_ATTEMPTS), route("/s/", RouteKind.IDEMPOTENT, 2)), Map.of(),
+				List.of(), new CallerLimits(1, 1, 1, 1)));
 		return new ItemScorer(this.loop, new CallDispatcher(this.loop, this.client, this.protocol, targets),
-				this.protocol, targets, () -> index, (run, end, reason) -> this.finished.add(run.job.id().name()));
+				this.protocol, targets, () -> index, (run, end, reason) -> {
+					this.finished.add(run.job.id().name());
+					this.scores.add(end.result().score());
+				});
+	}
+
+	private static Route route(String prefix, RouteKind kind, int maximumAttempts) {
+		return new Route(prefix, "h", prefix, kind, false, true, 5_000, 2_000, 0, maximumAttempts,
+				List.of(new PoolShare("p", 1)), 0, 0, false);
 	}
 
 	private static ItemRun run(String job, long submittedAtMs) {
@@ -164,4 +181,26 @@
 		}
 	}
 
+	/** A target that never had a score got the same call every 100 ms without an end. */
+	@Test
+	void aCallWithoutAScoreIsRepeatedAtGrowingIntervals() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(NOT_FOUND)) {
+			ItemScorer scorer = scorer(target);
+			this.loop.execute(() -> scorer.score(run("j", 0)));
+			TimeUnit.MILLISECONDS.sleep(2_000);
+			assertThat(target.requests().size(), is(both(greaterThan(2)).and(lessThan(7))));
+			assertThat(this.finished, is(empty()));
+		}
+	}
+
+	@Test
+	void anItemIsOwedWhileItsScoreIsNotFound() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(NOT_FOUND, NOT_FOUND, NOT_FOUND, SCORED_ANSWER)) {
+			ItemScorer scorer = scorer(target);
+			this.loop.execute(() -> scorer.score(run("j", 0)));
+			awaitFinished(1);
+			assertThat(this.scores, contains("s"));
+		}
+	}
+
 }
