Score an item as often as its own route allows

Seen: read in the code.

Evidence: ItemScorerTests on the code before, routes with 4 and 2 attempts: given up after 2 answers of 500, where the fourth would have been a score.

Fix: the larger of the two numbers decides.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemScorer.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemScorer.java
@@ -180,7 +180,7 @@
 			if (head.status().code() / 100 == 2 && seal.isPresent()) {
 				ItemScorer.this.finishHandler.finish(this.run, this.run.outcome(seal.get()), "scored");
 			}
-			else if (this.run.scoringFailureCount >= this.route.maximumAttempts()) {
+			else if (this.run.scoringFailureCount >= maximumFailures()) {
 				ItemScorer.this.finishHandler.finish(this.run, ItemOutcome.givenUp(this.run),
 						"scoring failed " + this.run.scoringFailureCount + " times");
 			}
@@ -189,6 +189,14 @@
 			}
 		}
 
+		/** Both the route of the call and that of the item allow a number of attempts. */
+		private int maximumFailures() {
+			return ItemScorer.this.routes.get()
+				.routeOf(this.run.job.host(), this.run.item.path())
+				.map((itemRoute) -> Math.max(itemRoute.maximumAttempts(), this.route.maximumAttempts()))
+				.orElse(this.route.maximumAttempts());
+		}
+
 		@Override
 		public void attemptFailed(int status) {
 			if (status == ItemAttempt.FAILED_STATUS) {
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
@@ -63,6 +63,8 @@
 
 	private static final String NOT_FOUND = SCORED_ANSWER.replace("200 OK", "404 Not Found");
 
+	private static final String FAILED_ANSWER = SCORED_ANSWER.replace("200 OK", "500 Internal Server Error");
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.group.next();
@@ -203,4 +205,26 @@
 		}
 	}
 
+	/** An item was given up after as many failures as the route of its call allows. */
+	@Test
+	void aFailedScoreIsRepeatedAsOftenAsTheRouteOfTheItemAllows() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(FAILED_ANSWER, FAILED_ANSWER, FAILED_ANSWER, SCORED_ANSWER)) {
+			ItemScorer scorer = scorer(target);
+			this.loop.execute(() -> scorer.score(run("j", 0)));
+			awaitFinished(1);
+			assertThat(this.scores, contains("s"));
+		}
+	}
+
+	@Test
+	void anItemWhoseScoreAlwaysFailsIsGivenUp() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(FAILED_ANSWER)) {
+			ItemScorer scorer = scorer(target);
+			this.loop.execute(() -> scorer.score(run("j", 0)));
+			awaitFinished(1);
+			assertThat(this.scores, contains(""));
+			assertThat(target.requests().size(), is(ITEM_ATTEMPTS));
+		}
+	}
+
 }
