Commit results that were ready during a lapse of the lease

Seen: read in the code while looking for items that are never done. The last result of a job was not listed although its item was complete.

Cause: results are committed 10 ms after they are ready. If the lease had lapsed at that moment, the commit was skipped and not scheduled again. The runner looks at the lease each 50 ms; if it held it again in the same term by then, the result waited in the committing phase for another result of any job.

Evidence: ItemCommitterTests on the code before: not finished 5 s after the lapse ("but: was <false>").

Fix: the commit is tried again each 200 ms until it is made or the results are discarded with the leadership.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemCommitter.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemCommitter.java
@@ -82,7 +82,12 @@
 
 	private void commit() {
 		this.commitScheduled = false;
+		if (this.uncommitted.isEmpty()) {
+			return;
+		}
 		if (!this.isLeader.getAsBoolean()) {
+			// The lease may only have lapsed; clear() is called if it is lost.
+			scheduleCommit(COMMIT_RETRY_MS);
 			return;
 		}
 		Map<JobId, List<ItemOutcome>> batch = new HashMap<>(this.uncommitted);
