Complete an item only at the end of an event, and not without one begun

What callers saw: an item was listed as completed with the text of a part of its output (MIXED), or with an event that an error's head had made.

Cause: the end of an item's stream looked at the current line, the id and the data only. An event that begins with a line for its weight version was taken as not begun when the stream was cut behind that line. A target that closed its connection behind the head of its response, without a length, completed an item whose next event an earlier target had begun. Text that is no event ended or became an event.

Why the fix works: items share EventSplitter with calls: only whole events enter the text, and any byte behind the last one keeps the item open. A stream without an event ends an item only if its response states its end and no event was begun. If two streams in a row continue an item with nothing and its end is not known (a reset or other bytes behind the last event, crashes behind the head), the item starts again; so it neither stays open for good nor is completed too soon. What is no event ends the attempt; the item goes on after the events before it.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/EventText.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/EventText.java
@@ -1,7 +1,5 @@
 package org.zinniatack.gateway.job;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
@@ -10,6 +8,8 @@
 import io.netty.buffer.ByteBuf;
 
 import org.zinniatack.core.job.PartialText;
+import org.zinniatack.gateway.event.EventSplitter;
+import org.zinniatack.gateway.event.StreamEvent;
 
 /**
  * Assembles the output of an item from the event streams of one or more targets. Each
@@ -20,28 +20,22 @@
 	/** Results are read in pages of one megabyte, so a longer text would not fit. */
 	static final int MAXIMUM_TEXT_BYTES = 1024 * 1024;
 
-	/** An event usually has a few tokens; this has room for some thousands. */
-	static final int MAXIMUM_EVENT_BYTES = 64 * 1024;
-
 	/** Memory that an event takes in addition to its characters. */
 	private static final int EVENT_OVERHEAD_BYTES = 64;
 
 	/** Targets number the events of an output from 0 or from 1. */
 	private static final long MAXIMUM_FIRST_ID = 1;
 
+	/** The streams without an event in a row after which the output starts again. */
+	private static final int MAXIMUM_EMPTY_STREAMS = 2;
+
 	private final Function<String, OptionalLong> versionOfLine;
 
 	private final List<String> completeEvents = new ArrayList<>();
 
 	private final List<Long> versions = new ArrayList<>();
 
-	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-
-	private final List<String> eventData = new ArrayList<>();
-
-	private OptionalLong eventId = OptionalLong.empty();
-
-	private OptionalLong eventVersion = OptionalLong.empty();
+	private final EventSplitter splitter = new EventSplitter();
 
 	private long lastEventId;
 
@@ -51,8 +45,17 @@
 
 	private boolean tooLong;
 
-	/** Bytes of the current, incomplete event. */
-	private int eventBytes;
+	/** True if the current stream has something that is no event. */
+	private boolean malformed;
+
+	/** True if a target began an event that is not complete in any stream. */
+	private boolean eventMissing;
+
+	/** The number of events of the current stream. */
+	private int streamEventCount;
+
+	/** The number of streams since the last event that ended without one. */
+	private int emptyStreamCount;
 
 	/** Bytes of all complete events, including their memory overhead. */
 	private int textBytes;
@@ -63,85 +66,81 @@
 
 	/** Starts the next stream, which begins with the given weight version. */
 	void beginStream(long version) {
-		this.line.reset();
-		clearEvent();
+		this.splitter.reset();
+		this.malformed = false;
+		this.streamEventCount = 0;
 		this.currentVersion = version;
 	}
 
 	void read(ByteBuf content) {
-		content.forEachByte((value) -> {
-			this.eventBytes++;
-			if (value == '\n') {
-				endLine();
-			}
-			else {
-				this.line.write(value);
-			}
-			this.tooLong |= this.eventBytes > MAXIMUM_EVENT_BYTES || this.textBytes > MAXIMUM_TEXT_BYTES;
-			return !isInvalid();
-		});
-	}
-
-	private void endLine() {
-		String text = this.line.toString(StandardCharsets.UTF_8);
-		this.line.reset();
-		if (text.endsWith("\r")) {
-			text = text.substring(0, text.length() - 1);
-		}
-		if (text.isEmpty()) {
-			endEvent();
-		}
-		else if (text.startsWith("data:")) {
-			this.eventData.add(valueOf(text));
+		boolean stopped = !this.splitter.read(content, this::add);
+		this.tooLong |= stopped && !this.outOfOrder && !this.malformed;
+		this.eventMissing |= this.splitter.hasPartialEvent();
+	}
+
+	/** Returns whether the stream may go on after the event. */
+	private boolean add(StreamEvent event) {
+		this.malformed = !event.isWellFormed();
+		if (this.malformed) {
+			return false;
 		}
-		else if (text.startsWith("id:")) {
-			this.eventId = parse(valueOf(text));
+		List<String> data = event.data();
+		if (event.id().isEmpty() && data.isEmpty()) {
+			return true;
 		}
-		else {
-			OptionalLong version = this.versionOfLine.apply(text);
-			if (version.isPresent()) {
-				this.eventVersion = version;
-			}
+		OptionalLong id = event.id();
+		boolean inOrder = this.completeEvents.isEmpty() ? id.orElse(0) <= MAXIMUM_FIRST_ID
+				: id.orElse(0) == this.lastEventId + 1;
+		this.outOfOrder = id.isEmpty() || !inOrder;
+		if (!this.outOfOrder) {
+			this.lastEventId = id.getAsLong();
+			addVersion(event);
+			addData(String.join("\n", data));
 		}
+		return !this.outOfOrder && this.textBytes <= MAXIMUM_TEXT_BYTES;
 	}
 
-	private static String valueOf(String line) {
-		String value = line.substring(line.indexOf(':') + 1);
-		return value.startsWith(" ") ? value.substring(1) : value;
+	private void addVersion(StreamEvent event) {
+		event.lines()
+			.stream()
+			.map(this.versionOfLine)
+			.flatMapToLong(OptionalLong::stream)
+			.forEach((version) -> this.currentVersion = version);
+		if (this.versions.isEmpty() || this.versions.get(this.versions.size() - 1) != this.currentVersion) {
+			this.versions.add(this.currentVersion);
+		}
 	}
 
-	private static OptionalLong parse(String number) {
-		return number.matches("\\d{1,18}") ? OptionalLong.of(Long.parseLong(number)) : OptionalLong.empty();
+	private void addData(String data) {
+		this.completeEvents.add(data);
+		this.textBytes += data.length() + EVENT_OVERHEAD_BYTES;
+		this.streamEventCount++;
+		this.emptyStreamCount = 0;
+		this.eventMissing = false;
 	}
 
-	private void endEvent() {
-		if (this.eventId.isEmpty() && this.eventData.isEmpty()) {
-			clearEvent();
-			return;
-		}
-		boolean inOrder = this.completeEvents.isEmpty() ? this.eventId.orElse(0) <= MAXIMUM_FIRST_ID
-				: this.eventId.orElse(0) == this.lastEventId + 1;
-		if (this.eventId.isEmpty() || !inOrder) {
-			this.outOfOrder = true;
+	/**
+	 * Ends the current stream and returns whether the output is complete.
+	 * @param framed true if the response states where it ends, so that an end without
+	 * events is no crash
+	 */
+	boolean endStream(boolean framed) {
+		if (this.splitter.hasPartialEvent() || this.malformed || this.completeEvents.isEmpty()) {
+			return false;
 		}
-		else {
-			this.lastEventId = this.eventId.getAsLong();
-			this.currentVersion = this.eventVersion.orElse(this.currentVersion);
-			if (this.versions.isEmpty() || this.versions.get(this.versions.size() - 1) != this.currentVersion) {
-				this.versions.add(this.currentVersion);
-			}
-			String joinedData = String.join("\n", this.eventData);
-			this.completeEvents.add(joinedData);
-			this.textBytes += joinedData.length() + EVENT_OVERHEAD_BYTES;
+		if (this.streamEventCount > 0) {
+			return true;
 		}
-		clearEvent();
+		this.emptyStreamCount++;
+		return framed && !this.eventMissing;
 	}
 
-	private void clearEvent() {
-		this.eventBytes = 0;
-		this.eventData.clear();
-		this.eventId = OptionalLong.empty();
-		this.eventVersion = OptionalLong.empty();
+	/**
+	 * Returns whether streams continue the output with nothing, although its end is not
+	 * known. It may be whole already, which only a new start can show.
+	 */
+	boolean isStuck() {
+		return this.emptyStreamCount >= MAXIMUM_EMPTY_STREAMS;
 	}
 
 	/** Replaces the output with stored events; the next stream continues after them. */
@@ -167,6 +166,8 @@
 		this.textBytes = 0;
 		this.outOfOrder = false;
 		this.tooLong = false;
+		this.eventMissing = false;
+		this.emptyStreamCount = 0;
 	}
 
 	/**
@@ -177,9 +178,12 @@
 		return this.outOfOrder || this.tooLong;
 	}
 
-	/** Returns whether the last event is incomplete. */
-	boolean hasPartialEvent() {
-		return this.line.size() > 0 || !this.eventData.isEmpty() || this.eventId.isPresent();
+	/**
+	 * Returns whether the current stream has something that is no event, such as the head
+	 * of another response. The events before it remain.
+	 */
+	boolean isMalformed() {
+		return this.malformed;
 	}
 
 	int eventCount() {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.directory.TargetNotice;
@@ -147,6 +148,10 @@
 			this.run.restart();
 			this.handler.handleLoss(this.run, "events are out of order or too long");
 		}
+		else if (this.run.text.isMalformed()) {
+			this.run.canceller.run();
+			this.handler.handleLoss(this.run, "the stream goes on with something that is no event");
+		}
 	}
 
 	private void measureEvents(int events) {
@@ -164,7 +169,7 @@
 		end();
 		RequestOutcome finalOutcome = (this.outcome != null) ? this.outcome : RequestOutcome.FAILED;
 		switch (finalOutcome) {
-			case ANSWERED -> onComplete();
+			case ANSWERED -> onStreamEnd(head);
 			case FAILED -> onFailed(head.status().code());
 			case NOT_RUN -> {
 				this.stats.avoidUntil(nowMs() + REFUSAL_PAUSE_MS);
@@ -177,14 +182,16 @@
 		}
 	}
 
-	private void onComplete() {
+	private void onStreamEnd(HttpResponse head) {
+		boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+		boolean complete = this.run.text.endStream(framed);
 		boolean mixed = this.route.singleVersion() && this.run.text.versions().size() != 1;
-		if (this.run.text.hasPartialEvent() || this.run.text.eventCount() == 0 || mixed) {
-			if (mixed) {
+		if (!complete || mixed) {
+			if (mixed || this.run.text.isStuck()) {
 				this.run.restart();
 			}
 			this.handler.handleLoss(this.run,
-					mixed ? "several weight versions" : "no events or the last event is incomplete");
+					mixed ? "several weight versions" : "the stream ended without its last event");
 			return;
 		}
 		this.stats.recordSuccess();
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/StreamTarget.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/StreamTarget.java
@@ -22,6 +22,9 @@
 	/** The number of events of a whole stream. */
 	public static final int EVENT_COUNT = 4;
 
+	/** The event that also states a weight version. */
+	private static final int VERSION_EVENT = 3;
+
 	private static final int UNCUT = -1;
 
 	private static final long RESET_DELAY_MS = 2;
@@ -87,7 +90,7 @@
 	}
 
 	private static String event(int id) {
-		return "id: %d\ndata: e%d\n\n".formatted(id, id);
+		return "%sid: %d\ndata: e%d\n\n".formatted((id == VERSION_EVENT) ? "version: 1\n" : "", id, id);
 	}
 
 	/**
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/EventTextTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/EventTextTests.java
@@ -32,7 +32,7 @@
 			cutText.read(Unpooled.copiedBuffer(stream.substring(cut), StandardCharsets.UTF_8));
 			assertThat(cutText.text(), is("one\ntwo"));
 			assertThat(cutText.versions(), is(List.of(3L)));
-			assertThat(cutText.hasPartialEvent(), is(false));
+			assertThat(cutText.endStream(false), is(true));
 		}
 	}
 
@@ -40,7 +40,7 @@
 	void aSecondStreamGoesOnAfterTheLastWholeEvent() {
 		this.text.beginStream(1);
 		read("id: 1\ndata: one\n\nid: 2\ndata: tw");
-		assertThat(this.text.hasPartialEvent(), is(true));
+		assertThat(this.text.endStream(false), is(false));
 		assertThat(this.text.lastEventId(), is(1L));
 		this.text.beginStream(2);
 		read("id: 2\ndata: two\n\n");
@@ -62,6 +62,49 @@
 		assertThat(this.text.versions(), is(List.of(4L)));
 	}
 
+	// A cut behind the first line of an event made an item complete without that event.
+	@Test
+	void anOutputIsCompleteOnlyAtTheEndOfAnEvent() {
+		String stream = "id: 1\ndata: a\n\nv:5\nid: 2\ndata: b\n\n";
+		int firstEnd = stream.indexOf("v:");
+		for (int cut = 0; cut < stream.length(); cut++) {
+			this.text.reset();
+			this.text.beginStream(4);
+			read(stream.substring(0, cut));
+			assertThat(this.text.endStream(true), is(cut == firstEnd));
+		}
+	}
+
+	@Test
+	void anEmptyStreamEndsAnOutputOnlyIfItIsFramedAndNoEventWasBegun() {
+		this.text.beginStream(4);
+		read("id: 1\ndata: a\n\n");
+		assertThat(emptyStreamEnds(false), is(false));
+		assertThat(emptyStreamEnds(true), is(true));
+		this.text.beginStream(4);
+		read("v:");
+		assertThat(this.text.endStream(true), is(false));
+		assertThat(emptyStreamEnds(true), is(false));
+	}
+
+	@Test
+	void anOutputThatTwoStreamsContinueWithNothingIsStuckUntilItsNextEvent() {
+		this.text.beginStream(4);
+		read("id: 1\ndata: a\n\n");
+		emptyStreamEnds(false);
+		assertThat(this.text.isStuck(), is(false));
+		emptyStreamEnds(false);
+		assertThat(this.text.isStuck(), is(true));
+		this.text.beginStream(4);
+		read("id: 2\ndata: b\n\n");
+		assertThat(this.text.isStuck(), is(false));
+	}
+
+	private boolean emptyStreamEnds(boolean framed) {
+		this.text.beginStream(4);
+		return this.text.endStream(framed);
+	}
+
 	@Test
 	void aMissingOrRepeatedEventIsNoticed() {
 		this.text.beginStream(1);
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemAttemptTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemAttemptTests.java
@@ -27,6 +27,7 @@
 import org.zinniatack.core.table.PoolShare;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RouteKind;
+import org.zinniatack.gateway.event.EventSplitter;
 import org.zinniatack.gateway.http.RequestFailure;
 import org.zinniatack.gateway.http.ScriptedProtocol;
 import org.zinniatack.gateway.target.LoadedVersions;
@@ -156,7 +157,7 @@
 	@Test
 	void aTextLongerThanAResultMayBeIsLost() {
 		head(200);
-		String data = "x".repeat(EventText.MAXIMUM_EVENT_BYTES / 2);
+		String data = "x".repeat(EventSplitter.MAXIMUM_EVENT_BYTES / 2);
 		int events = EventText.MAXIMUM_TEXT_BYTES / data.length() + 1;
 		for (int id = 1; id <= events && this.outcomes.isEmpty(); id++) {
 			read("id: " + id + "\ndata: " + data + "\n\n");
@@ -171,7 +172,7 @@
 			this.outcomes.clear();
 			head(200);
 			String block = part.repeat(1_024);
-			for (int size = 0; size <= 2 * EventText.MAXIMUM_EVENT_BYTES
+			for (int size = 0; size <= 2 * EventSplitter.MAXIMUM_EVENT_BYTES
 					&& this.outcomes.isEmpty(); size += block.length()) {
 				read(block);
 			}
