Let any character stand in the lines of an event

Evidence: EventSplitterTests#anyCharacterMayStandInData failed before: Expected: is <true> but: was <false>

Why the fix works: the patterns of a line match all characters; lines are split at line feeds only. Measured: EventSplitterTests, EventTextTests and CutItemTests pass.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/event/StreamEvent.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/event/StreamEvent.java
@@ -16,10 +16,11 @@
 	private static final String DATA = "data:";
 
 	/** A comment, a standard field, or a field of another name with a value. */
-	private static final Pattern LINE = Pattern.compile(":.*|(data|id|event|retry)(:.*)?|[a-z][a-z0-9_-]*:.*");
+	private static final Pattern LINE = Pattern.compile(":.*|(data|id|event|retry)(:.*)?|[a-z][a-z0-9_-]*:.*",
+			Pattern.DOTALL);
 
 	/** A line that may stand in an event without id and data. */
-	private static final Pattern MUTE_LINE = Pattern.compile(":.*|(event|retry)(:.*)?");
+	private static final Pattern MUTE_LINE = Pattern.compile(":.*|(event|retry)(:.*)?", Pattern.DOTALL);
 
 	private final byte[] bytes;
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/event/EventSplitterTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/event/EventSplitterTests.java
@@ -83,6 +83,17 @@
 		assertThat(this.events.stream().map(StreamEvent::isMute).toList(), contains(true, true, false, false, false));
 	}
 
+	// A stream was broken at a separator of lines or paragraphs inside its text.
+	@Test
+	void anyCharacterMayStandInData() {
+		for (String character : new String[] { "\u0085", "\u2028", "\u2029", "\r", "\f", "\0" }) {
+			this.events.clear();
+			read("data: a" + character + "b\n: c" + character + "d\nevent: e" + character + "f\n\n");
+			assertThat(this.events.get(0).isWellFormed(), is(true));
+			assertThat(this.events.get(0).data(), contains("a" + character + "b"));
+		}
+	}
+
 	@Test
 	void aStatusLineOrATextIsNoPartOfAnEvent() {
 		read("HTTP/1.1 500 Bad\r\nid: 1\r\n\r\nInternal error\n\nerror\n\nv-1: 2\nid: 1\nevent\ndata: HTTP/1.1\n\n");
