Fail a request that cannot be written to its end

A caller could get half a response as a success: a target begins a response without a length before it has read a long body, and then resets the connection. While the request is still being written, the reset is met by the write. A failed write closes the channel without an exception in the pipeline, and the decoder takes the closed channel for the end of the body.

The result of the write is now checked; its failure is reported before the channel becomes inactive, so the request counts as lost. A write that is cut off because the channel was closed in order is no failure of its own.

Evidence: the new test failed in its first run of 50 with "half" in place of a loss, and passes in all 50.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -1,6 +1,7 @@
 package org.zinniatack.gateway.http;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -311,7 +312,18 @@
 				this.recentIds.add(pending.id);
 			}
 			this.channel.pipeline().get(ResponseDecoder.class).expectResponse(pending.request.method());
-			this.channel.writeAndFlush(pending.request);
+			this.channel.writeAndFlush(pending.request)
+				.addListener((written) -> failUnwritten(pending, written.cause()));
+		}
+
+		/**
+		 * Fails a request that cannot be written. A response without a length would end
+		 * as if the target had closed the connection.
+		 */
+		private void failUnwritten(PendingRequest pending, @Nullable Throwable cause) {
+			if (cause != null && !(cause instanceof ClosedChannelException) && this.current == pending) {
+				failCurrent("connection lost: " + cause.getMessage());
+			}
 		}
 
 		/** Sends a request elsewhere if its connection was closed before it was sent. */
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -29,6 +30,9 @@
 
 	private static final long WAIT_S = 10;
 
+	/** More than the socket buffers on both sides of a connection hold. */
+	private static final int LONG_BODY_BYTES = 16 * 1024 * 1024;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.group.next();
@@ -45,9 +49,13 @@
 	 * or "lost:".
 	 */
 	private String send(String address, String id) throws Exception {
-		CompletableFuture<String> outcome = new CompletableFuture<>();
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
 		request.headers().set("id", id);
+		return send(address, request);
+	}
+
+	private String send(String address, FullHttpRequest request) throws Exception {
+		CompletableFuture<String> outcome = new CompletableFuture<>();
 		this.loop.execute(() -> this.client.send(address, request, new Collector(outcome)));
 		String result = outcome.get(WAIT_S, TimeUnit.SECONDS);
 		// Waits until the connection is idle again before the next request.
@@ -122,6 +130,25 @@
 		}
 	}
 
+	// Guards against half a response that looks complete because the reset is met while
+	// the request is still written.
+	@Test
+	void aResetThatIsMetWhileTheRequestIsWrittenIsNoEnd() throws Exception {
+		for (int run = 0; run < 50; run++) {
+			try (WireTarget target = new WireTarget((wire) -> {
+				wire.readHead();
+				wire.write("HTTP/1.1 200 OK\r\nid: 1\r\n\r\nhalf");
+				wire.pause(5);
+				wire.resetAtEnd();
+			})) {
+				FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/",
+						Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES]));
+				request.headers().set("id", "1").set("Content-Length", LONG_BODY_BYTES);
+				assertThat("run " + run, send(target.address(), request), startsWith("lost: "));
+			}
+		}
+	}
+
 	@Test
 	void aTargetThatHangsUpMayHaveRunTheRequest() throws Exception {
 		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.HANG_UP)) {
