Don't pass on a failure whose status means that the request did not run

A target's 503 that does not state that the request was not run counted as a failure, and its status reached the caller unchanged. Callers take this status, like 408, 421 and 429, as the promise that the request neither ran nor will, and repeat requests that may run only once. A stray or damaged response of this kind could make such a request run twice.

The protocol now names these statuses.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -348,6 +348,11 @@
 		}
 
 		private void finish(FullResponse response) {
+			if (CallDispatcher.this.protocol.meansNotRun(response.head())) {
+				response.body().release();
+				refuse(ResultCode.OUTCOME_UNKNOWN, 0);
+				return;
+			}
 			end();
 			recordAnswer(response.targetId(), response.head());
 			log("answered", ResultCode.OK);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetProtocol.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetProtocol.java
@@ -38,6 +38,15 @@
 	 */
 	RequestOutcome outcome(HttpResponse response);
 
+	/**
+	 * Returns whether callers take the status of a response to mean that the request did
+	 * not run.
+	 * @param response the head of the answer
+	 * @return true if a target's response with this status is not passed on unless the
+	 * target states that it did not run the request
+	 */
+	boolean meansNotRun(HttpResponse response);
+
 	/**
 	 * Returns the seal by which callers verify that an answer comes from a target.
 	 * @param response the head of the answer
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CallDispatcherTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CallDispatcherTests.java
@@ -136,6 +136,21 @@
 		}
 	}
 
+	// Guards against a call that ran and is repeated because its caller got the status of
+	// calls that did not run.
+	@Test
+	void aFailureWithTheStatusOfCallsThatDidNotRunIsNotPassedOn() throws Exception {
+		String failed = FAILED.replace("500 Bad", "503 Bad");
+		for (String failure : new String[] { failed, failed.replace("seal: f\r\n", "") }) {
+			this.readyTargets.clear();
+			try (ScriptedTarget first = target("t1", failure); ScriptedTarget second = target("t2", failure)) {
+				assertThat(run(RouteKind.AT_MOST_ONCE, 5_000), is("refused " + ResultCode.OUTCOME_UNKNOWN));
+				assertThat(first.requests().size() + second.requests().size(), is(1));
+				assertThat(run(RouteKind.IDEMPOTENT, 5_000), is("refused " + ResultCode.OUTCOME_UNKNOWN));
+			}
+		}
+	}
+
 	@Test
 	void aCallThatNoTargetRanIsRefusedAtOnceAsNotRun() throws Exception {
 		try (ScriptedTarget first = target("t1", NOT_RUN); ScriptedTarget second = target("t2", NOT_RUN)) {
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/ScriptedProtocol.java
@@ -46,6 +46,11 @@
 		return (response.status().code() == 200) ? RequestOutcome.ANSWERED : RequestOutcome.FAILED;
 	}
 
+	@Override
+	public boolean meansNotRun(HttpResponse response) {
+		return response.status().code() == 503;
+	}
+
 	@Override
 	public Optional<String> seal(HttpResponse response) {
 		return Optional.ofNullable(response.headers().get("seal"));
