Check that the late copy of a failure does not count against an item

A scoring call is repeated under its id. Since an id is sent only on a connection that has not carried it, the copy of the first failure cannot be taken for the response to the second call. Without that choice of connections the test counts two failures in place of one.

--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
@@ -6,6 +6,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -29,6 +30,7 @@
 import org.zinniatack.gateway.http.ScriptedProtocol;
 import org.zinniatack.gateway.http.ScriptedTarget;
 import org.zinniatack.gateway.http.TargetClient;
+import org.zinniatack.gateway.http.WireTarget;
 import org.zinniatack.gateway.target.TargetSelector;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -87,8 +89,12 @@
 	}
 
 	private ItemScorer scorer(ScriptedTarget target, int slotCount) {
-		TargetNotice notice = new TargetNotice("t", 1, 1, "p", target.address(), "a", TargetNotice.State.READY,
-				slotCount, Map.of());
+		return scorer(target.address(), slotCount);
+	}
+
+	private ItemScorer scorer(String address, int slotCount) {
+		TargetNotice notice = new TargetNotice("t", 1, 1, "p", address, "a", TargetNotice.State.READY, slotCount,
+				Map.of());
 		TargetSelector targets = new TargetSelector((pool) -> List.of(notice), "a", this.client::hasIdleConnection,
 				(leaving) -> {
 				});
@@ -227,4 +233,29 @@
 		}
 	}
 
+	// Guards against an item that is given up because the late copy of a failure counts
+	// as another failure.
+	@Test
+	void aLateCopyOfAFailureDoesNotCountAgain() throws Exception {
+		String failure = "HTTP/1.1 500 Bad\r\nid: r\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n";
+		AtomicInteger requests = new AtomicInteger();
+		try (WireTarget target = new WireTarget((wire) -> {
+			wire.readHead();
+			if (requests.incrementAndGet() > 1) {
+				wire.write(SCORED_ANSWER);
+			}
+			wire.write(failure);
+			wire.readHead();
+			wire.write(failure);
+			wire.readHead();
+		})) {
+			ItemScorer scorer = scorer(target.address(), SLOT_COUNT);
+			ItemRun run = run("j", 0);
+			this.loop.execute(() -> scorer.score(run));
+			awaitFinished(1);
+			assertThat(this.finished, contains("j"));
+			assertThat(run.scoringFailureCount, is(1));
+		}
+	}
+
 }
