Dispatch the other items if one cannot be encoded as a request

Seen: found while looking for items that are never placed. A job with one item whose header name, header value or path is no HTTP was accepted, and from then on no item of any job was placed.

Cause: the exception of one item ended the round in which items are dispatched, at the same item in each round, and the items behind it in the order were never reached.

Fix: an exception concerns its item only, which waits a second and stays owed until it expires. The state of an item changes only once its request is under way, so no slot of a target is counted for a request that was not sent.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -73,6 +73,9 @@
 	/** When the leader fails, an item loses about twice this and the election time. */
 	private static final long STORE_INTERVAL_MS = 500;
 
+	/** The delay of an item that cannot be encoded as a request, for example. */
+	private static final long ERROR_PAUSE_MS = 1_000;
+
 	private final EventLoop loop;
 
 	private final ControlService control;
@@ -397,24 +400,36 @@
 			if (run.phase != ItemRun.Phase.WAITING) {
 				continue;
 			}
-			Optional<Route> route = this.routeIndex.routeOf(run.job.host(), run.item.path());
-			if (route.isEmpty() || isExpired(run)) {
-				finish(run, ItemOutcome.givenUp(run), route.isEmpty() ? "no route" : "too old");
-				continue;
+			try {
+				dispatch(run, unmetRequirements, nowMs);
 			}
-			if (run.restoredComplete && isUsable(run, route.get())) {
-				handleGenerated(run, route.get());
-				continue;
-			}
-			String pool = route.get().selectPool((run.item.id().hashCode() & 0xffff) / (double) 0x10000);
-			String requirement = pool + ' ' + run.job.oldestVersion() + ' ' + run.job.model();
-			if (!unmetRequirements.contains(requirement)) {
-				chooseTarget(run, pool, nowMs).ifPresentOrElse((target) -> generate(run, route.get(), target),
-						() -> unmetRequirements.add(requirement));
+			catch (RuntimeException ex) {
+				LOGGER.atSevere()
+					.log("event=item_not_dispatched job=%s item=%s code=%d detail=\"%s\"", run.job.id().name(),
+							run.item.id(), ResultCode.INTERNAL.number(), ex.getClass().getSimpleName());
+				run.notBeforeMs = nowMs + ERROR_PAUSE_MS;
 			}
 		}
 	}
 
+	private void dispatch(ItemRun run, Set<String> unmetRequirements, long nowMs) {
+		Optional<Route> route = this.routeIndex.routeOf(run.job.host(), run.item.path());
+		if (route.isEmpty() || isExpired(run)) {
+			finish(run, ItemOutcome.givenUp(run), route.isEmpty() ? "no route" : "too old");
+			return;
+		}
+		if (run.restoredComplete && isUsable(run, route.get())) {
+			handleGenerated(run, route.get());
+			return;
+		}
+		String pool = route.get().selectPool((run.item.id().hashCode() & 0xffff) / (double) 0x10000);
+		String requirement = pool + ' ' + run.job.oldestVersion() + ' ' + run.job.model();
+		if (!unmetRequirements.contains(requirement)) {
+			chooseTarget(run, pool, nowMs).ifPresentOrElse((target) -> generate(run, route.get(), target),
+					() -> unmetRequirements.add(requirement));
+		}
+	}
+
 	private ItemOrder.WaitingItem waitingItem(ItemRun run) {
 		long dueAtMs = run.job.submittedAtMs() + run.job.deadlineMs();
 		double remainingEvents = Math.max(0, expectedEvents(run) - run.text.eventCount());
@@ -480,27 +495,31 @@
 	}
 
 	private void generate(ItemRun run, Route route, TargetNotice target) {
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, run.item.path(),
-				Unpooled.wrappedBuffer(run.item.body()));
-		run.item.headers().forEach(request.headers()::set);
-		request.headers().set(HttpHeaderNames.HOST, run.job.host());
-		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, run.item.body().length);
-		this.protocol.setRequestId(request.headers(), run.item.id());
-		this.protocol.setSystemHeaders(request.headers(), new TargetProtocol.RequestContext(target.id(),
-				run.job.id().customer(), ItemRun.ATTEMPT_TIMEOUT_MS, run.text.lastEventId()));
+		ItemAttempt attempt = new ItemAttempt(this.loop, this.protocol, this.versions, this.targets, this.handler, run,
+				route, target);
+		Runnable cancelSending = this.client.send(target.address(), request(run, target), attempt);
 		run.phase = ItemRun.Phase.GENERATING;
 		run.target = target;
 		run.beginAttempt(nowMs());
 		this.targets.stats(target.id()).recordSent();
-		ItemAttempt attempt = new ItemAttempt(this.loop, this.protocol, this.versions, this.targets, this.handler, run,
-				route, target);
-		Runnable cancelSending = this.client.send(target.address(), request, attempt);
 		run.canceller = () -> {
 			attempt.end();
 			cancelSending.run();
 		};
 	}
 
+	private FullHttpRequest request(ItemRun run, TargetNotice target) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, run.item.path(),
+				Unpooled.wrappedBuffer(run.item.body()));
+		run.item.headers().forEach(request.headers()::set);
+		request.headers().set(HttpHeaderNames.HOST, run.job.host());
+		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, run.item.body().length);
+		this.protocol.setRequestId(request.headers(), run.item.id());
+		this.protocol.setSystemHeaders(request.headers(), new TargetProtocol.RequestContext(target.id(),
+				run.job.id().customer(), ItemRun.ATTEMPT_TIMEOUT_MS, run.text.lastEventId()));
+		return request;
+	}
+
 	private void handleLoss(ItemRun run, String detail) {
 		TargetNotice target = run.target;
 		LOGGER.atInfo()
