--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/Route.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/Route.java
@@ -48,7 +48,7 @@
 	 * @return the name of the pool
 	 */
 	public String selectPool(double position) {
-		int total = this.shares.stream().mapToInt(PoolShare::weight).sum();
+		long total = this.shares.stream().mapToLong(PoolShare::weight).sum();
 		double remaining = position * total;
 		for (PoolShare share : this.shares) {
 			remaining -= share.weight();
--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/RoutingTable.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/RoutingTable.java
@@ -63,7 +63,7 @@
 				throw invalid("route %s has a share with a negative weight".formatted(route.name()));
 			}
 		}
-		if (route.shares().stream().mapToInt(PoolShare::weight).sum() <= 0) {
+		if (route.shares().stream().mapToLong(PoolShare::weight).sum() <= 0) {
 			throw invalid("the share weights of route %s add up to 0".formatted(route.name()));
 		}
 		if (route.timeoutMs() <= 0) {
