Measure a quarantine by the entry's own clock

An entry now dates what control tells it by its own monotonic clock, when it first hears it, and keeps that date until the suspicion changes. Control leaves out what it would have forgotten, so that an entry that starts later doesn't begin an old quarantine anew.

It was not played with clocks that differ.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -255,7 +255,7 @@
 		summary.put("closedWindows", state.usage().closedWindows());
 		summary.put("suspects", state.crashes().suspects());
 		summary.put("quarantined", quarantined(state));
-		summary.put("suspicions", state.lostRequests().effective());
+		summary.put("suspicions", state.lostRequests().effective(System.currentTimeMillis()));
 		summary.put("steps", state.steps().images().size());
 		return summary;
 	}
@@ -521,8 +521,8 @@
 		if (table != null) {
 			this.directoryFeeds.updateTable(table.table());
 		}
-		this.directoryFeeds
-			.updateSuspects(new Message.Suspects(state.appliedIndex(), state.lostRequests().effective()));
+		this.directoryFeeds.updateSuspects(
+				new Message.Suspects(state.appliedIndex(), state.lostRequests().effective(System.currentTimeMillis())));
 		this.stateListeners.forEach((listener) -> listener.accept(state));
 		EntryFeeds started = this.feeds;
 		if (started != null) {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
@@ -81,7 +81,7 @@
 	/**
 	 * Returns whether a request may run.
 	 * @param digest the digest of the request
-	 * @param nowMs the time, in milliseconds since the epoch
+	 * @param nowMs the time by the clock of the suspicions, in milliseconds
 	 * @return the standing, CLEAR for an unknown request
 	 */
 	public Standing standing(String digest, long nowMs) {
@@ -105,7 +105,7 @@
 	/**
 	 * Returns the end of the quarantine of a request.
 	 * @param suspicion the suspicion
-	 * @return the time in milliseconds since the epoch
+	 * @return the time by the clock of the suspicion, in milliseconds
 	 */
 	public static long quarantineEndMs(Suspicion suspicion) {
 		return suspicion.lastLossAtMs() + quarantineMs(suspicion);
@@ -131,18 +131,19 @@
 
 	/**
 	 * Returns the suspicions on which the policy acts.
-	 * @return those of requests that are suspected or quarantined
+	 * @param nowMs the time by the clock of the suspicions, in milliseconds
+	 * @return those of requests that are suspected, quarantined or released
 	 */
-	public List<Suspicion> effective() {
+	public List<Suspicion> effective(long nowMs) {
 		return this.suspicions.values()
 			.stream()
-			.filter((suspicion) -> suspicion.targets().size() >= SUSPECTED_TARGETS)
+			.filter((suspicion) -> suspicion.targets().size() >= SUSPECTED_TARGETS && !isForgotten(suspicion, nowMs))
 			.toList();
 	}
 
 	/**
 	 * Returns the quarantined requests.
-	 * @param nowMs the time, in milliseconds since the epoch
+	 * @param nowMs the time by the clock of the suspicions, in milliseconds
 	 * @return their digests
 	 */
 	public List<String> quarantined(long nowMs) {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Suspicion.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Suspicion.java
@@ -10,7 +10,8 @@
  *
  * @param digest the digest of the request
  * @param targets the starts of the targets that ended, in the order of their reports
- * @param lastLossAtMs the time of the last loss, in milliseconds since the epoch
+ * @param lastLossAtMs the time of the last loss, in milliseconds; since the epoch in
+ * reports and in the state of control
  */
 public record Suspicion(String digest, List<String> targets, long lastLossAtMs) {
 
--- a/zinniatack-core/src/test/java/org/zinniatack/core/state/SuspectedRequestsTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/state/SuspectedRequestsTests.java
@@ -12,6 +12,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -116,7 +117,9 @@
 	void aRequestThatIsNotLostAgainIsForgotten() {
 		lose("d", "t1", "t2");
 		assertThat(this.requests.standing("d", NOW_MS + 2 * QUARANTINE_MS), is(Standing.SUSPECT));
+		assertThat(this.requests.effective(NOW_MS + 2 * QUARANTINE_MS), hasSize(1));
 		assertThat(this.requests.standing("d", NOW_MS + 2 * QUARANTINE_MS + 1), is(Standing.CLEAR));
+		assertThat(this.requests.effective(NOW_MS + 2 * QUARANTINE_MS + 1), empty());
 		loseAt(NOW_MS + 2 * QUARANTINE_MS + 1, "d", "t3");
 		assertThat(this.requests.standing("d", NOW_MS + 2 * QUARANTINE_MS + 1), is(Standing.CLEAR));
 	}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -113,7 +113,8 @@
 		this.client = new TargetClient(loop, protocol);
 		this.targets = new TargetSelector((pool) -> this.directory.ready(pool, nowMs()), settings.failureDomain(),
 				this.client::hasIdleConnection, new AnswerObserver());
-		this.crashGuard = new SharedCrashGuard(loop, this::propose, this::isLeaving, System::currentTimeMillis);
+		this.crashGuard = new SharedCrashGuard(loop, this::propose, this::isLeaving, this::nowMs,
+				System::currentTimeMillis);
 		this.dispatcher = new CallDispatcher(loop, this.client, protocol, this.targets, this.crashGuard);
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
@@ -40,6 +40,8 @@
 	/** The pause before a request that another one is being tried for may come again. */
 	private static final long TRIAL_RETRY_MS = 1_000;
 
+	private final LongSupplier nowMs;
+
 	private final LongSupplier wallClockMs;
 
 	private final Predicate<TargetNotice> isLeaving;
@@ -50,9 +52,11 @@
 
 	private final SuspectedRequests own = new SuspectedRequests();
 
+	/** The requests that control knows, with the times at which it told them. */
 	private SuspectedRequests shared = new SuspectedRequests();
 
-	private long sharedIndex;
+	/** The same requests as control told them. */
+	private Message.Suspects told = Message.Suspects.NONE;
 
 	/** All known requests, or null after a change. */
 	private @Nullable SuspectedRequests known;
@@ -66,10 +70,13 @@
 	 * @param loop the event loop
 	 * @param proposer sends a command to control
 	 * @param isLeaving returns whether a target has said that it will end
-	 * @param wallClockMs returns the time in milliseconds since the epoch
+	 * @param nowMs returns the monotonic time, in milliseconds; the quarantines are
+	 * measured by it, since the clocks of other VMs may differ
+	 * @param wallClockMs returns the time of a report, in milliseconds since the epoch
 	 */
 	public SharedCrashGuard(EventLoop loop, Function<Command, CompletableFuture<?>> proposer,
-			Predicate<TargetNotice> isLeaving, LongSupplier wallClockMs) {
+			Predicate<TargetNotice> isLeaving, LongSupplier nowMs, LongSupplier wallClockMs) {
+		this.nowMs = nowMs;
 		this.wallClockMs = wallClockMs;
 		this.isLeaving = isLeaving;
 		this.endedTargets = new EndedTargets(loop, this::onLost);
@@ -81,10 +88,10 @@
 	 * @param suspects the requests
 	 */
 	public void accept(Message.Suspects suspects) {
-		if (suspects.index() < this.sharedIndex) {
+		if (suspects.index() < this.told.index()) {
 			return;
 		}
-		SuspectedRequests newest = SuspectedRequests.of(suspects.requests());
+		SuspectedRequests newest = withOwnTimes(suspects);
 		for (Suspicion before : this.shared.all()) {
 			if (newest.suspicion(before.digest()).isEmpty()) {
 				this.own.remove(before.digest());
@@ -92,22 +99,35 @@
 			}
 		}
 		Map<String, Standing> standings = standings(newest);
-		this.sharedIndex = suspects.index();
+		this.told = suspects;
 		this.shared = newest;
 		this.known = null;
 		newest.all().forEach((suspicion) -> logChange(suspicion.digest(), standings, "control"));
 	}
 
+	/** Dates what is new by the own clock; what was told before keeps its date. */
+	private SuspectedRequests withOwnTimes(Message.Suspects suspects) {
+		Set<Suspicion> toldBefore = new HashSet<>(this.told.requests());
+		long toldAtMs = this.nowMs.getAsLong();
+		SuspectedRequests dated = new SuspectedRequests();
+		for (Suspicion suspicion : suspects.requests()) {
+			dated.add(this.shared.suspicion(suspicion.digest())
+				.filter((known) -> toldBefore.contains(suspicion))
+				.orElseGet(() -> new Suspicion(suspicion.digest(), suspicion.targets(), toldAtMs)));
+		}
+		return dated;
+	}
+
 	private Map<String, Standing> standings(SuspectedRequests requests) {
 		Map<String, Standing> standings = new HashMap<>();
-		long nowMs = this.wallClockMs.getAsLong();
+		long timeMs = this.nowMs.getAsLong();
 		requests.all()
-			.forEach((suspicion) -> standings.put(suspicion.digest(), known().standing(suspicion.digest(), nowMs)));
+			.forEach((suspicion) -> standings.put(suspicion.digest(), known().standing(suspicion.digest(), timeMs)));
 		return standings;
 	}
 
 	private void logChange(String digest, Map<String, Standing> before, String source) {
-		Standing standing = known().standing(digest, this.wallClockMs.getAsLong());
+		Standing standing = known().standing(digest, this.nowMs.getAsLong());
 		Standing previous = before.getOrDefault(digest, Standing.CLEAR);
 		if (standing == previous || (standing != Standing.SUSPECT && standing != Standing.QUARANTINED)) {
 			return;
@@ -154,20 +174,20 @@
 	}
 
 	private Standing standing(String digest) {
-		long nowMs = this.wallClockMs.getAsLong();
-		Standing standing = known().standing(digest, nowMs);
+		long timeMs = this.nowMs.getAsLong();
+		Standing standing = known().standing(digest, timeMs);
 		if (standing != Standing.RELEASED) {
 			return standing;
 		}
-		this.trialAtMsByDigest.values().removeIf((trialAtMs) -> nowMs - trialAtMs > TRIAL_MS);
-		return (this.trialAtMsByDigest.putIfAbsent(digest, nowMs) == null) ? Standing.RELEASED : Standing.QUARANTINED;
+		this.trialAtMsByDigest.values().removeIf((trialAtMs) -> timeMs - trialAtMs > TRIAL_MS);
+		return (this.trialAtMsByDigest.putIfAbsent(digest, timeMs) == null) ? Standing.RELEASED : Standing.QUARANTINED;
 	}
 
 	@Override
 	public long retryAfterMs(Call call) {
-		long nowMs = this.wallClockMs.getAsLong();
+		long timeMs = this.nowMs.getAsLong();
 		return knownDigest(call).flatMap((digest) -> known().suspicion(digest))
-			.map((suspicion) -> Math.max(TRIAL_RETRY_MS, SuspectedRequests.quarantineEndMs(suspicion) - nowMs))
+			.map((suspicion) -> Math.max(TRIAL_RETRY_MS, SuspectedRequests.quarantineEndMs(suspicion) - timeMs))
 			.orElse(TRIAL_RETRY_MS);
 	}
 
@@ -180,12 +200,11 @@
 	}
 
 	private void onLost(String digest, String targetStart) {
-		Map<String, Standing> before = Map.of(digest, known().standing(digest, this.wallClockMs.getAsLong()));
-		Suspicion loss = new Suspicion(digest, List.of(targetStart), this.wallClockMs.getAsLong());
-		this.own.add(loss);
+		Map<String, Standing> before = Map.of(digest, known().standing(digest, this.nowMs.getAsLong()));
+		this.own.add(new Suspicion(digest, List.of(targetStart), this.nowMs.getAsLong()));
 		this.known = null;
 		this.trialAtMsByDigest.remove(digest);
-		this.reports.addLoss(loss);
+		this.reports.addLoss(new Suspicion(digest, List.of(targetStart), this.wallClockMs.getAsLong()));
 		logChange(digest, before, "own");
 	}
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
@@ -48,6 +48,8 @@
 
 	private static final long DAY_MS = TimeUnit.DAYS.toMillis(1);
 
+	private static final long QUARANTINE_MS = TimeUnit.MINUTES.toMillis(10);
+
 	private static final Route ROUTE = new Route("r", "h", "/", RouteKind.IDEMPOTENT, false, true, 2_000, 500, 0, 2,
 			List.of(new PoolShare("p", 1)), 0, 0, false);
 
@@ -55,14 +57,14 @@
 
 	private final EventLoop loop = this.group.next();
 
-	private final AtomicLong wallClockMs = new AtomicLong(DAY_MS);
+	private final AtomicLong nowMs = new AtomicLong();
 
 	private final List<Command.ReportCrash> reports = new CopyOnWriteArrayList<>();
 
 	private final SharedCrashGuard guard = new SharedCrashGuard(this.loop, (command) -> {
 		this.reports.add((Command.ReportCrash) command);
 		return CompletableFuture.completedFuture(null);
-	}, (target) -> target.state() != TargetNotice.State.READY, this.wallClockMs::get);
+	}, (target) -> target.state() != TargetNotice.State.READY, this.nowMs::get, () -> DAY_MS);
 
 	@AfterEach
 	void stop() {
@@ -135,7 +137,7 @@
 	void afterTheQuarantineOneRequestAtATimeMayTry() throws Exception {
 		Call call = call("c", "/x", "body");
 		accept(1, suspicion(call, DAY_MS, "t1", "t2", "t3"));
-		this.wallClockMs.addAndGet(TimeUnit.MINUTES.toMillis(10));
+		this.nowMs.addAndGet(QUARANTINE_MS);
 		assertThat(standing(call), is(Standing.RELEASED));
 		assertThat(standing(call), is(Standing.QUARANTINED));
 		answered(call);
@@ -144,6 +146,22 @@
 		assertThat(this.reports.get(0).answeredDigests(), is(List.of(CallDigest.of(call))));
 	}
 
+	@Test
+	void aQuarantineLastsItsTimeWhateverTheClocksOfOtherVmsSay() throws Exception {
+		Call late = call("c", "/late", "body");
+		Call early = call("c", "/early", "body");
+		Suspicion ofLate = suspicion(late, 0, "t1", "t2", "t3");
+		Suspicion ofEarly = suspicion(early, 10 * DAY_MS, "t4", "t5", "t6");
+		accept(1, ofLate, ofEarly);
+		this.nowMs.addAndGet(QUARANTINE_MS - 1);
+		accept(2, ofLate, ofEarly);
+		assertThat(standing(late), is(Standing.QUARANTINED));
+		assertThat(standing(early), is(Standing.QUARANTINED));
+		this.nowMs.addAndGet(1);
+		assertThat(standing(late), is(Standing.RELEASED));
+		assertThat(standing(early), is(Standing.RELEASED));
+	}
+
 	@Test
 	void whatOneEntrySawItselfAddsToWhatControlKnows() throws Exception {
 		Call call = call("c", "/x", "body");
