Let a request without an id share a connection with others, but only one

What keeps answers apart is weaker than that: a response with an id never answers a request without one, a response without an id answers a request with one only as a failure and as the first of its connection, and a connection carries at most one request without an id. So the late copy of an earlier response on the connection is never the response that is due.

A version that a target says to hold already is now checked against its announcements, like one that it was ordered to load.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
@@ -67,8 +68,8 @@
 
 	/**
 	 * Creates a client for targets that may send a response twice. Responses are told
-	 * apart by the id of their request; a request without an id is the only one on its
-	 * connection.
+	 * apart by the id of their request; a connection carries at most one request without
+	 * an id.
 	 * @param loop the event loop to run on
 	 * @param ids reads the ids of requests and responses
 	 */
@@ -96,7 +97,7 @@
 	 */
 	public Runnable send(String address, FullHttpRequest request, ResponseListener listener) {
 		PendingRequest pending = new PendingRequest(request, idOf(request), listener);
-		Connection idle = mayShareConnection(pending.id) ? takeIdle(address, pending.id) : null;
+		Connection idle = takeIdle(address, pending.id);
 		if (idle != null) {
 			this.loop.execute(() -> idle.sendRequest(pending));
 		}
@@ -110,10 +111,6 @@
 		return (this.ids != null) ? this.ids.requestId(message) : null;
 	}
 
-	private boolean mayShareConnection(@Nullable String id) {
-		return this.ids == null || id != null;
-	}
-
 	/**
 	 * Returns whether a request to a target can use an idle connection.
 	 * @param address host and port of the target
@@ -126,8 +123,8 @@
 	}
 
 	/**
-	 * Takes the idle connection that was used last, except those on which a late copy of
-	 * the response to the same id may still arrive.
+	 * Takes the idle connection that was used last, except those on which the late copy
+	 * of an earlier response could be taken for the response to the request.
 	 */
 	private @Nullable Connection takeIdle(String address, @Nullable String id) {
 		Deque<Connection> idle = this.idleConnectionsByAddress.get(address);
@@ -142,7 +139,7 @@
 				latestFirst.remove();
 				connection.close();
 			}
-			else if (id == null || !connection.recentIds.mayContain(id)) {
+			else if (connection.mayCarry(id)) {
 				latestFirst.remove();
 				return connection;
 			}
@@ -258,6 +255,8 @@
 
 		private final RecentIds recentIds = new RecentIds();
 
+		private boolean carriedRequestWithoutId;
+
 		private @Nullable Channel channel;
 
 		private @Nullable PendingRequest current;
@@ -311,6 +310,9 @@
 			if (pending.id != null) {
 				this.recentIds.add(pending.id);
 			}
+			else {
+				this.carriedRequestWithoutId = true;
+			}
 			this.channel.pipeline().get(ResponseDecoder.class).expectResponse(pending.request.method());
 			this.channel.writeAndFlush(pending.request)
 				.addListener((written) -> failUnwritten(pending, written.cause()));
@@ -418,14 +420,21 @@
 			}
 		}
 
+		/** Returns whether no late copy could pass for the response to a request. */
+		boolean mayCarry(@Nullable String id) {
+			if (TargetClient.this.ids == null) {
+				return true;
+			}
+			return (id != null) ? !this.recentIds.mayContain(id) : !this.carriedRequestWithoutId;
+		}
+
 		private boolean isAnswer(PendingRequest pending, HttpResponse response) {
 			String receivedId = idOf(response);
-			if (pending.id == null || pending.id.equals(receivedId)) {
+			if (TargetClient.this.ids == null || Objects.equals(pending.id, receivedId)) {
 				return true;
 			}
 			// A target may refuse a request before it has read the id, but a success
-			// always
-			// carries the id.
+			// always carries the id.
 			return receivedId == null && this.requestCount == 1
 					&& response.status().code() >= HttpResponseStatus.MULTIPLE_CHOICES.code();
 		}
@@ -438,8 +447,8 @@
 			}
 			pending.finished = true;
 			this.current = null;
-			if (HttpUtil.isKeepAlive(completeHead) && isFramed(completeHead) && mayShareConnection(pending.id)
-					&& mayShareConnection(idOf(completeHead))) {
+			boolean idMissing = pending.id != null && idOf(completeHead) == null;
+			if (HttpUtil.isKeepAlive(completeHead) && isFramed(completeHead) && !idMissing) {
 				this.usableUntilMs = nowMs() + idleTimeoutMs(completeHead) - IDLE_MARGIN_MS;
 				returnToPool();
 			}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -332,11 +332,11 @@
 		send(load, this.protocol.loadRequest(new TargetProtocol.LoadOrder(load.target.id(), load.model, load.version,
 				load.keepRunning, this.term, orderCount)), (status, body) -> {
 					if (status == ACCEPTED) {
-						this.loop.schedule(() -> expectLoaded(load), TYPICAL_LOAD_MS, TimeUnit.MILLISECONDS);
+						this.loop.schedule(() -> expectLoaded(load, "expected"), TYPICAL_LOAD_MS,
+								TimeUnit.MILLISECONDS);
 					}
 					else if (status == OK) {
-						this.versions.recordVersion(load.target, load.model, load.version);
-						finish(load, "holds already");
+						expectLoaded(load, "holds already");
 					}
 					else {
 						LOGGER.atInfo().log("event=order_refused target=%s status=%d", load.target.id(), status);
@@ -350,10 +350,10 @@
 	 * Lets requests go to a target that should have loaded by now. If it has not, it says
 	 * so and runs none of them. Its announcements are checked later.
 	 */
-	private void expectLoaded(Load load) {
+	private void expectLoaded(Load load, String outcome) {
 		if (isCurrent(load)) {
 			this.versions.recordVersion(load.target, load.model, load.version);
-			finish(load, "expected");
+			finish(load, outcome);
 			this.loop.schedule(() -> verify(load), VERIFY_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 	}
