Release a quarantined request for a trial after a minute

A sound request can be quarantined after a burst of crashes: it was lost on three targets that ended for another reason, and none answered it in between. It was then refused for ten minutes, as often as it came.

The first quarantine now lasts a minute, and each further target makes it eight times as long, so that a request that does crash targets gets a trial after 1, 9 and 73 minutes, rarer than before from the third one on. What is known of a request is still kept for twenty minutes at least.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
@@ -13,7 +13,7 @@
  * suspected once two targets ended while they ran it and none answered it since. It is
  * quarantined once three did, unless another request ran on all of the same targets: then
  * either of them may be innocent, until one is answered or a further target ends. A
- * quarantine ends after a time, which doubles with each further target.
+ * quarantine ends after a time, which is eight times as long after each further target.
  */
 public final class SuspectedRequests {
 
@@ -24,10 +24,17 @@
 	/** From here on a request is quarantined whatever else its targets ran. */
 	private static final int CERTAIN_TARGETS = 5;
 
-	private static final long QUARANTINE_MS = TimeUnit.MINUTES.toMillis(10);
+	/** Short, since an innocent request may be in quarantine after a burst of crashes. */
+	private static final long QUARANTINE_MS = TimeUnit.MINUTES.toMillis(1);
+
+	/** Each further target makes the quarantine longer by the factor 2 to this power. */
+	private static final int QUARANTINE_GROWTH_BITS = 3;
 
 	private static final long MAXIMUM_QUARANTINE_MS = TimeUnit.DAYS.toMillis(1);
 
+	/** Longer than a caller waits before it sends a request again. */
+	private static final long MEMORY_MS = TimeUnit.MINUTES.toMillis(20);
+
 	/** The number of requests that are remembered; the oldest are forgotten first. */
 	public static final int MAXIMUM_REQUESTS = 1_024;
 
@@ -113,12 +120,15 @@
 
 	private static long quarantineMs(Suspicion suspicion) {
 		int further = Math.max(0, suspicion.targets().size() - QUARANTINED_TARGETS);
-		return Math.min(MAXIMUM_QUARANTINE_MS, QUARANTINE_MS << further);
+		return Math.min(MAXIMUM_QUARANTINE_MS, QUARANTINE_MS << (QUARANTINE_GROWTH_BITS * further));
 	}
 
-	/** A request is forgotten when it has been free for as long as its quarantine. */
+	/**
+	 * A request is forgotten when it has been free for as long as its quarantine, and for
+	 * some time at least.
+	 */
 	private static boolean isForgotten(Suspicion suspicion, long nowMs) {
-		return nowMs - suspicion.lastLossAtMs() > 2 * quarantineMs(suspicion);
+		return nowMs - suspicion.lastLossAtMs() > Math.max(MEMORY_MS, 2 * quarantineMs(suspicion));
 	}
 
 	/**
