Do not resume the stream of a request that may crash targets

Cause: a lost attempt asks whether its call is suspected before it is sent again; a stream that was cut did not.

Evidence: CutAnswerTests#aStreamOfARequestThatMayCrashTargetsIsNotResumed failed before: requests at the second target, expected <0> but was <1>.

Why the fix works: both ask mayRunAgain. A stream of which some content came is not counted as a crash of its request, as before, and is resumed.

Measured: CutAnswerTests, CallDispatcherTests, StreamOnTheWireTests and the tests of crashing requests in the gateway pass.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -222,6 +222,10 @@
 			return CallDispatcher.this.crashGuard.standing(this.call) != Standing.CLEAR;
 		}
 
+		private boolean mayRunAgain() {
+			return this.call.route().isRepeatable() && !isSuspect();
+		}
+
 		private void send(TargetNotice target) {
 			this.triedTargetIds.add(target.id());
 			this.sentCount++;
@@ -280,7 +284,7 @@
 			if (this.finished) {
 				return;
 			}
-			boolean repeatable = !this.mayHaveRun || (this.call.route().isRepeatable() && !isSuspect());
+			boolean repeatable = !this.mayHaveRun || mayRunAgain();
 			if (this.runningAttempts.isEmpty() && !(repeatable && sendNext())) {
 				finishUnanswered();
 			}
@@ -290,7 +294,7 @@
 		void onStreamCut(Attempt attempt) {
 			this.runningAttempts.remove(attempt);
 			this.mayHaveRun = true;
-			if (!this.finished && !(this.call.route().isRepeatable() && this.stream.isResumable() && sendNext())) {
+			if (!this.finished && !(mayRunAgain() && this.stream.isResumable() && sendNext())) {
 				finishUnanswered();
 			}
 		}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
@@ -24,6 +24,7 @@
 
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.state.SuspectedRequests.Standing;
 import org.zinniatack.core.table.PoolShare;
 import org.zinniatack.core.table.Route;
 import org.zinniatack.core.table.RouteKind;
@@ -61,13 +62,16 @@
 
 	private int generation;
 
+	/** Whether a call is suspected from the loss of its first target on. */
+	private volatile boolean suspectsAtOnce;
+
 	private final ScriptedProtocol protocol = new ScriptedProtocol();
 
 	private final TargetClient client = new TargetClient(this.loop, this.protocol);
 
 	private final CallDispatcher dispatcher = new CallDispatcher(this.loop, this.client, this.protocol,
 			new TargetSelector((pool) -> this.readyTargets, "a", (address) -> true, (target) -> {
-			}));
+			}), new FirstLossGuard());
 
 	@AfterEach
 	void stop() {
@@ -254,6 +258,18 @@
 		}
 	}
 
+	// A stream whose request crashed its target behind the head was sent to the next
+	// target.
+	@Test
+	void aStreamOfARequestThatMayCrashTargetsIsNotResumed() throws Exception {
+		this.suspectsAtOnce = true;
+		String head = "HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\n\r\n" + ScriptedTarget.THEN_HANG_UP;
+		try (ScriptedTarget first = target("t1", head); ScriptedTarget second = target("t2", head)) {
+			assertThat(run(RouteKind.STREAM, true, 2), is(new Outcome("200 s", "", "broken")));
+			assertThat(second.requests().size(), is(0));
+		}
+	}
+
 	@Test
 	void theCallersEndEndsAResumedStream() throws Exception {
 		try (ScriptedTarget first = target("t1", CUT_STREAM);
@@ -383,6 +399,33 @@
 	private record Outcome(String head, String body, String end) {
 	}
 
+	/** Suspects a call from its first loss on, if the test wants it. */
+	private final class FirstLossGuard implements CrashGuard {
+
+		private boolean suspected;
+
+		@Override
+		public Standing standing(Call call) {
+			return this.suspected ? Standing.QUARANTINED : Standing.CLEAR;
+		}
+
+		@Override
+		public long retryAfterMs(Call call) {
+			return 0;
+		}
+
+		@Override
+		public void connectionLost(Call call, String digest, TargetNotice target) {
+			this.suspected = CutAnswerTests.this.suspectsAtOnce;
+		}
+
+		@Override
+		public void answered(Call call) {
+			this.suspected = false;
+		}
+
+	}
+
 	/** Records what a caller gets. */
 	private final class RecordingSink implements CallSink {
 
