Don't forward headers of an item that concern only a connection

Seen: found while looking for items that are never done. An item's Expect, Upgrade or Connection header was sent to targets; the front leaves them out of calls.

Evidence: ItemAnswerTests on the code before: an item with "Expect: 100-continue" had no result "after 6 runs" in 5 s, since each target began with an interim response; Connection and Upgrade reached the target.

Fix: the same headers are left out as for calls.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -511,7 +511,11 @@
 	private FullHttpRequest request(ItemRun run, TargetNotice target) {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, run.item.path(),
 				Unpooled.wrappedBuffer(run.item.body()));
-		run.item.headers().forEach(request.headers()::set);
+		run.item.headers().forEach((name, value) -> {
+			if (!TargetClient.isHopByHop(name)) {
+				request.headers().set(name, value);
+			}
+		});
 		request.headers().set(HttpHeaderNames.HOST, run.job.host());
 		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, run.item.body().length);
 		this.protocol.setRequestId(request.headers(), run.item.id());
