Try an avoided target for an item also beside full ones

Cause: avoided targets were tried only if all others were avoided as well; a full one counted as usable.

One item at a time, since beside full targets a dead one would otherwise take as many items as it has slots.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
@@ -102,6 +102,7 @@
 		if (this.outcome != RequestOutcome.ANSWERED) {
 			return;
 		}
+		this.stats.recordAnswering();
 		this.run.lastProgressAtMs = nowMs();
 		OptionalLong version = this.protocol.weightVersion(head);
 		version.ifPresent((value) -> this.versions.recordVersion(this.target, this.run.job.model(), value));
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiPredicate;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.Unpooled;
@@ -455,11 +456,24 @@
 	}
 
 	private Optional<TargetNotice> chooseTarget(ItemRun run, String pool, long nowMs) {
+		List<TargetNotice> loaded = this.targets.ready(pool)
+			.stream()
+			.filter((target) -> !this.versions.isLoading(target.id(), run.job.model())
+					&& this.versions.version(target, run.job.model()).orElse(0) >= run.job.oldestVersion())
+			.toList();
+		Optional<TargetNotice> usable = placeAt(loaded, run, nowMs,
+				(stats, target) -> stats.isUsable(nowMs) && stats.outstandingCount() < target.slotCount());
+		return usable.isPresent() ? usable
+				: placeAt(loaded, run, nowMs, (stats, target) -> stats.isLastResort(nowMs) && target.slotCount() > 0);
+	}
+
+	private Optional<TargetNotice> placeAt(List<TargetNotice> targets, ItemRun run, long nowMs,
+			BiPredicate<TargetStats, TargetNotice> condition) {
 		Map<String, TargetNotice> free = new HashMap<>();
 		List<ItemPlacement.Candidate> candidates = new ArrayList<>();
-		for (TargetNotice target : suitableTargets(run, pool, nowMs)) {
+		for (TargetNotice target : targets) {
 			TargetStats stats = this.targets.stats(target.id());
-			if (stats.outstandingCount() < target.slotCount()) {
+			if (condition.test(stats, target)) {
 				free.put(target.id(), target);
 				candidates.add(new ItemPlacement.Candidate(target.id(), this.targets.utilization(target, nowMs),
 						stats.eventMs(), runsSamePrompt(run, target)));
@@ -468,24 +482,6 @@
 		return this.placement.choose(candidates).map((chosen) -> free.get(chosen.id()));
 	}
 
-	/**
-	 * Returns the targets that have the weights for an item and should get requests. If
-	 * all of them are avoided, those that were not tried for a while are returned, so
-	 * that an item waits no longer than necessary once targets can be reached again.
-	 */
-	private List<TargetNotice> suitableTargets(ItemRun run, String pool, long nowMs) {
-		List<TargetNotice> loaded = this.targets.ready(pool)
-			.stream()
-			.filter((target) -> !this.versions.isLoading(target.id(), run.job.model())
-					&& this.versions.version(target, run.job.model()).orElse(0) >= run.job.oldestVersion())
-			.toList();
-		List<TargetNotice> usable = loaded.stream()
-			.filter((target) -> this.targets.stats(target.id()).isUsable(nowMs))
-			.toList();
-		return !usable.isEmpty() ? usable
-				: loaded.stream().filter((target) -> this.targets.stats(target.id()).isLastResort(nowMs)).toList();
-	}
-
 	private boolean runsSamePrompt(ItemRun run, TargetNotice target) {
 		return !run.item.promptKey().isEmpty() && this.runsByJob.getOrDefault(run.job.id(), Map.of())
 			.values()
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetStats.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetStats.java
@@ -163,12 +163,21 @@
 	}
 
 	/**
-	 * Returns whether the target may get requests if all others are avoided, too.
+	 * Returns whether the target may get one request if no other target has room.
 	 * @param nowMs the monotonic time, in milliseconds
-	 * @return false if it was unreachable a short time ago or refuses requests
+	 * @return false if it has a request, was unreachable a short time ago or refuses
+	 * requests
 	 */
 	public boolean isLastResort(long nowMs) {
-		return nowMs - this.unreachableAtMs >= LAST_RESORT_INTERVAL_MS && nowMs >= this.refusingUntilMs;
+		return this.outstandingCount == 0 && nowMs - this.unreachableAtMs >= LAST_RESORT_INTERVAL_MS
+				&& nowMs >= this.refusingUntilMs;
+	}
+
+	/**
+	 * Records that the target answers, so that it is no longer avoided as unreachable.
+	 */
+	public void recordAnswering() {
+		this.avoidedUntilMs = Long.MIN_VALUE / 2;
 	}
 
 	/**
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/target/TargetStatsTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/target/TargetStatsTests.java
@@ -37,6 +37,18 @@
 		assertThat(this.stats.isUsable(100), is(true));
 	}
 
+	/**
+	 * Items waited for seconds beside a target that was back, while the others were full.
+	 */
+	@Test
+	void aLastResortGetsOneRequestUntilItAnswers() {
+		failRepeatedly();
+		this.stats.recordSent();
+		assertThat(this.stats.isLastResort(LAST_FAILURE_MS + 1_000), is(false));
+		this.stats.recordAnswering();
+		assertThat(this.stats.isUsable(LAST_FAILURE_MS + 1_000), is(true));
+	}
+
 	@Test
 	void aSuccessEndsTheGrowthOfTheAvoidance() {
 		failRepeatedly();
