Remember targets that left through a restart of all control processes

What callers would see: after a restart of all control processes a late heartbeat of a target that had deregistered made it ready again for the leader's items and for fronts that started later, until it had been silent for 5 s. Fronts that had seen it leave kept it out of use.

Cause: which targets have left is in the memory of the processes only, and nobody told the control processes when they came back.

Change: a front that subscribes to a control process tells which targets have left and for how long they have been silent; the state of a start only moves forward, so the order of this word and the late heartbeat does not matter. The fields are optional, and earlier versions read the message as before.

Evidence: with the word ignored, as before, the new test failed: aTargetThatLeftStaysAwayThroughARestartOfAllProcesses: Expected: an empty collection but: <[TargetNotice[id=t, bornMs=1, sequence=6, ... Not covered: all control processes and fronts restarting together.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -532,8 +532,8 @@
 
 	@Override
 	public void onNotification(Peer peer, Message message) {
-		if (message instanceof Message.Subscribe) {
-			this.directoryFeeds.onSubscribe(peer);
+		if (message instanceof Message.Subscribe subscription) {
+			this.directoryFeeds.onSubscribe(peer, subscription);
 			return;
 		}
 		if (message instanceof Message.TableRequest request) {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -130,7 +130,12 @@
 			.findFirst();
 	}
 
-	synchronized void onSubscribe(Peer peer) {
+	synchronized void onSubscribe(Peer peer, Message.Subscribe subscription) {
+		List<TargetNotice> left = subscription.left();
+		Map<String, Long> silenceMsById = subscription.silenceMsById();
+		if (left != null && silenceMsById != null) {
+			sendChanges(mergeRelayed(left, silenceMsById));
+		}
 		if (this.subscribers.add(peer)) {
 			peer.send(feed(null, this.directory.notices(), List.of(), this.suspects));
 		}
@@ -154,17 +159,22 @@
 
 	/** Merges the feed of another control process. */
 	synchronized void onFeed(Message.SystemFeed feed) {
+		Map<String, Long> silenceMsById = feed.silenceMsById();
+		List<TargetNotice> changed = mergeRelayed(feed.targets(), (silenceMsById != null) ? silenceMsById : Map.of());
+		recordHeard(feed, this.directory, nowMs());
+		this.namesByAddress.putAll(feed.namesByAddress());
+		sendChanges(changed);
+	}
+
+	/** Merges notices from another process and returns those that changed. */
+	private List<TargetNotice> mergeRelayed(List<TargetNotice> notices, Map<String, Long> silenceMsById) {
 		List<TargetNotice> changed = new ArrayList<>();
-		for (TargetNotice notice : feed.targets()) {
-			if (this.directory.mergeRelayed(notice, feed.silenceMs(notice.id()), nowMs())) {
+		for (TargetNotice notice : notices) {
+			if (this.directory.mergeRelayed(notice, silenceMsById.getOrDefault(notice.id(), 0L), nowMs())) {
 				this.directory.notice(notice.id()).ifPresent(changed::add);
 			}
 		}
-		recordHeard(feed, this.directory, nowMs());
-		this.namesByAddress.putAll(feed.namesByAddress());
-		if (!changed.isEmpty()) {
-			sendToSubscribers(changed);
-		}
+		return changed;
 	}
 
 	/**
@@ -202,7 +212,7 @@
 
 	/** Subscribes to the feed of another control process. */
 	void subscribeTo(Peer peer) {
-		peer.send(new Message.Subscribe());
+		peer.send(new Message.Subscribe(null, null));
 	}
 
 	/**
@@ -217,6 +227,12 @@
 		this.subscribers.forEach((peer) -> send(peer, null, List.of(), heard));
 	}
 
+	private void sendChanges(List<TargetNotice> changed) {
+		if (!changed.isEmpty()) {
+			sendToSubscribers(changed);
+		}
+	}
+
 	private void sendToSubscribers(List<TargetNotice> changed) {
 		this.subscribers.forEach((peer) -> send(peer, null, changed, List.of()));
 	}
--- a/zinniatack-control/src/test/java/org/zinniatack/control/DirectoryFeedsTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/DirectoryFeedsTests.java
@@ -30,6 +30,8 @@
 
 	private static final long EVICTION_MS = 120_000;
 
+	private static final Message.Subscribe NOTHING_KNOWN = new Message.Subscribe(null, null);
+
 	private long clockMs = 1_000_000;
 
 	private final List<DirectoryFeeds> processes = new ArrayList<>();
@@ -54,8 +56,8 @@
 		DirectoryFeeds added = new DirectoryFeeds(List::of, "10.1.0." + position + ":1", "p" + position,
 				() -> this.clockMs);
 		for (DirectoryFeeds other : linked) {
-			other.onSubscribe(new Subscriber(added));
-			added.onSubscribe(new Subscriber(other));
+			other.onSubscribe(new Subscriber(added), NOTHING_KNOWN);
+			added.onSubscribe(new Subscriber(other), NOTHING_KNOWN);
 		}
 		this.processes.add(added);
 		return added;
@@ -124,6 +126,24 @@
 		assertThat(ready(2), empty());
 	}
 
+	/**
+	 * Guards against a late announcement that brings back a target that left before all
+	 * control processes restarted.
+	 */
+	@Test
+	void aTargetThatLeftStaysAwayThroughARestartOfAllProcesses() {
+		TargetNotice gone = notice(5).asGone();
+		this.processes.clear();
+		addProcess().onSubscribe(new Subscriber(addProcess()),
+				new Message.Subscribe(List.of(gone), Map.of("t", 3_000L)));
+		this.processes.get(0).announce(notice(6));
+		pass(DirectoryFeeds.FEED_INTERVAL_MS);
+		assertThat(ready(0), empty());
+		assertThat(ready(1), empty());
+		pass(EVICTION_MS);
+		assertThat(this.processes.get(0).notice("t"), is(nullValue()));
+	}
+
 	/** Delivers feeds to another process at once. */
 	private record Subscriber(DirectoryFeeds process) implements Peer {
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -1,5 +1,6 @@
 package org.zinniatack.gateway.service;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -190,13 +191,23 @@
 
 	private void subscribe(Peer peer) {
 		LOGGER.atInfo().log("event=control_connected control=%s table=%d", peer.identity().nodeId(), tableNumber());
-		peer.send(new Message.Subscribe());
+		this.loop.execute(() -> peer.send(subscription()));
 		peer.whenClosed(() -> {
 			LOGGER.atInfo().log("event=control_lost control=%s", peer.identity().nodeId());
 			this.loop.execute(() -> this.tableRequests.removePeer(peer));
 		});
 	}
 
+	private Message.Subscribe subscription() {
+		List<TargetNotice> left = this.directory.notices()
+			.stream()
+			.filter((notice) -> notice.state() != TargetNotice.State.READY)
+			.toList();
+		Map<String, Long> silenceMsById = new HashMap<>();
+		left.forEach((notice) -> silenceMsById.put(notice.id(), this.directory.silenceMs(notice.id(), nowMs())));
+		return new Message.Subscribe(left, silenceMsById);
+	}
+
 	private long tableNumber() {
 		RouteIndex currentIndex = this.index;
 		return (currentIndex != null) ? currentIndex.table().number() : 0;
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -458,8 +458,16 @@
 	record HeldUsage(UsagePart part) implements Message {
 	}
 
-	/** Subscribes to the {@link SystemFeed} of a control process. */
-	record Subscribe() implements Message {
+	/**
+	 * Subscribes to the {@link SystemFeed} of a control process, which may have restarted
+	 * and forgotten which targets have left.
+	 *
+	 * @param left the newest notices of targets that accept no requests any more, null if
+	 * the subscriber does not tell
+	 * @param silenceMsById the time since a process heard from each of them, in
+	 * milliseconds, null if the subscriber does not tell
+	 */
+	record Subscribe(@Nullable List<TargetNotice> left, @Nullable Map<String, Long> silenceMsById) implements Message {
 	}
 
 	/**
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
@@ -185,6 +185,21 @@
 		assertThat(decoded(mapper.writeValueAsBytes(frame)), equalTo(earlier));
 	}
 
+	/** Guards against a subscription that a process of another version cannot read. */
+	@Test
+	void aSubscriptionOfAnEarlierVersionTellsNothingOfTargets() throws Exception {
+		Message.Subscribe subscription = new Message.Subscribe(List.of(), Map.of());
+		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+		JsonNode frame = mapper.readTree(FrameCodec.encode(new Frame(0, true, subscription)));
+		assertThat(decoded(mapper.writeValueAsBytes(frame)), equalTo(subscription));
+		JsonNode toEarlier = frame.deepCopy();
+		((ObjectNode) toEarlier.get(2)).put("t", "hw");
+		// Earlier versions have a subscription without components, like this message.
+		assertThat(decoded(mapper.writeValueAsBytes(toEarlier)), equalTo(new Message.Welcome()));
+		((ObjectNode) frame.get(2)).remove(List.of("left", "silenceMsById"));
+		assertThat(decoded(mapper.writeValueAsBytes(frame)), equalTo(new Message.Subscribe(null, null)));
+	}
+
 	private static Message decoded(byte[] bytes) throws IOException {
 		return FrameCodec.decode(bytes).message();
 	}
