Refuse a body that is filled up by the beginning of a second response

A caller got a success whose body was not whole: the target had sent a part of a body with a length, and then the whole response again; the beginning of the copy filled up the body.

The decoder now looks for the beginning of a response in the body, also cut at the body's end. If bytes follow the body at once that are not the beginning of a response themselves, they go on with the copy, and the request counts as lost. A whole answer with other bytes behind it is passed on as before.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseDecoder.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseDecoder.java
@@ -7,9 +7,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -26,6 +28,8 @@
 
 	private @Nullable HttpMethod requestMethod;
 
+	private SecondResponseScan bodyScan = new SecondResponseScan();
+
 	ResponseDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -36,6 +40,7 @@
 	 */
 	void expectResponse(HttpMethod method) {
 		this.requestMethod = method;
+		this.bodyScan = new SecondResponseScan();
 	}
 
 	@Override
@@ -46,15 +51,30 @@
 			return;
 		}
 		super.decode(context, buffer, output);
-		if (!output.isEmpty() && output.get(0) instanceof HttpResponse response && holdsSecondStatusLine(response)) {
-			response
-				.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("two status lines in one head")));
-		}
+		output.forEach((object) -> check(object, buffer));
 		if (!output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent) {
 			this.requestMethod = null;
 		}
 	}
 
+	private void check(Object object, ByteBuf following) {
+		if (object instanceof HttpResponse response && holdsSecondStatusLine(response)) {
+			fail(response, "two status lines in one head");
+		}
+		if (object instanceof HttpContent content) {
+			this.bodyScan.read(content.content());
+		}
+		// Bytes that go on with the copy show that its beginning filled up the body.
+		if (object instanceof LastHttpContent last && this.bodyScan.mayHoldBeginning() && following.isReadable()
+				&& !SecondResponseScan.isBeginning(following)) {
+			fail(last, "a second response in the body of the first");
+		}
+	}
+
+	private static void fail(HttpObject object, String reason) {
+		object.setDecoderResult(DecoderResult.failure(new CorruptedFrameException(reason)));
+	}
+
 	/**
 	 * Returns whether a head that was cut is joined to the head of another response. Its
 	 * last line then ends with the status line of the other one.
--- /dev/null
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/SecondResponseScan.java
@@ -0,0 +1,56 @@
+package org.zinniatack.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Looks for the beginning of a second response in a body. A body that was cut may be
+ * filled up to its length by the copy of its response.
+ */
+final class SecondResponseScan {
+
+	private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+
+	private int matchedBytes;
+
+	private boolean found;
+
+	/** Reads the next bytes of the body. */
+	void read(ByteBuf content) {
+		if (!this.found) {
+			content.forEachByte(this::add);
+		}
+	}
+
+	private boolean add(byte value) {
+		if (value != BEGINNING[this.matchedBytes]) {
+			this.matchedBytes = 0;
+		}
+		if (value == BEGINNING[this.matchedBytes]) {
+			this.matchedBytes++;
+		}
+		this.found = this.matchedBytes == BEGINNING.length;
+		return !this.found;
+	}
+
+	/**
+	 * Returns whether the body read so far holds the beginning of a response, or ends
+	 * with a part of it.
+	 */
+	boolean mayHoldBeginning() {
+		return this.found || this.matchedBytes > 0;
+	}
+
+	/** Returns whether bytes are the beginning of a response, as far as they go. */
+	static boolean isBeginning(ByteBuf bytes) {
+		int count = Math.min(BEGINNING.length, bytes.readableBytes());
+		for (int position = 0; position < count; position++) {
+			if (bytes.getByte(bytes.readerIndex() + position) != BEGINNING[position]) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
@@ -290,7 +290,6 @@
 	// Guards against a body that was cut and is filled up by the beginning of a second
 	// copy.
 	@Test
-	@Tag("known-red")
 	void aBodyThatACopyFillsUpIsNotWhole() throws Exception {
 		String body = "0123456789".repeat(20);
 		String response = SUCCESS.replace("Length: 3", "Length: 200").replace("one", body);
