End a load that the leader may not order any more

Seen: read in the code. A target that was about to get an order stayed marked as loading, and got no items of the model, for as long as the leader led. That happens when the leader's token is refused elsewhere while the target's report is on its way, or when the lease lapses for less than a round.

Evidence: FencedLoadTests on the code before: one target refuses the token, the other answers its report 400 ms later; an item that only the second one runs had no result within 5 s.

Fix: a load that may not be ordered ends like one that was done, so that its target gets requests again; a leader that may order begins it anew.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -286,6 +286,7 @@
 	/** Requests the state of the target, then orders the load or finishes it. */
 	private void requestReport(Load load) {
 		if (!isCurrent(load) || !mayOrder()) {
+			end(load);
 			return;
 		}
 		send(load, this.protocol.reportRequest(load.target.id()), (status, body) -> {
@@ -324,6 +325,7 @@
 
 	private void sendOrder(Load load, long orderCount) {
 		if (!mayOrder()) {
+			end(load);
 			return;
 		}
 		LOGGER.atInfo()
@@ -384,6 +386,11 @@
 		LOGGER.atInfo()
 			.log("event=weights_%s target=%s model=%s version=%d", outcome.replace(' ', '_'), load.target.id(),
 					load.model, load.version);
+		end(load);
+	}
+
+	/** Ends a load, also one that was not ordered, so that its target gets requests. */
+	private void end(Load load) {
 		if (isCurrent(load)) {
 			this.loadsByTarget.remove(load.target.id());
 			setLoading(load, false);
