Lengthen a quarantine by failed trials, not by the targets that ended before

Found in review. A sound request that was in flight on five targets which ended at once was refused for 64 minutes: each target beyond the third made the quarantine eight times as long.

A suspicion now counts the trials after a quarantine under which a target ended; only they lengthen the next one.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
@@ -13,7 +13,7 @@
  * suspected once two targets ended while they ran it and none answered it since. It is
  * quarantined once three did, unless another request ran on all of the same targets: then
  * either of them may be innocent, until one is answered or a further target ends. A
- * quarantine ends after a time, which is eight times as long after each further target.
+ * quarantine ends after a time, which is eight times as long after each failed trial.
  */
 public final class SuspectedRequests {
 
@@ -27,9 +27,11 @@
 	/** Short, since an innocent request may be in quarantine after a burst of crashes. */
 	private static final long QUARANTINE_MS = TimeUnit.MINUTES.toMillis(1);
 
-	/** Each further target makes the quarantine longer by the factor 2 to this power. */
+	/** Each failed trial makes the quarantine longer by the factor 2 to this power. */
 	private static final int QUARANTINE_GROWTH_BITS = 3;
 
+	private static final int MAXIMUM_GROWTH_BITS = 30;
+
 	private static final long MAXIMUM_QUARANTINE_MS = TimeUnit.DAYS.toMillis(1);
 
 	/** Longer than a caller waits before it sends a request again. */
@@ -59,7 +61,7 @@
 	public void add(Suspicion suspicion) {
 		Suspicion known = this.suspicions.remove(suspicion.digest());
 		boolean remembered = known != null && !isForgotten(known, suspicion.lastLossAtMs());
-		this.suspicions.put(suspicion.digest(), remembered ? known.and(suspicion) : suspicion);
+		this.suspicions.put(suspicion.digest(), remembered ? joined(known, suspicion) : suspicion);
 		Iterator<Suspicion> oldestFirst = this.suspicions.values().iterator();
 		while (this.suspicions.size() > MAXIMUM_REQUESTS) {
 			oldestFirst.next();
@@ -67,6 +69,13 @@
 		}
 	}
 
+	private static Suspicion joined(Suspicion known, Suspicion added) {
+		Suspicion joined = known.and(added);
+		boolean trialFailed = known.targets().size() >= QUARANTINED_TARGETS
+				&& added.lastLossAtMs() >= quarantineEndMs(known) && joined.failedTrials() == known.failedTrials();
+		return trialFailed ? joined.afterFailedTrial() : joined;
+	}
+
 	/**
 	 * Removes a request, since a target answered it.
 	 * @param digest the digest of the request
@@ -119,8 +128,8 @@
 	}
 
 	private static long quarantineMs(Suspicion suspicion) {
-		int further = Math.max(0, suspicion.targets().size() - QUARANTINED_TARGETS);
-		return Math.min(MAXIMUM_QUARANTINE_MS, QUARANTINE_MS << (QUARANTINE_GROWTH_BITS * further));
+		int growthBits = Math.min(QUARANTINE_GROWTH_BITS * suspicion.failedTrials(), MAXIMUM_GROWTH_BITS);
+		return Math.min(MAXIMUM_QUARANTINE_MS, QUARANTINE_MS << growthBits);
 	}
 
 	/**
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
@@ -113,7 +113,7 @@
 		for (Suspicion suspicion : suspects.requests()) {
 			dated.add(this.shared.suspicion(suspicion.digest())
 				.filter((known) -> toldBefore.contains(suspicion))
-				.orElseGet(() -> new Suspicion(suspicion.digest(), suspicion.targets(), toldAtMs)));
+				.orElseGet(() -> suspicion.at(toldAtMs)));
 		}
 		return dated;
 	}
@@ -194,8 +194,9 @@
 	@Override
 	public void connectionLost(Call call, String digest, TargetNotice target) {
 		if (!this.isLeaving.test(target)) {
+			known();
 			this.endedTargets.connectionLost(digest, target);
-			this.known = null;
+			this.knownHashes.add(CallDigest.hashOf(digest));
 		}
 	}
 
