Look again for the end of a target at each lost connection

Found in review. A target was probed once, after its first lost connection.

Each loss now leads to a probe, two a second per target at most, and a request counts for ten seconds after its own loss. The new test of SharedCrashGuard failed before: no report. RepeatedCrashTests pass.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/EndedTargets.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/EndedTargets.java
@@ -32,6 +32,9 @@
 	/** A process that ends closes its sockets one after the other. */
 	private static final long PROBE_DELAY_MS = 30;
 
+	/** The shortest time between two probes of a target that loses connections. */
+	private static final long PROBE_INTERVAL_MS = 500;
+
 	private static final int CONNECT_TIMEOUT_MS = 400;
 
 	/** Time for the next start at the address to be announced. */
@@ -63,10 +66,9 @@
 		String start = startOf(target);
 		OpenCase open = this.casesByStart.get(start);
 		if (open == null) {
-			open = new OpenCase(start, target, nowMs());
+			open = new OpenCase(start, target);
 			removeOldest();
 			this.casesByStart.put(start, open);
-			this.loop.schedule(open::probe, PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 		open.add(digest);
 	}
@@ -97,13 +99,13 @@
 
 	/** Removes a request that a target has answered meanwhile. */
 	void answered(String digest) {
-		this.casesByStart.values().forEach((open) -> open.digests.remove(digest));
+		this.casesByStart.values().forEach((open) -> open.lostAtMsByDigest.remove(digest));
 	}
 
 	/** Returns the digests of the requests whose targets may have ended. */
 	Set<String> digests() {
 		Set<String> digests = new LinkedHashSet<>();
-		this.casesByStart.values().forEach((open) -> digests.addAll(open.digests));
+		this.casesByStart.values().forEach((open) -> digests.addAll(open.lostAtMsByDigest.keySet()));
 		return digests;
 	}
 
@@ -114,30 +116,50 @@
 
 		private final TargetNotice target;
 
-		private final long openedAtMs;
+		private final Map<String, Long> lostAtMsByDigest = new LinkedHashMap<>();
+
+		private long lastLossAtMs;
+
+		private long probedAtMs = Long.MIN_VALUE / 2;
 
-		private final Set<String> digests = new LinkedHashSet<>();
+		private boolean probing;
 
 		private boolean ended;
 
-		OpenCase(String start, TargetNotice target, long openedAtMs) {
+		OpenCase(String start, TargetNotice target) {
 			this.start = start;
 			this.target = target;
-			this.openedAtMs = openedAtMs;
 		}
 
 		void add(String digest) {
+			this.lastLossAtMs = nowMs();
 			if (this.ended) {
 				EndedTargets.this.onLost.accept(digest, this.start);
+				return;
+			}
+			this.lostAtMsByDigest.values().removeIf(this::isOld);
+			if (this.lostAtMsByDigest.size() < MAXIMUM_DIGESTS) {
+				this.lostAtMsByDigest.put(digest, this.lastLossAtMs);
 			}
-			else if (this.digests.size() < MAXIMUM_DIGESTS) {
-				this.digests.add(digest);
+			probeSoon();
+		}
+
+		private boolean isOld(long lostAtMs) {
+			return nowMs() - lostAtMs > EVIDENCE_TIMEOUT_MS;
+		}
+
+		private void probeSoon() {
+			if (!this.probing) {
+				this.probing = true;
+				long delayMs = Math.max(PROBE_DELAY_MS, this.probedAtMs + PROBE_INTERVAL_MS - nowMs());
+				EndedTargets.this.loop.schedule(this::probe, delayMs, TimeUnit.MILLISECONDS);
 			}
 		}
 
-		void probe() {
-			if (this.digests.isEmpty()) {
-				EndedTargets.this.casesByStart.remove(this.start);
+		private void probe() {
+			this.probedAtMs = nowMs();
+			if (this.ended || this.lostAtMsByDigest.isEmpty()) {
+				this.probing = false;
 				return;
 			}
 			String address = this.target.address();
@@ -148,13 +170,18 @@
 				.handler(new ChannelInboundHandlerAdapter())
 				.connect(new InetSocketAddress(address.substring(0, colon),
 						Integer.parseInt(address.substring(colon + 1))));
+			long probedLossAtMs = this.lastLossAtMs;
 			connecting.addListener((connected) -> {
+				this.probing = false;
 				if (connected.isSuccess()) {
 					connecting.channel().close();
 				}
 				else if (isRefused(connected.cause())) {
 					end();
 				}
+				if (!this.ended && this.lastLossAtMs > probedLossAtMs) {
+					probeSoon();
+				}
 			});
 		}
 
@@ -170,14 +197,15 @@
 		}
 
 		boolean isExpired() {
-			return nowMs() - this.openedAtMs > EVIDENCE_TIMEOUT_MS;
+			return isOld(this.lastLossAtMs);
 		}
 
 		private void end() {
 			if (!this.ended) {
 				this.ended = true;
-				List<String> lost = List.copyOf(this.digests);
-				this.digests.clear();
+				this.lostAtMsByDigest.values().removeIf(this::isOld);
+				List<String> lost = List.copyOf(this.lostAtMsByDigest.keySet());
+				this.lostAtMsByDigest.clear();
 				lost.forEach((digest) -> EndedTargets.this.onLost.accept(digest, this.start));
 			}
 		}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
@@ -46,6 +46,8 @@
 
 	private static final long SETTLE_MS = 300;
 
+	private static final long PROBE_INTERVAL_MS = 500;
+
 	private static final long DAY_MS = TimeUnit.DAYS.toMillis(1);
 
 	private static final long QUARANTINE_MS = TimeUnit.MINUTES.toMillis(1);
@@ -200,6 +202,25 @@
 		}
 	}
 
+	// Guards against a target whose crash is not noticed because it had lost a connection
+	// before.
+	@Test
+	void aLostConnectionDoesNotHideALaterCrash() throws Exception {
+		Call harmless = call("c", "/x", "harmless");
+		Call crashing = call("c", "/x", "crashing");
+		ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		TargetNotice target = target("t1", 1, "127.0.0.1:" + server.getLocalPort());
+		lose(harmless, target);
+		settle();
+		answered(harmless);
+		server.close();
+		lose(crashing, target);
+		TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MS);
+		settle();
+		assertThat(this.reports, hasSize(1));
+		assertThat(this.reports.get(0).losses(), is(List.of(suspicion(crashing, DAY_MS, "t1@1"))));
+	}
+
 	// A request that was answered on its next target is counted for a crash beside it.
 	@Test
 	void aRequestThatIsAnsweredBeforeTheCrashIsKnownIsNotReported() throws Exception {
