Look for a second response only in bodies with a length

Found in review.

Chunks have a framing of their own, so that only bodies with a length are looked at, and line ends behind them are no sign. The new test failed before for the first of its three responses.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseDecoder.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseDecoder.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +31,8 @@
 
 	private SecondResponseScan bodyScan = new SecondResponseScan();
 
+	private boolean lengthGiven;
+
 	ResponseDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -58,15 +61,18 @@
 	}
 
 	private void check(Object object, ByteBuf following) {
-		if (object instanceof HttpResponse response && holdsSecondStatusLine(response)) {
-			fail(response, "two status lines in one head");
+		if (object instanceof HttpResponse response) {
+			this.lengthGiven = HttpUtil.isContentLengthSet(response);
+			if (holdsSecondStatusLine(response)) {
+				fail(response, "two status lines in one head");
+			}
 		}
-		if (object instanceof HttpContent content) {
+		if (this.lengthGiven && object instanceof HttpContent content) {
 			this.bodyScan.read(content.content());
 		}
 		// Bytes that go on with the copy show that its beginning filled up the body.
 		if (object instanceof LastHttpContent last && this.bodyScan.mayHoldBeginning() && following.isReadable()
-				&& !SecondResponseScan.isBeginning(following)) {
+				&& !SecondResponseScan.mayFollow(following)) {
 			fail(last, "a second response in the body of the first");
 		}
 	}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/SecondResponseScan.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/SecondResponseScan.java
@@ -42,8 +42,19 @@
 		return this.found || this.matchedBytes > 0;
 	}
 
-	/** Returns whether bytes are the beginning of a response, as far as they go. */
-	static boolean isBeginning(ByteBuf bytes) {
+	/**
+	 * Returns whether bytes behind a body are the beginning of a response, as far as they
+	 * go, or a line end.
+	 */
+	static boolean mayFollow(ByteBuf bytes) {
+		return bytes.forEachByte(SecondResponseScan::isLineEnd) < 0 || isBeginning(bytes);
+	}
+
+	private static boolean isLineEnd(byte value) {
+		return value == '\r' || value == '\n';
+	}
+
+	private static boolean isBeginning(ByteBuf bytes) {
 		int count = Math.min(BEGINNING.length, bytes.readableBytes());
 		for (int position = 0; position < count; position++) {
 			if (bytes.getByte(bytes.readerIndex() + position) != BEGINNING[position]) {
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/SecondCopyTests.java
@@ -312,6 +312,23 @@
 		assertThat("bytes of the body before the copy", accepted, is(empty()));
 	}
 
+	// Guards against a whole answer that is lost because its last byte may begin another.
+	@Test
+	void aWholeBodyThatEndsLikeAResponseBeginsIsPassedOn() throws Exception {
+		String head = SUCCESS.substring(0, SUCCESS.indexOf("Content-Length"));
+		for (String response : new String[] { head + "Content-Length: 1\r\n\r\nH\r\n",
+				head + "Transfer-Encoding: chunked\r\n\r\n1\r\nH\r\n0\r\n\r\nxx",
+				head + "Content-Length: 1\r\n\r\nH" + SUCCESS }) {
+			try (WireTarget target = new WireTarget((wire) -> {
+				wire.readHead();
+				wire.write(response);
+				wire.readHead();
+			})) {
+				assertThat(send(target.address(), "1"), is("200 s1 H"));
+			}
+		}
+	}
+
 	// Guards against a body without a length that goes on with a second copy of the
 	// response.
 	@Test
