Begin no request with a line end behind the one before it

Found in review. A caller that sends a line end behind a body and its next request later was refused as out of time: the line end counted as the first byte of the next request. The new test failed before.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ArrivalClock.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ArrivalClock.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -41,7 +42,7 @@
 			@Override
 			public void channelRead(ChannelHandlerContext context, Object message) {
 				ArrivalClock.this.readAtMs = ArrivalClock.this.arrivalMs.getAsLong();
-				if (ArrivalClock.this.betweenRequests) {
+				if (ArrivalClock.this.betweenRequests && !isLineEnd(message)) {
 					beginRequest();
 				}
 				context.fireChannelRead(message);
@@ -49,6 +50,11 @@
 		};
 	}
 
+	/** Some clients send a line end behind a body; it begins no request. */
+	private static boolean isLineEnd(Object message) {
+		return message instanceof ByteBuf bytes && bytes.forEachByte((value) -> value == '\r' || value == '\n') < 0;
+	}
+
 	ChannelInboundHandler afterDecoder() {
 		return new ChannelInboundHandlerAdapter() {
 			@Override
