Wait for the calls of a burst before counting them

aBurstLeavesHalfOfTheSlotsToCallers failed once, at load 36 in a cold process: 1 request instead of 4 after 300 ms. The pause was meant to show that no more than half of the slots are used, but it also had to be long enough for the four calls to connect, which nothing promises. The test now waits for the four calls, then for the same pause, and asks for exactly four as before.

--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemScorerTests.java
@@ -141,6 +141,10 @@
 	void aBurstLeavesHalfOfTheSlotsToCallers() throws Exception {
 		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.SILENCE)) {
 			scoreBurst(scorer(target));
+			for (long waitedMs = 0; target.requests().size() < SLOT_COUNT / 2
+					&& waitedMs < WAIT_MS; waitedMs += POLL_MS) {
+				TimeUnit.MILLISECONDS.sleep(POLL_MS);
+			}
 			TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
 			assertThat(target.requests(), hasSize(SLOT_COUNT / 2));
 		}
