--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
@@ -34,7 +34,7 @@
 	 */
 	static final long ATTEMPT_TIMEOUT_MS = 30_000;
 
-	/** An item that yields no event this often may be sent to no target at once. */
+	/** Limits the rate at which an item is sent to targets that yield no event of it. */
 	private static final int FRUITLESS_LOSSES_WITHOUT_PAUSE = 3;
 
 	private static final long LOSS_PAUSE_MS = 250;
