Submit a slot of a step once at a time

Cause: generate listed a slot before its request was submitted, and listed the attempt only afterwards. A tick of the runners in between took the slot for one without an attempt and submitted it again; and an attempt whose slot was filled while it was submitted went on at its target.

Change: a slot whose submission is under way is not reissued, and an attempt whose slot is filled is cancelled.

Callers saw: a request that crashes targets took one target more; samples were generated twice.

--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
@@ -48,6 +48,9 @@
 
 	private final Set<Integer> unfilledSlots = new HashSet<>();
 
+	/** The slots whose next attempt is not yet listed in {@link #attemptsBySlot}. */
+	private final Set<Integer> submittingSlots = new HashSet<>();
+
 	private final Map<Integer, List<CallerRequest>> attemptsBySlot = new HashMap<>();
 
 	private final List<Sample> unsentSamples = new ArrayList<>();
@@ -73,6 +76,7 @@
 		List<Integer> starting = new ArrayList<>();
 		synchronized (this) {
 			slots.stream().filter(this.unfilledSlots::add).forEach(starting::add);
+			this.submittingSlots.addAll(starting);
 		}
 		starting.forEach(this::submitSlot);
 		if (slots.isEmpty()) {
@@ -83,8 +87,8 @@
 	private void submitSlot(int slot) {
 		try {
 			CallerRequest request = this.submitter.submit(slot, new SlotSink(slot));
-			synchronized (this) {
-				this.attemptsBySlot.computeIfAbsent(slot, (absent) -> new ArrayList<>()).add(request);
+			if (!addAttempt(slot, request)) {
+				this.submitter.cancel(request);
 			}
 		}
 		catch (ServiceException ex) {
@@ -94,6 +98,20 @@
 			}
 			LOGGER.atFine().log("event=slot_waits step=%s slot=%d code=%d", this.step, slot, ex.code().number());
 		}
+		finally {
+			synchronized (this) {
+				this.submittingSlots.remove(slot);
+			}
+		}
+	}
+
+	/** Returns false if an unfinished attempt is not needed, since its slot is filled. */
+	private synchronized boolean addAttempt(int slot, CallerRequest request) {
+		if (this.unfilledSlots.contains(slot)) {
+			this.attemptsBySlot.computeIfAbsent(slot, (absent) -> new ArrayList<>()).add(request);
+			return true;
+		}
+		return request.isDone();
 	}
 
 	/** Abandons the step; the trainer may submit it again with a valid key. */
@@ -114,20 +132,23 @@
 		long nowMs = this.clockMs.getAsLong();
 		List<Integer> reissued = new ArrayList<>();
 		synchronized (this) {
-			for (int slot : this.unfilledSlots) {
-				List<CallerRequest> unfinished = this.attemptsBySlot.getOrDefault(slot, new ArrayList<>());
-				unfinished.removeIf(CallerRequest::isDone);
-				boolean straggling = !unfinished.isEmpty() && unfinished.size() < MAXIMUM_CONCURRENT_ATTEMPTS
-						&& tryReissue(unfinished.get(unfinished.size() - 1), nowMs);
-				if (unfinished.isEmpty() || straggling) {
-					reissued.add(slot);
-				}
-			}
+			this.unfilledSlots.stream().filter((slot) -> needsAttempt(slot, nowMs)).forEach(reissued::add);
+			this.submittingSlots.addAll(reissued);
 		}
 		reissued.forEach(this::submitSlot);
 		sendSamples();
 	}
 
+	private boolean needsAttempt(int slot, long nowMs) {
+		if (this.submittingSlots.contains(slot)) {
+			return false;
+		}
+		List<CallerRequest> unfinished = this.attemptsBySlot.getOrDefault(slot, new ArrayList<>());
+		unfinished.removeIf(CallerRequest::isDone);
+		return unfinished.isEmpty() || (unfinished.size() < MAXIMUM_CONCURRENT_ATTEMPTS
+				&& tryReissue(unfinished.get(unfinished.size() - 1), nowMs));
+	}
+
 	private boolean tryReissue(CallerRequest newest, long nowMs) {
 		return newest.target() != null && this.stragglers.tryReissue(nowMs - newest.startedMs());
 	}
