Let a stand-in engine that crashes answer nothing

Cause: the stand-in goes on to generate until its server is stopped on another thread. A request that crashes it, with an answer of 100 ms, was at times answered whole, beside load; the step that the test expects to be given up was then committed.

--- a/zinniatack-standin/src/main/java/org/zinniatack/standin/EngineController.java
+++ b/zinniatack-standin/src/main/java/org/zinniatack/standin/EngineController.java
@@ -59,6 +59,7 @@
 		String crashPrompt = this.engine.options().crashPrompt();
 		if (!crashPrompt.isEmpty() && prompt.contains(crashPrompt)) {
 			this.engine.crash();
+			return Flux.never();
 		}
 		int tokenCount = request.path("max_tokens").asInt(DEFAULT_TOKEN_COUNT);
 		int firstPosition = request.path("resume").path("token_count").asInt(0);
