Wait for the verdict of control after a request of a step crashed targets

Cause: a slot whose request failed after two crashes was submitted again at the next tick, before its quarantine had reached the entry, and crashed a third target. And a request whose quarantine arrived before the report of its own crash ended with code 3002, as cut short, in place of 3006.

Change: such a slot is submitted again a second later, when the quarantine refuses it. A quarantined request that has lost a target ends as crashed, whichever report is first.

Callers saw: one more target down, and two codes for one event.

--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/Enforcement.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/Enforcement.java
@@ -54,10 +54,7 @@
 						"the key is no longer valid"));
 		}
 		if (this.suspects.isQuarantined(request)) {
-			return Optional.of(neverStarted
-					? ServiceException.of(ResultCode.QUARANTINED, "the request was quarantined in the queue")
-					: ServiceException.of(ResultCode.ANSWER_CUT_SHORT,
-							"the request was quarantined while it was running"));
+			return Optional.of(quarantined(request, neverStarted));
 		}
 		if (request.target() == null && nowMs >= request.queuedUntilMs()) {
 			return timedOut(neverStarted, "the queue time has passed");
@@ -65,6 +62,15 @@
 		return (nowMs >= request.deadlineMs()) ? timedOut(neverStarted, "the deadline has passed") : Optional.empty();
 	}
 
+	/** The crash may be known here before the target of the request reports it. */
+	private static ServiceException quarantined(CallerRequest request, boolean neverStarted) {
+		if (neverStarted) {
+			return ServiceException.of(ResultCode.QUARANTINED, "the request was quarantined in the queue");
+		}
+		ResultCode code = (request.lostTargetCount() > 0) ? ResultCode.TARGET_CRASHED : ResultCode.ANSWER_CUT_SHORT;
+		return ServiceException.of(code, "the request was quarantined while it was running");
+	}
+
 	private static Optional<ServiceException> timedOut(boolean neverStarted, String detail) {
 		return neverStarted ? retryable(ResultCode.DEADLINE_UNREACHABLE, detail, RETRY_AFTER_MS)
 				: Optional.of(ServiceException.of(ResultCode.DEADLINE_EXCEEDED, detail));
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
@@ -31,6 +31,11 @@
 
 	private static final int MAXIMUM_CONCURRENT_ATTEMPTS = 3;
 
+	/**
+	 * Time for control to decide whether a request that crashed targets is quarantined.
+	 */
+	private static final long CRASH_VERDICT_MS = 1_000;
+
 	private static final Set<ResultCode> ABANDONING_CODES = Set.of(ResultCode.KEY_WITHDRAWN_QUEUED,
 			ResultCode.QUARANTINED);
 
@@ -53,6 +58,11 @@
 
 	private final Map<Integer, List<CallerRequest>> attemptsBySlot = new HashMap<>();
 
+	/**
+	 * The time before which a slot is not submitted, after its request crashed targets.
+	 */
+	private final Map<Integer, Long> pausedUntilMsBySlot = new HashMap<>();
+
 	private final List<Sample> unsentSamples = new ArrayList<>();
 
 	private boolean sending;
@@ -140,7 +150,7 @@
 	}
 
 	private boolean needsAttempt(int slot, long nowMs) {
-		if (this.submittingSlots.contains(slot)) {
+		if (this.submittingSlots.contains(slot) || nowMs < this.pausedUntilMsBySlot.getOrDefault(slot, nowMs)) {
 			return false;
 		}
 		List<CallerRequest> unfinished = this.attemptsBySlot.getOrDefault(slot, new ArrayList<>());
@@ -149,6 +159,10 @@
 				&& tryReissue(unfinished.get(unfinished.size() - 1), nowMs));
 	}
 
+	private synchronized void pause(int slot) {
+		this.pausedUntilMsBySlot.put(slot, this.clockMs.getAsLong() + CRASH_VERDICT_MS);
+	}
+
 	private boolean tryReissue(CallerRequest newest, long nowMs) {
 		return newest.target() != null && this.stragglers.tryReissue(nowMs - newest.startedMs());
 	}
@@ -287,6 +301,9 @@
 			LOGGER.atFine()
 				.log("event=slot_failed step=%s slot=%d code=%d", StepRunner.this.step, this.slot,
 						failure.code().number());
+			if (failure.code() == ResultCode.TARGET_CRASHED) {
+				pause(this.slot);
+			}
 		}
 
 	}
--- a/zinniatack-entry/src/test/java/org/zinniatack/entry/StepRunnerTests.java
+++ b/zinniatack-entry/src/test/java/org/zinniatack/entry/StepRunnerTests.java
@@ -8,6 +8,8 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.sample.StragglerPolicy;
 import org.zinniatack.core.sample.VersionSpan;
 
@@ -20,7 +22,9 @@
 	private final InterleavingSubmitter submitter = new InterleavingSubmitter();
 
 	private final StepRunner runner = new StepRunner("trainer", "s", this.submitter,
-			(command) -> new CompletableFuture<>(), StragglerPolicy.never(), () -> 0);
+			(command) -> new CompletableFuture<>(), StragglerPolicy.never(), () -> this.nowMs);
+
+	private long nowMs;
 
 	// Guards against a sample that two targets generate, because a tick comes while it is
 	// submitted.
@@ -53,6 +57,23 @@
 		assertThat(this.submitter.submittedSlots, contains(0));
 	}
 
+	// Guards against a third target that crashes because the quarantine arrives later
+	// than
+	// the next tick.
+	@Test
+	void aSlotWhoseRequestCrashedTargetsWaitsForTheVerdictOfControl() {
+		this.runner.generate(List.of(0));
+		CallerRequest request = this.submitter.requests.get(0);
+		request.markDone();
+		request.sink().fail(ServiceException.of(ResultCode.TARGET_CRASHED, "two targets crashed"));
+		this.nowMs = 999;
+		this.runner.reissueSlots();
+		assertThat(this.submitter.submittedSlots, contains(0));
+		this.nowMs = 1_000;
+		this.runner.reissueSlots();
+		assertThat(this.submitter.submittedSlots, contains(0, 0));
+	}
+
 	/** Lets a test act while a slot is being submitted. */
 	private static final class InterleavingSubmitter implements StepRunner.Submitter {
 
@@ -80,7 +101,7 @@
 			this.cancelled.add(request);
 		}
 
-		private static CallerRequest request(AnswerSink sink) {
+		static CallerRequest request(AnswerSink sink) {
 			CallerRequest.Call call = SimulatedCaller.call("trainer", "prompt", 4, true, true);
 			return new CallerRequest(new CallerRequest.Principal("trainer", null, 1), call, 4, true, 1_000, 2_000,
 					sink);
