Report the crash of a target that checks notice first

Cause: the agent reported a crash only while it took its target for healthy. If two checks failed before the request's connection was known to be lost, the crash was reported by nobody: the request was not suspected, and went on to crash the next targets.

Change: TargetHealth counts a crash once since the target's last answer, whoever notices it first.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
@@ -41,8 +40,6 @@
 
 	private static final long STOP_POLL_INTERVAL_MS = 20;
 
-	private static final int UNHEALTHY_AFTER_FAILED_CHECKS = 2;
-
 	private static final long ENTRY_LOSS_DELAY_MS = 5_000;
 
 	private final AgentSettings settings;
@@ -63,7 +60,7 @@
 
 	private final KnownEntries knownEntries = new KnownEntries();
 
-	private final AtomicLong crashCount = new AtomicLong();
+	private final TargetHealth health = new TargetHealth();
 
 	private final AtomicBoolean loading = new AtomicBoolean();
 
@@ -72,14 +69,10 @@
 
 	private volatile long weightVersion;
 
-	private volatile boolean healthy;
-
 	private volatile long revision;
 
 	private volatile boolean stopping;
 
-	private int failedChecks;
-
 	/**
 	 * Creates an agent process that is not started.
 	 * @param settings the settings
@@ -143,7 +136,7 @@
 
 	@Override
 	public boolean isReady() {
-		return this.healthy && !this.stopping && !this.admission.isLeaving();
+		return this.health.isHealthy() && !this.stopping && !this.admission.isLeaving();
 	}
 
 	@Override
@@ -188,7 +181,7 @@
 
 	private Message.Load load() {
 		return new Message.Load(this.admission.runningCount(), this.weightVersion, this.admission.isLeaving(),
-				this.healthy, this.crashCount.get(), this.revision);
+				this.health.isHealthy(), this.health.crashCount(), this.revision);
 	}
 
 	private void checkTarget() {
@@ -207,16 +200,13 @@
 
 	private void onState(Target.@Nullable State state, @Nullable Throwable failure) {
 		if (state != null) {
-			this.failedChecks = 0;
-			boolean stateChanged = !this.healthy || this.weightVersion != state.weightVersion();
-			this.healthy = true;
+			boolean stateChanged = this.health.recordAnswer() || this.weightVersion != state.weightVersion();
 			this.weightVersion = state.weightVersion();
 			if (stateChanged) {
 				sendLoad();
 			}
 		}
-		else if (++this.failedChecks >= UNHEALTHY_AFTER_FAILED_CHECKS && this.healthy) {
-			this.healthy = false;
+		else if (this.health.recordFailedCheck()) {
 			sendLoad();
 			LOGGER.atWarning().log("event=target_unhealthy target=%s", this.settings.targetId());
 		}
@@ -336,10 +326,8 @@
 	 * Reports a crash once to all connected entries, with all requests that were running.
 	 */
 	private synchronized void onCrash() {
-		if (this.healthy) {
-			this.healthy = false;
-			String crashId = this.settings.targetId() + '/' + this.incarnation + '/'
-					+ this.crashCount.incrementAndGet();
+		if (this.health.recordCrash()) {
+			String crashId = this.settings.targetId() + '/' + this.incarnation + '/' + this.health.crashCount();
 			Message.TargetCrash crash = new Message.TargetCrash(crashId, List.copyOf(this.admission.runningDigests()));
 			this.links.values().forEach((link) -> link.peer().ifPresent((peer) -> peer.send(crash)));
 			sendLoad();
