Give an item more time after losses, and start it again if it cannot go on

An item that needs longer was given up at target after target. And an item was resumed behind its last event for as long as its streams were silent, although only a new start can show that it is whole.

Change: after more than three losses without an event, an attempt has four times as long for its first event. After six streams that began and were lost without an event, the output starts again.

What callers saw: a job that stays open although all its output was generated.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/EventText.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/EventText.java
@@ -29,6 +29,12 @@
 	/** The streams without an event in a row after which the output starts again. */
 	private static final int MAXIMUM_EMPTY_STREAMS = 2;
 
+	/**
+	 * The streams in a row that began and were lost without an event, after which the
+	 * output starts again. Such a stream may only be slow.
+	 */
+	private static final int MAXIMUM_LOST_STREAMS = 6;
+
 	private final Function<String, OptionalLong> versionOfLine;
 
 	private final List<String> completeEvents = new ArrayList<>();
@@ -57,6 +63,12 @@
 	/** The number of streams since the last event that ended without one. */
 	private int emptyStreamCount;
 
+	/** The number of streams since the last event that were lost without one. */
+	private int lostStreamCount;
+
+	/** True if a stream has begun and neither ended nor was lost. */
+	private boolean streaming;
+
 	/** Bytes of all complete events, including their memory overhead. */
 	private int textBytes;
 
@@ -67,6 +79,7 @@
 	/** Starts the next stream, which begins with the given weight version. */
 	void beginStream(long version) {
 		this.splitter.reset();
+		this.streaming = true;
 		this.malformed = false;
 		this.streamEventCount = 0;
 		this.currentVersion = version;
@@ -116,15 +129,25 @@
 		this.textBytes += data.length() + EVENT_OVERHEAD_BYTES;
 		this.streamEventCount++;
 		this.emptyStreamCount = 0;
+		this.lostStreamCount = 0;
 		this.eventMissing = false;
 	}
 
+	/** Records that the rest of the current stream, if one has begun, was lost. */
+	void loseStream() {
+		if (this.streaming && this.streamEventCount == 0 && !this.completeEvents.isEmpty()) {
+			this.lostStreamCount++;
+		}
+		this.streaming = false;
+	}
+
 	/**
 	 * Ends the current stream and returns whether the output is complete.
 	 * @param framed true if the response states where it ends, so that an end without
 	 * events is no crash
 	 */
 	boolean endStream(boolean framed) {
+		this.streaming = false;
 		if (this.splitter.hasPartialEvent() || this.malformed || this.completeEvents.isEmpty()) {
 			return false;
 		}
@@ -140,7 +163,7 @@
 	 * known. It may be whole already, which only a new start can show.
 	 */
 	boolean isStuck() {
-		return this.emptyStreamCount >= MAXIMUM_EMPTY_STREAMS;
+		return this.emptyStreamCount >= MAXIMUM_EMPTY_STREAMS || this.lostStreamCount >= MAXIMUM_LOST_STREAMS;
 	}
 
 	/** Replaces the output with stored events; the next stream continues after them. */
@@ -168,6 +191,7 @@
 		this.tooLong = false;
 		this.eventMissing = false;
 		this.emptyStreamCount = 0;
+		this.lostStreamCount = 0;
 	}
 
 	/**
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
@@ -34,11 +34,16 @@
 	 */
 	static final long ATTEMPT_TIMEOUT_MS = 30_000;
 
-	/** Limits the rate at which an item is sent to targets that yield no event of it. */
+	/**
+	 * Limits the rate at which an item is sent to targets that yield no event of it.
+	 * Afterwards its targets also have more time, since it may be the item that needs it.
+	 */
 	private static final int FRUITLESS_LOSSES_WITHOUT_PAUSE = 3;
 
 	private static final long LOSS_PAUSE_MS = 250;
 
+	private static final int TIMEOUT_FACTOR_AFTER_LOSSES = 4;
+
 	final JobSubmission job;
 
 	final JobItem item;
@@ -126,13 +131,22 @@
 	}
 
 	/**
-	 * Records that the attempt was lost.
+	 * Records that the attempt was lost. The item starts again if its output cannot be
+	 * continued.
 	 * @return the pause before the next attempt, in milliseconds
 	 */
 	long recordLoss() {
 		this.lossCount++;
 		this.fruitlessLossCount = (this.attemptEventCount > 0) ? 0 : this.fruitlessLossCount + 1;
-		return (this.fruitlessLossCount > FRUITLESS_LOSSES_WITHOUT_PAUSE) ? LOSS_PAUSE_MS : 0;
+		this.text.loseStream();
+		if (this.text.isStuck()) {
+			restart();
+		}
+		return mayNeedTime() ? LOSS_PAUSE_MS : 0;
+	}
+
+	private boolean mayNeedTime() {
+		return this.fruitlessLossCount > FRUITLESS_LOSSES_WITHOUT_PAUSE;
 	}
 
 	/**
@@ -141,7 +155,9 @@
 	 */
 	boolean isStalled(long nowMs) {
 		long timeoutMs = (this.text.eventCount() > 0) ? EVENT_TIMEOUT_MS : FIRST_EVENT_TIMEOUT_MS;
-		return nowMs - this.lastProgressAtMs > timeoutMs || nowMs - this.sentAtMs > ATTEMPT_TIMEOUT_MS;
+		boolean moreTime = this.attemptEventCount == 0 && mayNeedTime();
+		return nowMs - this.lastProgressAtMs > (moreTime ? TIMEOUT_FACTOR_AFTER_LOSSES * timeoutMs : timeoutMs)
+				|| nowMs - this.sentAtMs > ATTEMPT_TIMEOUT_MS;
 	}
 
 	/** Continues from a stored output. */
