--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/FaultTests.java
@@ -281,7 +281,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void theThirdCrashOfARequestIsPreventedAndTheInnocentAreServed() throws Exception {
 		startEngines();
 		this.system.startEngine("engine-3", "c", LocalSystem.engineOptions(SLOW_TOKEN_INTERVAL_MS));
@@ -301,7 +300,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void aTrainerLearnsThatItsStepWasGivenUpForAQuarantinedSample() throws Exception {
 		startEngines();
 		this.system.startEngine("engine-3", "c", LocalSystem.engineOptions(SLOW_TOKEN_INTERVAL_MS));
