Let a job belong to the customer of its key on open routes too

Cause: the owner of a call was decided in two places. Calls on open routes, and all calls without customers in the configuration, had none, so their jobs were stored without a customer; reads, item bodies and ends took the customer of the key, and always required one.

Now RouteIndex.ownerOf alone decides. A key selects its customer on open routes too; an unknown key is refused there as elsewhere; a call without a key, and any call while no customer is configured, belongs to nobody. Paths of jobs name no route: a call means the job of its customer, else the job of that name that nobody owns (CallerJobs), so jobs that an earlier version stored without a customer stay readable. Targets of such jobs are told no customer; they were told an empty one.

What callers saw: a job of an open route was answered 202 and run, each read 404, its end 200 without an effect; a second customer's job with the same id was answered 202 and never ran; without customers jobs were answered 202 and their reads 401. Calls with a key on open routes were not counted as usage, and their targets were told no customer; they are now. New for callers: an unknown key on an open route is answered 401, it was served before.

The test of RouteIndex.customerOf asked for a subset of what ownerOf's asks.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteIndex.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteIndex.java
@@ -4,7 +4,11 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.jspecify.annotations.Nullable;
+
 import org.zinniatack.core.key.Sha256Digest;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
 
 /**
  * Finds the route of a request and the customer of a key in one routing table.
@@ -33,12 +37,31 @@
 	}
 
 	/**
-	 * Returns the customer that owns a key.
-	 * @param key the key in plain text, as the caller sent it
-	 * @return the customer, or empty if the key is unknown
+	 * Returns the customer that owns a call and all that it leaves behind. A key selects
+	 * its customer whether the call needs one or not, and an unknown key is refused
+	 * either way. Without customers nobody owns a call, whatever key it carries.
+	 * @param key the key in plain text, as the caller sent it; null or empty if there is
+	 * none
+	 * @param open true if the call needs no key
+	 * @return the customer, or empty if nobody owns the call
+	 * @throws ServiceException with {@link ResultCode#KEY_MISSING} or
+	 * {@link ResultCode#KEY_UNKNOWN} if the call is not allowed
 	 */
-	public Optional<Customer> customerOf(String key) {
-		return Optional.ofNullable(this.customersByDigest.get(Sha256Digest.of(key).hex()));
+	public Optional<Customer> ownerOf(@Nullable String key, boolean open) throws ServiceException {
+		if (!needsKeys()) {
+			return Optional.empty();
+		}
+		if (key == null || key.isEmpty()) {
+			if (open) {
+				return Optional.empty();
+			}
+			throw ServiceException.of(ResultCode.KEY_MISSING, "the route requires a key, but the request has none");
+		}
+		Customer customer = this.customersByDigest.get(Sha256Digest.of(key).hex());
+		if (customer == null) {
+			throw ServiceException.of(ResultCode.KEY_UNKNOWN, "the key of the request belongs to no customer");
+		}
+		return Optional.of(customer);
 	}
 
 	/**
--- a/zinniatack-core/src/test/java/org/zinniatack/core/table/RoutingTableTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/table/RoutingTableTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 import org.zinniatack.core.key.Sha256Digest;
@@ -121,13 +122,28 @@
 		assertThat(index.routeOf("other.example", "/a/").isPresent(), is(false));
 	}
 
+	private static String ownerOf(RouteIndex index, @Nullable String key, boolean open) {
+		try {
+			return index.ownerOf(key, open).map(Customer::name).orElse("nobody");
+		}
+		catch (ServiceException ex) {
+			return ex.code().name();
+		}
+	}
+
+	// Guards against a call that has one owner on an open route and another elsewhere.
 	@Test
-	void aKeySelectsItsCustomerOnly() {
+	void aKeySelectsItsCustomerOnlyAndOnOpenRoutesToo() {
 		RouteIndex index = new RouteIndex(
 				table(1, List.of(), new Customer("c", List.of(Sha256Digest.of("key-c").hex()), 0),
 						new Customer("d", List.of(Sha256Digest.of("key-d").hex()), 0)));
-		assertThat(index.customerOf("key-c").orElseThrow().name(), is("c"));
-		assertThat(index.customerOf("key-x").isPresent(), is(false));
+		for (boolean open : new boolean[] { false, true }) {
+			assertThat(ownerOf(index, "key-c", open), is("c"));
+			assertThat(ownerOf(index, "key-x", open), is("KEY_UNKNOWN"));
+			assertThat(ownerOf(index, "", open), is(open ? "nobody" : "KEY_MISSING"));
+			assertThat(ownerOf(index, null, open), is(open ? "nobody" : "KEY_MISSING"));
+			assertThat(ownerOf(new RouteIndex(table(1, List.of())), "key-c", open), is("nobody"));
+		}
 	}
 
 	@Test
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -516,7 +516,7 @@
 		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, run.item.body().length);
 		this.protocol.setRequestId(request.headers(), run.item.id());
 		this.protocol.setSystemHeaders(request.headers(), new TargetProtocol.RequestContext(target.id(),
-				run.job.id().customer(), ItemRun.ATTEMPT_TIMEOUT_MS, run.text.lastEventId()));
+				run.job.id().owner().orElse(null), ItemRun.ATTEMPT_TIMEOUT_MS, run.text.lastEventId()));
 		return request;
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -64,6 +64,8 @@
 
 	private final ControlLinks control;
 
+	private final CallerJobs jobs;
+
 	private final TargetDirectory directory = new TargetDirectory(SILENCE_LIMIT_MS, EVICTION_MS);
 
 	private final UsageCounter usageCounter;
@@ -109,6 +111,7 @@
 		this.network = new PeerNetwork(new PeerIdentity("gateway", settings.name()),
 				ClusterSecret.of(settings.clusterSecret()), this, 1);
 		this.control = new ControlLinks(this.network, this::subscribe);
+		this.jobs = new CallerJobs(this.control);
 		this.tableRequests = new TableRequests(loop, this::tableNumber, ThreadLocalRandom.current()::nextInt);
 		this.usageCounter = new UsageCounter(Math.round(1_000 * settings.usageWindowS()));
 		this.client = new TargetClient(loop, protocol);
@@ -318,24 +321,11 @@
 	}
 
 	/**
-	 * Reads results of a job.
-	 * @param read the job and the range of results
-	 * @return the results; it fails with a {@link ServiceException} if no control process
-	 * can confirm them
-	 */
-	public CompletableFuture<Message.JobPage> readJob(Message.ReadJob read) {
-		return this.control.call(read, read.waitMs()).thenApply(Message.JobPage.class::cast);
-	}
-
-	/**
-	 * Reads the body of an item.
-	 * @param read the item
-	 * @return the body, or empty if there is none; it fails with a
-	 * {@link ServiceException} if no control process can confirm it
+	 * Returns the jobs of callers.
+	 * @return the jobs, as control holds them
 	 */
-	public CompletableFuture<Optional<byte[]>> readItem(Message.ReadItem read) {
-		return this.control.call(read, 0)
-			.thenApply((response) -> Optional.ofNullable(((Message.ItemBody) response).body()));
+	public CallerJobs jobs() {
+		return this.jobs;
 	}
 
 	/**
