Form the system although all seeds were killed in the first second

What callers saw: when all control processes were killed before one had formed the system, and started again without firstStart, they waited for each other for good and said nothing; no change was ever accepted.

Cause: whether a process may form the system was only in the settings of its first start. FormationDriver waited without a line in the log.

Change: a seed of a first start writes the seeds into its data folder before it listens, and a later start with the same seeds may form the system as well. If all members answer that they are empty and none may form the system, each logs the new code 5106 with what an operator does, every 10 s. They cannot decide that themselves, since emptied disks look the same. They go on waiting, as a process that holds the state may come back.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlMembers.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlMembers.java
@@ -17,8 +17,18 @@
 	/** Returns the name of this process among the members. */
 	String ownName();
 
-	/** Returns whether this process may form the system together with the others. */
-	boolean isFounder();
+	/**
+	 * Returns the processes that this one may form the system with at this start, itself
+	 * included, if a later start is not told that it may. Empty if there are none.
+	 */
+	Set<String> foundersToRemember();
+
+	/**
+	 * Returns whether this process may form the system together with the others.
+	 * @param remembered the result of {@link #foundersToRemember} at an earlier start,
+	 * empty for none
+	 */
+	boolean isFounder(Set<String> remembered);
 
 	/** Returns the largest number of voters. */
 	int maximumVoters();
@@ -51,7 +61,12 @@
 	record Named(String ownName, Map<String, String> addressesByName) implements ControlMembers {
 
 		@Override
-		public boolean isFounder() {
+		public Set<String> foundersToRemember() {
+			return Set.of();
+		}
+
+		@Override
+		public boolean isFounder(Set<String> remembered) {
 			return true;
 		}
 
@@ -85,8 +100,16 @@
 	record Seeded(String ownName, Set<String> seeds, boolean firstStart, int maximumVoters) implements ControlMembers {
 
 		@Override
-		public boolean isFounder() {
-			return this.firstStart && this.seeds.contains(this.ownName);
+		public Set<String> foundersToRemember() {
+			return (this.firstStart && this.seeds.contains(this.ownName)) ? this.seeds : Set.of();
+		}
+
+		/**
+		 * Other seeds than at the first start may have taken the place of its members.
+		 */
+		@Override
+		public boolean isFounder(Set<String> remembered) {
+			return this.seeds.contains(this.ownName) && (this.firstStart || this.seeds.equals(remembered));
 		}
 
 		@Override
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -148,6 +149,8 @@
 		this.dutySettings = dutySettings;
 		this.platform = platform;
 		this.store = ReplicaStore.open(dataFolder, members.ownName());
+		// Before anything that takes time, since a kill may come in the first second.
+		rememberFounders();
 		this.network = new PeerNetwork(new PeerIdentity("control", members.ownName()), ClusterSecret.of(clusterSecret),
 				this, NETWORK_THREADS);
 		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses, members.ownName(), operatorsName,
@@ -155,6 +158,13 @@
 		this.memberLinks = new MemberLinks(this.network, members, this.directoryFeeds::subscribeTo);
 	}
 
+	private void rememberFounders() throws ServiceException {
+		Set<String> founders = this.members.foundersToRemember();
+		if (!this.store.isInitialized() && !founders.isEmpty() && !this.store.founders().equals(founders)) {
+			this.store.rememberFounders(founders);
+		}
+	}
+
 	/**
 	 * Returns the time of the system ticker.
 	 * @return the monotonic time, in milliseconds
@@ -168,7 +178,9 @@
 		this.network.listen(this.listenAddress);
 		this.memberLinks.update(Membership.empty());
 		try {
-			new FormationDriver(this.store, this.memberLinks.links(), this.members.isFounder()).awaitInitialization();
+			new FormationDriver(this.store, this.memberLinks.links(), this.members.isFounder(this.store.founders()),
+					Ticker.systemTicker())
+				.awaitInitialization();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -190,6 +190,11 @@
 	/** The data folder is empty. */
 	FOLDER_EMPTY(5105, 500, Outcome.NOT_RUN, "The data folder holds no state."),
 
+	/** No process may form the system. */
+	SYSTEM_NOT_FORMED(5106, 500, Outcome.NOT_RUN,
+			"Every control process has an empty data folder and none may form the system; "
+					+ "set firstStart on the seeds if it has never run, or bring back a data folder."),
+
 	/** The settings are invalid. */
 	SETTINGS_INVALID(5201, 500, Outcome.NOT_RUN, "The settings file has a missing, unknown or wrong field."),
 
--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -14,6 +14,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -29,9 +30,9 @@
 import org.zinniatack.core.result.ServiceException;
 
 /**
- * Stores a replica's state in a folder with the files {@code identity}, {@code lock},
- * {@code snapshot-INDEX} and {@code journal-NUMBER}. Snapshots and new journals are
- * written to a temporary file, synced and atomically renamed.
+ * Stores a replica's state in a folder with the files {@code identity}, {@code founders},
+ * {@code lock}, {@code snapshot-INDEX} and {@code journal-NUMBER}. Snapshots and new
+ * journals are written to a temporary file, synced and atomically renamed.
  */
 final class FolderStore implements ReplicaStore {
 
@@ -41,6 +42,8 @@
 
 	private static final String FORMAT_VERSION = "1";
 
+	private static final String FOUNDERS_FILE = "founders";
+
 	private static final String JOURNAL_PREFIX = "journal-";
 
 	private static final String SNAPSHOT_PREFIX = "snapshot-";
@@ -73,7 +76,7 @@
 
 	private boolean tornByFailedWrite;
 
-	private boolean initialized;
+	private volatile boolean initialized;
 
 	private FolderStore(Path folder, FolderLock lock, Journal.Factory journalFactory, String replicaId)
 			throws IOException, ServiceException {
@@ -222,6 +225,28 @@
 		}
 	}
 
+	@Override
+	public Set<String> founders() throws ServiceException {
+		Path file = this.folder.resolve(FOUNDERS_FILE);
+		try {
+			return Files.exists(file) ? Set.copyOf(Files.readAllLines(file)) : Set.of();
+		}
+		catch (IOException ex) {
+			throw diskFailure(ex);
+		}
+	}
+
+	@Override
+	public void rememberFounders(Set<String> names) throws ServiceException {
+		try {
+			writeAtomically(this.folder, this.folder.resolve(FOUNDERS_FILE),
+					String.join("\n", names).getBytes(StandardCharsets.UTF_8));
+		}
+		catch (IOException ex) {
+			throw diskFailure(ex);
+		}
+	}
+
 	@Override
 	public void initialize(PersistentState state) throws ServiceException {
 		if (this.initialized) {
--- a/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 
 import org.zinniatack.core.consensus.Effects;
 import org.zinniatack.core.consensus.LogEntry;
@@ -30,6 +31,21 @@
 	@Override
 	void close();
 
+	/**
+	 * Returns the processes with which this one may form a system.
+	 * @return the names given to {@link #rememberFounders}, empty for none
+	 * @throws ServiceException with DISK_FULL if they cannot be read
+	 */
+	Set<String> founders() throws ServiceException;
+
+	/**
+	 * Writes that this process may form a system with others, so that a restart does not
+	 * forget it before the system is formed.
+	 * @param names the names of all these processes
+	 * @throws ServiceException with DISK_FULL if the write fails
+	 */
+	void rememberFounders(Set<String> names) throws ServiceException;
+
 	/**
 	 * Returns whether the folder holds the state of a replica.
 	 * @return false for an empty folder until {@link #initialize} or the first snapshot
--- a/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
+++ b/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
@@ -6,7 +6,10 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -87,21 +90,88 @@
 		assertThat(state.hardState(), equalTo(new HardState(2, "")));
 	}
 
+	/**
+	 * Guards against a folder that a kill while a system is formed or joined leaves
+	 * unreadable, or without the memory that it may form one.
+	 */
 	@Test
-	void theIdentityLivesOnTheDisk() throws ServiceException, IOException {
+	void aKillAtAnyByteOfAFormationOrJoiningLeavesAFolderToStartFrom() throws ServiceException, IOException {
+		Set<String> founders = Set.of("a", "b");
+		for (PersistentState state : List.of(PersistentState.empty(),
+				PersistentState.bootstrap(Membership.ofVoters(founders)))) {
+			Map<String, byte[]> written = new LinkedHashMap<>();
+			try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
+				store.rememberFounders(founders);
+				store.initialize(state);
+			}
+			for (String name : List.of("identity", "founders", "journal-1")) {
+				written.put(name, Files.readAllBytes(this.folder.resolve(name)));
+			}
+			for (String cut : written.keySet()) {
+				for (int length = 0; length <= written.get(cut).length; length++) {
+					leaveCut(written, cut, length);
+					startFromCut(state, founders, cut);
+				}
+			}
+			emptyFolder();
+		}
+	}
+
+	/** Leaves the folder as it is while one of the files is written. */
+	private void leaveCut(Map<String, byte[]> written, String cut, int length) throws IOException {
+		emptyFolder();
+		for (Map.Entry<String, byte[]> file : written.entrySet()) {
+			if (file.getKey().equals(cut)) {
+				Files.write(this.folder.resolve(cut + ".tmp"), Arrays.copyOf(file.getValue(), length));
+				break;
+			}
+			Files.write(this.folder.resolve(file.getKey()), file.getValue());
+		}
+		if (!cut.equals("identity") && length % 2 == 0) {
+			Files.createFile(this.folder.resolve("journal-0"));
+		}
+	}
+
+	private void startFromCut(PersistentState state, Set<String> founders, String cut) throws ServiceException {
 		String id;
-		try (ReplicaStore store = initializedStore()) {
+		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
 			id = store.replicaId();
+			assertThat(store.isInitialized(), is(false));
+			assertThat(store.founders(), is(cut.equals("journal-1") ? founders : Set.of()));
+			store.initialize(state);
 		}
 		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
 			assertThat(store.replicaId(), is(id));
-			assertThat(store.isInitialized(), is(true));
+			PersistentState loaded = store.load();
+			assertThat(loaded.hardState(), equalTo(state.hardState()));
+			assertThat(loaded.snapshot().index(), is(state.snapshot().index()));
+			assertThat(members(loaded), is(members(state)));
 		}
+	}
+
+	private static List<Membership> members(PersistentState state) {
+		return state.entries().stream().map(LogEntry::membership).toList();
+	}
+
+	private void emptyFolder() throws IOException {
 		try (var files = Files.list(this.folder)) {
 			for (Path file : files.toList()) {
 				Files.delete(file);
 			}
 		}
+	}
+
+	@Test
+	void theIdentityLivesOnTheDisk() throws ServiceException, IOException {
+		String id;
+		try (ReplicaStore store = initializedStore()) {
+			id = store.replicaId();
+		}
+		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
+			assertThat(store.replicaId(), is(id));
+			assertThat(store.isInitialized(), is(true));
+		}
+		emptyFolder();
 		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
 			assertThat(store.replicaId(), not(id));
 			assertThat(store.isInitialized(), is(false));
