Keep departures of targets through a restart of all processes

What callers saw: a target deregisters, all control processes and fronts are killed and start again, and one of its heartbeats arrives late: it was ready again and got calls until it had been silent for 5 s.

Cause: which targets have left was in the memory of control processes and fronts only. The fronts tell control processes that restart, but not if they restart as well.

Control takes a ready notice of such a start for a draining one, and puts departures in force before the routing table, without which a front that has just started calls nobody. Earlier versions read the command as the end of an operator's order for that target, and state without departures is read as before.

Evidence: LateHeartbeatTests kills three control processes and two fronts by SIGKILL. Before the change: "Expected: is <503> but: was <200>". Result: it passes; SoakTests passed (59 s), OddInputTests, DecodingTests and the tests of the directory, state and codec as well.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -27,6 +27,8 @@
 
 import org.zinniatack.core.consensus.ConsensusMessage;
 import org.zinniatack.core.consensus.Membership;
+import org.zinniatack.core.directory.LeftTarget;
+import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -510,6 +512,34 @@
 		return this.directoryFeeds;
 	}
 
+	/**
+	 * Announces that a target leaves and records it so that a restart of all control
+	 * processes does not forget it.
+	 * @param notice the notice of the target, draining or gone
+	 * @return a future that completes once it is recorded; it fails with a
+	 * {@link ServiceException} if that is not certain
+	 */
+	public CompletableFuture<Void> announceLeaving(TargetNotice notice) {
+		this.directoryFeeds.announce(notice);
+		return recordLeft(notice.id(), notice.bornMs());
+	}
+
+	/**
+	 * Records that a target leaves, of which nothing else may be known.
+	 * @param targetId the id of the target
+	 * @param bornMs its start time, in milliseconds since the epoch, 0 if it is unknown,
+	 * so that nothing is recorded
+	 * @return a future that completes once it is recorded; it fails with a
+	 * {@link ServiceException} if that is not certain
+	 */
+	public CompletableFuture<Void> recordLeft(String targetId, long bornMs) {
+		if (bornMs == 0 || this.directoryFeeds.hasLeft(targetId, bornMs)) {
+			return CompletableFuture.completedFuture(null);
+		}
+		return propose(Command.DrainTarget.ofLeft(new LeftTarget(targetId, bornMs, System.currentTimeMillis())))
+			.thenApply((reply) -> null);
+	}
+
 	/**
 	 * Adds a listener that is called after each change of the replicated state.
 	 * @param listener the listener, called on the replica's thread
@@ -529,6 +559,8 @@
 	}
 
 	private void onStateChanged(ControlState state) {
+		// First, since an entry that has just started calls nobody without a table.
+		this.directoryFeeds.updateLeft(state.leftTargets());
 		CurrentRoutingTable.Image table = state.routingTable();
 		if (table != null) {
 			this.directoryFeeds.updateTable(table.table());
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -15,6 +15,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.directory.HeardTarget;
+import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.table.RoutingTable;
@@ -51,6 +52,12 @@
 
 	private @Nullable RoutingTable table;
 
+	/**
+	 * The targets that said that they leave, also before this process started, by the key
+	 * of their start.
+	 */
+	private Map<String, LeftTarget> left = Map.of();
+
 	private Message.Suspects suspects = Message.Suspects.NONE;
 
 	private long lastSentMs;
@@ -82,7 +89,7 @@
 	 * @param notice the announcement
 	 */
 	public synchronized void announce(TargetNotice notice) {
-		if (this.directory.merge(notice, nowMs())) {
+		if (this.directory.merge(withDeparture(notice), nowMs())) {
 			TargetNotice merged = this.directory.notice(notice.id()).orElse(notice);
 			LOGGER.atInfo()
 				.log("event=target_changed target=%s state=%s pool=%s address=%s sequence=%d versions=%s", merged.id(),
@@ -91,6 +98,30 @@
 		}
 	}
 
+	/** Returns the notice as that of a draining target if the target has left since. */
+	private TargetNotice withDeparture(TargetNotice notice) {
+		boolean revived = notice.state() == TargetNotice.State.READY && hasLeft(notice.id(), notice.bornMs());
+		return revived ? notice.asDraining() : notice;
+	}
+
+	/**
+	 * Returns whether it is recorded that a target leaves.
+	 * @param targetId the id of the target
+	 * @param bornMs its start time, in milliseconds since the epoch
+	 * @return true if this start of it must get no requests any more
+	 */
+	synchronized boolean hasLeft(String targetId, long bornMs) {
+		return this.left.containsKey(LeftTarget.keyOf(targetId, bornMs));
+	}
+
+	/** Marks the targets that left as draining. */
+	synchronized void updateLeft(Map<String, LeftTarget> newest) {
+		if (newest != this.left) {
+			this.left = newest;
+			this.directory.notices().forEach(this::announce);
+		}
+	}
+
 	/**
 	 * Records that another target answered at the address of a target.
 	 * @param target the notice of the target at the time of the request
@@ -170,7 +201,8 @@
 	private List<TargetNotice> mergeRelayed(List<TargetNotice> notices, Map<String, Long> silenceMsById) {
 		List<TargetNotice> changed = new ArrayList<>();
 		for (TargetNotice notice : notices) {
-			if (this.directory.mergeRelayed(notice, silenceMsById.getOrDefault(notice.id(), 0L), nowMs())) {
+			if (this.directory.mergeRelayed(withDeparture(notice), silenceMsById.getOrDefault(notice.id(), 0L),
+					nowMs())) {
 				this.directory.notice(notice.id()).ifPresent(changed::add);
 			}
 		}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -6,8 +6,10 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.config.RecordKind;
+import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobId;
@@ -258,13 +260,36 @@
 	}
 
 	/**
-	 * Starts or stops draining a target.
+	 * Starts or stops draining a target, or records that it left by itself.
 	 *
 	 * @param targetId the id of the target
 	 * @param leaving true if the target must accept no new work, false if it may serve
 	 * again
+	 * @param left the start of the target that has left, null for an operator's order and
+	 * in commands of earlier versions
 	 */
-	record DrainTarget(String targetId, boolean leaving) implements Command {
+	record DrainTarget(String targetId, boolean leaving, @Nullable LeftTarget left) implements Command {
+
+		/**
+		 * Creates an operator's order.
+		 * @param targetId the id of the target
+		 * @param leaving true if the target must accept no new work, false if it may
+		 * serve again
+		 */
+		public DrainTarget(String targetId, boolean leaving) {
+			this(targetId, leaving, null);
+		}
+
+		/**
+		 * Creates the record of a target that left. Earlier versions take it for the end
+		 * of an operator's order.
+		 * @param left the start of the target that has left
+		 * @return the command
+		 */
+		public static DrainTarget ofLeft(LeftTarget left) {
+			return new DrainTarget(left.id(), false, left);
+		}
+
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -12,6 +12,7 @@
 
 import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.config.RecordTable;
+import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobLedger;
 import org.zinniatack.core.result.ServiceException;
@@ -46,6 +47,8 @@
 
 	private JobLedger jobs = new JobLedger();
 
+	private LeftTargets left = LeftTargets.of(List.of());
+
 	private final Set<String> retiring = new LinkedHashSet<>();
 
 	private final Map<String, TargetOrder> orders = new TreeMap<>();
@@ -71,6 +74,7 @@
 		state.table = CurrentRoutingTable.of(image.table());
 		state.jobs = JobLedger.of(image.jobs());
 		state.retiring.addAll(image.retiring());
+		state.left = LeftTargets.of(image.left());
 		image.orders().forEach((order) -> state.orders.put(order.pool(), order));
 		state.weights.putAll(image.weights());
 		state.draining.addAll(image.draining());
@@ -161,6 +165,10 @@
 	}
 
 	private void drain(Command.DrainTarget command) {
+		LeftTarget leftTarget = command.left();
+		if (leftTarget != null) {
+			this.left = this.left.with(leftTarget);
+		}
 		this.draining.remove(command.targetId());
 		if (command.leaving()) {
 			this.draining.add(command.targetId());
@@ -269,6 +277,14 @@
 		return Set.copyOf(this.draining);
 	}
 
+	/**
+	 * Returns the targets that left lately, by the key of their start.
+	 * @return an unmodifiable map, the same object until another target leaves
+	 */
+	public Map<String, LeftTarget> leftTargets() {
+		return this.left.byKey();
+	}
+
 	/**
 	 * Returns the stored form of the state.
 	 * @return the stored form
@@ -277,7 +293,8 @@
 		return new Image(this.appliedIndex, this.records.revision(), this.records.records(), this.history.images(),
 				this.intents.images(), this.steps.images(), this.usage.image(), this.crashes.image(),
 				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining),
-				this.table.image(), this.jobs.images(), List.copyOf(this.retiring));
+				this.table.image(), this.jobs.images(), List.copyOf(this.retiring),
+				List.copyOf(this.left.byKey().values()));
 	}
 
 	/**
@@ -371,20 +388,22 @@
 	 * @param jobs the jobs, oldest first
 	 * @param retiring the member names of control processes that are retiring or have
 	 * retired
+	 * @param left the targets that left lately, oldest first
 	 */
 	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
 			List<RequestHistory.AnsweredRequest> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
 			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights,
 			List<String> draining, CurrentRoutingTable.@Nullable Image table, List<Job.Image> jobs,
-			List<String> retiring) {
+			List<String> retiring, List<LeftTarget> left) {
 
 		/**
-		 * Accepts an image without jobs or retiring members, as earlier versions stored
-		 * it.
+		 * Accepts an image without jobs, retiring members or targets that left, as
+		 * earlier versions stored it.
 		 */
 		public Image {
 			jobs = Objects.requireNonNullElse(jobs, List.of());
 			retiring = Objects.requireNonNullElse(retiring, List.of());
+			left = Objects.requireNonNullElse(left, List.of());
 		}
 
 	}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/state/ControlStateTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/state/ControlStateTests.java
@@ -11,6 +11,7 @@
 import org.zinniatack.core.config.Configuration;
 import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.config.RecordKind;
+import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.key.Sha256Digest;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -54,6 +55,22 @@
 		return (reply instanceof Reply.Refused refused) ? refused.code() : ResultCode.OK;
 	}
 
+	/** Guards against departures that fill the state, or that are forgotten too soon. */
+	@Test
+	void departuresAreKeptForTwoMinutesAndBoundedInNumber() {
+		apply(Command.DrainTarget.ofLeft(new LeftTarget("t", 1, 0)));
+		apply(Command.DrainTarget.ofLeft(new LeftTarget("t", 2, 120_000)));
+		assertThat(this.state.leftTargets().keySet(), contains("t@1", "t@2"));
+		apply(Command.DrainTarget.ofLeft(new LeftTarget("u", 1, 120_001)));
+		assertThat(this.state.leftTargets().keySet(), contains("t@2", "u@1"));
+		for (int number = 0; number < 1_023; number++) {
+			apply(Command.DrainTarget.ofLeft(new LeftTarget("v" + number, 1, 120_001)));
+		}
+		assertThat(this.state.leftTargets().size(), is(1_024));
+		assertThat(this.state.leftTargets().containsKey("t@2"), is(false));
+		assertThat(this.state.drainingTargets(), empty());
+	}
+
 	@Test
 	void ofTwoOperatorsWithOneRevisionOneWinsAndTheOtherLearnsOfIt() {
 		put("r1", RecordKind.CUSTOMER, "a", 2, "{\"weight\":1}", 0);
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
+import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobId;
@@ -104,6 +105,28 @@
 		assertThat(restored.lostRequests().all(), contains(loss));
 	}
 
+	/**
+	 * Guards against a departure that a snapshot loses, or that a replica of another
+	 * version cannot read.
+	 */
+	@Test
+	void departuresSurviveTheLogAndASnapshotAndAreOptional() throws IOException, ServiceException {
+		LeftTarget left = new LeftTarget("t", 7, 1_000);
+		ControlState state = new ControlState();
+		applyEncoded(state, 1, Command.DrainTarget.ofLeft(left));
+		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+		ObjectNode image = (ObjectNode) mapper.readTree(StateCodec.encode(state.image()));
+		assertThat(ControlState.of(StateCodec.decodeImage(mapper.writeValueAsBytes(image))).leftTargets(),
+				is(Map.of(left.key(), left)));
+		image.remove("left");
+		assertThat(ControlState.of(StateCodec.decodeImage(mapper.writeValueAsBytes(image))).leftTargets(),
+				is(Map.of()));
+		ObjectNode command = (ObjectNode) mapper.readTree(StateCodec.encode(Command.DrainTarget.ofLeft(left)));
+		command.remove("left");
+		assertThat(StateCodec.decodeCommand(mapper.writeValueAsBytes(command)),
+				is(new Command.DrainTarget("t", false)));
+	}
+
 	@Test
 	void crashReportsAndSnapshotsWithoutLostRequestsAreReadAsEarlierVersionsWroteThem()
 			throws IOException, ServiceException {
