End the process when a thread of control meets an error

After an OutOfMemoryError the thread was gone and the process stayed, answered 503 and was never started again. Periodic tasks of executors and event loops are dropped without a trace by an error.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -38,6 +38,7 @@
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.table.CurrentRoutingTable;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.ProcessStatus;
 import org.zinniatack.process.Service;
 import org.zinniatack.store.ReplicaStore;
@@ -85,6 +86,8 @@
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "control-timer"));
 
+	private final ProcessEnd processEnd = ProcessEnd.halt();
+
 	private final JobReads jobReads = new JobReads(this, this.timer);
 
 	private final ReplicaStore store;
@@ -190,21 +193,21 @@
 					"interrupted while waiting for the system to be formed");
 		}
 		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this.idleSinceMs,
-				this.members.maximumVoters(), this::sendConsensusMessage, this::onStateChanged);
+				this.members.maximumVoters(), this::sendConsensusMessage, this::onStateChanged, this.processEnd);
 		started.start();
 		this.duties = new LeaderDuties(started, this.presence, this.platform, this.dutySettings,
-				System::currentTimeMillis);
+				System::currentTimeMillis, this.processEnd);
 		PresenceExchange runningExchange = new PresenceExchange(this.store.replicaId(), started, this.presence,
-				this.duties, this::leaderLink);
+				this.duties, this::leaderLink, this.processEnd);
 		this.exchange = runningExchange;
 		this.feeds = new EntryFeeds(started, this.presence, runningExchange);
 		this.driver = started;
 		this.duties.start();
 		runningExchange.start();
-		this.timer.scheduleWithFixedDelay(this::maintainMembership, MEMBERSHIP_INTERVAL_MS, MEMBERSHIP_INTERVAL_MS,
-				TimeUnit.MILLISECONDS);
-		this.timer.scheduleWithFixedDelay(this.directoryFeeds::sendHeardTargets, DirectoryFeeds.FEED_INTERVAL_MS,
-				DirectoryFeeds.FEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this.processEnd.guard("membership", this::maintainMembership),
+				MEMBERSHIP_INTERVAL_MS, MEMBERSHIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this.processEnd.guard("feeds", this.directoryFeeds::sendHeardTargets),
+				DirectoryFeeds.FEED_INTERVAL_MS, DirectoryFeeds.FEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		LOGGER.atInfo().log("event=control_started replica=%s", this.store.replicaId());
 	}
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
@@ -31,6 +31,7 @@
 import org.zinniatack.core.target.ScalingPolicy;
 import org.zinniatack.core.usage.UsageWindow;
 import org.zinniatack.core.weight.Rollout;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 import org.zinniatack.wire.Message;
 
@@ -63,6 +64,8 @@
 
 	private final LongSupplier wallClockMs;
 
+	private final ProcessEnd processEnd;
+
 	private final ScheduledExecutorService executor = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "leader-duties"));
 
@@ -79,17 +82,19 @@
 	private long dutiesTerm;
 
 	LeaderDuties(ReplicaDriver driver, Presence presence, Platform platform, DutySettings settings,
-			LongSupplier wallClockMs) {
+			LongSupplier wallClockMs, ProcessEnd processEnd) {
 		this.driver = driver;
 		this.presence = presence;
 		this.platform = platform;
 		this.settings = settings;
 		this.wallClockMs = wallClockMs;
+		this.processEnd = processEnd;
 	}
 
 	@Override
 	public void start() {
-		this.executor.scheduleWithFixedDelay(this::runDuties, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.executor.scheduleWithFixedDelay(this.processEnd.guard("duties", this::runDuties), INTERVAL_MS, INTERVAL_MS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	@Override
--- a/zinniatack-control/src/main/java/org/zinniatack/control/PresenceExchange.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/PresenceExchange.java
@@ -13,6 +13,7 @@
 import org.zinniatack.core.presence.TableVersion;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 import org.zinniatack.wire.Message;
 import org.zinniatack.wire.Peer;
@@ -41,6 +42,8 @@
 
 	private final Supplier<Optional<Peer>> leaderLink;
 
+	private final ProcessEnd processEnd;
+
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "presence-timer"));
 
@@ -52,17 +55,19 @@
 	private long leaderSinceMs;
 
 	PresenceExchange(String replicaId, ReplicaDriver driver, Presence presence, LeaderDuties duties,
-			Supplier<Optional<Peer>> leaderLink) {
+			Supplier<Optional<Peer>> leaderLink, ProcessEnd processEnd) {
 		this.replicaId = replicaId;
 		this.driver = driver;
 		this.presence = presence;
 		this.duties = duties;
 		this.leaderLink = leaderLink;
+		this.processEnd = processEnd;
 	}
 
 	@Override
 	public void start() {
-		this.timer.scheduleWithFixedDelay(this::exchange, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this.processEnd.guard("presence", this::exchange), INTERVAL_MS, INTERVAL_MS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	@Override
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -31,6 +31,7 @@
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 import org.zinniatack.store.ReplicaStore;
 import org.zinniatack.wire.StateCodec;
@@ -72,6 +73,8 @@
 
 	private final Consumer<ControlState> stateListener;
 
+	private final ProcessEnd processEnd;
+
 	private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
 
 	private final Map<Long, PendingCommand> pendingCommands = new TreeMap<>();
@@ -103,13 +106,15 @@
 	private volatile ReplicaStatus status;
 
 	ReplicaDriver(ReplicaStore store, Ticker ticker, long idleSinceMs, int maximumVoters,
-			Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener) throws ServiceException {
+			Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener, ProcessEnd processEnd)
+			throws ServiceException {
 		this.store = store;
 		this.maximumVoters = maximumVoters;
 		this.ticker = ticker;
 		this.messageSender = messageSender;
 		this.stateListener = stateListener;
-		this.snapshots = new SnapshotWriter(store);
+		this.processEnd = processEnd;
+		this.snapshots = new SnapshotWriter(store, processEnd);
 		this.replica = restartReplica(idleSinceMs);
 		this.status = currentStatus();
 	}
@@ -251,9 +256,9 @@
 			catch (ServiceException ex) {
 				onDiskFailure(ex);
 			}
-			catch (IOException | RuntimeException ex) {
-				LOGGER.atSevere().withCause(ex).log("event=replica_failed code=%d", ResultCode.INTERNAL.number());
-				Runtime.getRuntime().halt(ResultCode.INTERNAL.number() % 256);
+			catch (IOException | RuntimeException | Error ex) {
+				this.processEnd.end("replica", ex);
+				return;
 			}
 		}
 	}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
@@ -10,8 +10,10 @@
 import com.google.common.flogger.FluentLogger;
 
 import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.ControlState;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.store.ReplicaStore;
 import org.zinniatack.wire.StateCodec;
 
@@ -27,13 +29,16 @@
 
 	private final ReplicaStore store;
 
+	private final ProcessEnd processEnd;
+
 	private final ExecutorService executor = Executors
 		.newSingleThreadExecutor((task) -> new Thread(task, "snapshot-writer"));
 
 	private final AtomicBoolean running = new AtomicBoolean();
 
-	SnapshotWriter(ReplicaStore store) {
+	SnapshotWriter(ReplicaStore store, ProcessEnd processEnd) {
 		this.store = store;
+		this.processEnd = processEnd;
 	}
 
 	boolean isRunning() {
@@ -56,6 +61,14 @@
 			catch (IOException | ServiceException ex) {
 				LOGGER.atWarning().log("event=snapshot_failed index=%d detail=\"%s\"", header.index(), ex.getMessage());
 			}
+			catch (RuntimeException ex) {
+				LOGGER.atSevere()
+					.withCause(ex)
+					.log("event=snapshot_failed code=%d index=%d", ResultCode.INTERNAL.number(), header.index());
+			}
+			catch (Error ex) {
+				this.processEnd.end("snapshot-writer", ex);
+			}
 			finally {
 				this.running.set(false);
 			}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRetention.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRetention.java
@@ -11,6 +11,7 @@
 import org.zinniatack.control.ControlService;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.state.Command;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 
 /**
@@ -55,8 +56,8 @@
 
 	@Override
 	public void start() {
-		this.removalTask = this.loop.scheduleWithFixedDelay(this::removeOldJobs, INTERVAL_MS, INTERVAL_MS,
-				TimeUnit.MILLISECONDS);
+		this.removalTask = this.loop.scheduleWithFixedDelay(ProcessEnd.halt().guard("retention", this::removeOldJobs),
+				INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
 	@Override
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -47,6 +47,7 @@
 import org.zinniatack.gateway.target.TargetProtocol;
 import org.zinniatack.gateway.target.TargetSelector;
 import org.zinniatack.gateway.target.TargetStats;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 
 /**
@@ -149,9 +150,10 @@
 	@Override
 	public void start() {
 		this.control.addStateListener((state) -> requestRefresh());
-		this.tickTask = this.loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-		this.storeTask = this.loop.scheduleWithFixedDelay(this::storeProgress, STORE_INTERVAL_MS, STORE_INTERVAL_MS,
+		this.tickTask = this.loop.scheduleWithFixedDelay(ProcessEnd.halt().guard("jobs", this::tick), TICK_MS, TICK_MS,
 				TimeUnit.MILLISECONDS);
+		this.storeTask = this.loop.scheduleWithFixedDelay(ProcessEnd.halt().guard("progress", this::storeProgress),
+				STORE_INTERVAL_MS, STORE_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.retention.start();
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -39,6 +39,7 @@
 import org.zinniatack.gateway.target.LoadedVersions;
 import org.zinniatack.gateway.target.TargetProtocol;
 import org.zinniatack.gateway.target.TargetSelector;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 
 /**
@@ -136,7 +137,8 @@
 
 	@Override
 	public void start() {
-		this.tickTask = this.loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+		this.tickTask = this.loop.scheduleWithFixedDelay(ProcessEnd.halt().guard("weights", this::tick), TICK_MS,
+				TICK_MS, TimeUnit.MILLISECONDS);
 	}
 
 	@Override
