--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -193,7 +193,8 @@
 					"interrupted while waiting for the system to be formed");
 		}
 		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this.idleSinceMs,
-				this.members.maximumVoters(), this::sendConsensusMessage, this::onStateChanged, this.processEnd);
+				this.members.maximumVoters(), this::sendConsensusMessage, this::onStateChanged,
+				SnapshotPolicy.proportional(), this.processEnd);
 		started.start();
 		this.duties = new LeaderDuties(started, this.presence, this.platform, this.dutySettings,
 				System::currentTimeMillis, this.processEnd);
--- /dev/null
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ProportionalSnapshots.java
@@ -0,0 +1,26 @@
+package org.zinniatack.control;
+
+/**
+ * Makes a snapshot due once the journal has the size of the last snapshot, so that the
+ * bytes of snapshots stay in proportion to those of the changes. The floors keep a small
+ * state from being written constantly.
+ *
+ * @param floorBytes the size that a journal may always have, in bytes
+ * @param floorEntries the number of entries that a journal may always have
+ */
+record ProportionalSnapshots(long floorBytes, long floorEntries) implements SnapshotPolicy {
+
+	static final long FLOOR_BYTES = 8 * 1024 * 1024;
+
+	static final long FLOOR_ENTRIES = 4096;
+
+	/** Small entries cost more in memory and at a restart than their bytes. */
+	private static final long TYPICAL_ENTRY_BYTES = 256;
+
+	@Override
+	public boolean isDue(long snapshotBytes, long journalBytes, long entries) {
+		return journalBytes >= Math.max(this.floorBytes, snapshotBytes)
+				|| entries >= Math.max(this.floorEntries, snapshotBytes / TYPICAL_ENTRY_BYTES);
+	}
+
+}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -52,9 +52,7 @@
 
 	private static final int MAX_PENDING_COMMANDS = 10_000;
 
-	private static final long SNAPSHOT_INTERVAL_ENTRIES = 4096;
-
-	private static final long TYPICAL_ENTRY_BYTES = 256;
+	private static final long SNAPSHOT_RETRY_MS = 5_000;
 
 	private static final long STALL_THRESHOLD_MS = 200;
 
@@ -85,8 +83,14 @@
 
 	private final Thread thread = new Thread(this::run, "replica");
 
+	private final SnapshotPolicy snapshotPolicy;
+
 	private final SnapshotWriter snapshots;
 
+	private boolean snapshotRunning;
+
+	private long snapshotRetryAtMs = Long.MIN_VALUE;
+
 	private Replica replica;
 
 	private ControlState state = new ControlState();
@@ -106,13 +110,14 @@
 	private volatile ReplicaStatus status;
 
 	ReplicaDriver(ReplicaStore store, Ticker ticker, long idleSinceMs, int maximumVoters,
-			Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener, ProcessEnd processEnd)
-			throws ServiceException {
+			Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener,
+			SnapshotPolicy snapshotPolicy, ProcessEnd processEnd) throws ServiceException {
 		this.store = store;
 		this.maximumVoters = maximumVoters;
 		this.ticker = ticker;
 		this.messageSender = messageSender;
 		this.stateListener = stateListener;
+		this.snapshotPolicy = snapshotPolicy;
 		this.processEnd = processEnd;
 		this.snapshots = new SnapshotWriter(store, processEnd);
 		this.replica = restartReplica(idleSinceMs);
@@ -130,7 +135,7 @@
 		}
 		Replica restarted = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
 				RandomGenerator.getDefault(), idleSinceMs, nowMs());
-		this.snapshotIndex = persistent.snapshot().index();
+		replacedBy(persistent.snapshot());
 		return restarted;
 	}
 
@@ -248,6 +253,7 @@
 				this.replica.tick(nowMs());
 				updateMembership();
 				processEffects();
+				startSnapshotIfDue();
 				logIfStalled(nowMs() - startedMs, taskCount);
 			}
 			catch (InterruptedException ex) {
@@ -370,7 +376,7 @@
 	private void apply(Effects effects) throws IOException, ServiceException {
 		if (effects.snapshot() != null) {
 			restoreState(effects.snapshot());
-			this.snapshotIndex = effects.snapshot().index();
+			replacedBy(effects.snapshot());
 		}
 		for (LogEntry entry : effects.committed()) {
 			if (entry.index() > this.appliedIndex) {
@@ -381,7 +387,6 @@
 			updateStatus();
 			completeAppliedWaiters();
 			notifyStateListener();
-			startSnapshotIfDue();
 		}
 	}
 
@@ -424,30 +429,46 @@
 
 	/** Starts a snapshot; only the image of the state is created on this thread. */
 	private void startSnapshotIfDue() {
-		long intervalEntries = Math.max(SNAPSHOT_INTERVAL_ENTRIES, this.snapshotBytes / TYPICAL_ENTRY_BYTES);
-		if (this.appliedIndex - this.snapshotIndex < intervalEntries || this.snapshots.isRunning()) {
+		long entries = this.appliedIndex - this.snapshotIndex;
+		boolean mayStart = this.writable && !this.snapshotRunning && nowMs() >= this.snapshotRetryAtMs;
+		if (entries <= 0 || !mayStart
+				|| !this.snapshotPolicy.isDue(this.snapshotBytes, this.store.journalBytes(), entries)) {
 			return;
 		}
+		this.snapshotRunning = true;
 		Snapshot header = this.replica.snapshotAt(this.appliedIndex, new byte[0]);
-		this.snapshots.write(header, this.state.image(), (written) -> submit(() -> finishSnapshot(written)));
+		this.snapshots.write(header, this.state.image(), (written) -> submit(() -> finishSnapshot(written)),
+				() -> submit(this::delaySnapshot));
 	}
 
 	private void finishSnapshot(Snapshot written) {
+		this.snapshotRunning = false;
 		if (written.index() <= this.snapshotIndex || written.index() > this.replica.commitIndex()) {
 			return;
 		}
 		try {
 			this.replica.compact(written.index(), written.state());
 			this.store.saveSnapshot(written, this.replica.entriesAfter(written.index()));
-			this.snapshotIndex = written.index();
-			this.snapshotBytes = written.state().length;
-			LOGGER.atInfo().log("event=snapshot_saved index=%d bytes=%d", written.index(), written.state().length);
+			replacedBy(written);
+			LOGGER.atInfo()
+				.log("event=snapshot_saved index=%d bytes=%d journal_bytes=%d", written.index(), written.state().length,
+						this.store.journalBytes());
 		}
 		catch (ServiceException ex) {
 			onDiskFailure(ex);
 		}
 	}
 
+	private void replacedBy(Snapshot snapshot) {
+		this.snapshotIndex = snapshot.index();
+		this.snapshotBytes = snapshot.state().length;
+	}
+
+	private void delaySnapshot() {
+		this.snapshotRunning = false;
+		this.snapshotRetryAtMs = nowMs() + SNAPSHOT_RETRY_MS;
+	}
+
 	private void completeAppliedWaiters() {
 		this.appliedWaiters.removeIf((waiter) -> {
 			boolean due = waiter.index() <= this.appliedIndex;
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
@@ -34,23 +33,16 @@
 	private final ExecutorService executor = Executors
 		.newSingleThreadExecutor((task) -> new Thread(task, "snapshot-writer"));
 
-	private final AtomicBoolean running = new AtomicBoolean();
-
 	SnapshotWriter(ReplicaStore store, ProcessEnd processEnd) {
 		this.store = store;
 		this.processEnd = processEnd;
 	}
 
-	boolean isRunning() {
-		return this.running.get();
-	}
-
 	/**
-	 * Writes a snapshot of an image and then passes it to a consumer on the writer
-	 * thread.
+	 * Writes a snapshot of an image and then, on the writer's thread, passes it to a
+	 * consumer or reports the failure.
 	 */
-	void write(Snapshot header, ControlState.Image image, Consumer<Snapshot> onWritten) {
-		this.running.set(true);
+	void write(Snapshot header, ControlState.Image image, Consumer<Snapshot> onWritten, Runnable onFailed) {
 		this.executor.execute(() -> {
 			try {
 				Snapshot snapshot = new Snapshot(header.index(), header.term(), header.membership(),
@@ -60,18 +52,17 @@
 			}
 			catch (IOException | ServiceException ex) {
 				LOGGER.atWarning().log("event=snapshot_failed index=%d detail=\"%s\"", header.index(), ex.getMessage());
+				onFailed.run();
 			}
 			catch (RuntimeException ex) {
 				LOGGER.atSevere()
 					.withCause(ex)
 					.log("event=snapshot_failed code=%d index=%d", ResultCode.INTERNAL.number(), header.index());
+				onFailed.run();
 			}
 			catch (Error ex) {
 				this.processEnd.end("snapshot-writer", ex);
 			}
-			finally {
-				this.running.set(false);
-			}
 		});
 	}
 
--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -1,12 +1,20 @@
 package org.zinniatack.control;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.netty.util.concurrent.Ticker;
@@ -14,16 +22,24 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.zinniatack.core.consensus.Membership;
 import org.zinniatack.core.consensus.PersistentState;
 import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.job.ItemResult;
+import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.table.CallerLimits;
 import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.store.ReplicaStore;
+import org.zinniatack.wire.StateCodec;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -37,6 +53,13 @@
 
 	private static final long POLL_MS = 20;
 
+	private static final long FLOOR_BYTES = 64 * 1024;
+
+	private static final SnapshotPolicy SMALL_FLOOR = new ProportionalSnapshots(FLOOR_BYTES, 4096);
+
+	/** Compacts nothing, like earlier versions for some thousand changes. */
+	private static final SnapshotPolicy NEVER = (snapshotBytes, journalBytes, entries) -> false;
+
 	@TempDir
 	private Path folder;
 
@@ -63,9 +86,10 @@
 		this.ended.complete(failure);
 	}
 
-	private void start(ReplicaStore store, Consumer<ControlState> stateListener) throws ServiceException {
+	private void start(ReplicaStore store, Consumer<ControlState> stateListener, SnapshotPolicy policy)
+			throws ServiceException {
 		this.driver = new ReplicaDriver(store, Ticker.systemTicker(), -TIMEOUT_MS, 1, (message) -> {
-		}, stateListener, this::end);
+		}, stateListener, policy, this::end);
 		this.driver.start();
 	}
 
@@ -98,7 +122,7 @@
 		OutOfMemoryError error = new OutOfMemoryError("injected");
 		start(openStore(this.folder), (state) -> {
 			throw error;
-		});
+		}, SMALL_FLOOR);
 		assertThat(this.ended.get(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(error));
 	}
 
@@ -112,9 +136,113 @@
 				});
 		SnapshotWriter writer = new SnapshotWriter(failing, this::end);
 		writer.write(Snapshot.empty(), new ControlState().image(), (written) -> {
+		}, () -> {
 		});
 		assertThat(this.ended.get(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(error));
 		writer.stop();
 	}
 
+	// Guards against a log that outgrows memory and disk, and a compaction that loses a
+	// change.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void anyHistoryLeavesABoundedLogAndTheSameStateAfterARestart(long seed) throws Exception {
+		Random random = new Random(seed);
+		byte[] expected = new byte[0];
+		long number = 0;
+		for (int life = 0; life < 4; life++) {
+			start(openStore(this.folder), (state) -> {
+			}, (life == 0 && random.nextBoolean()) ? NEVER : SMALL_FLOOR);
+			if (life > 0) {
+				awaitState(expected);
+				awaitBoundedLog(life);
+			}
+			for (int change = random.nextInt(80); change >= 0; change--) {
+				commit(randomChange(random, ++number));
+			}
+			expected = state();
+			this.driver.stop();
+		}
+		start(openStore(this.folder), (state) -> {
+		}, SMALL_FLOOR);
+		awaitState(expected);
+		awaitBoundedLog(4);
+	}
+
+	private static Command randomChange(Random random, long number) {
+		byte[] bytes = new byte[random.nextInt(1 << (4 + random.nextInt(16)))];
+		random.nextBytes(bytes);
+		JobId id = new JobId("customer", "job-" + random.nextInt(10));
+		return switch (random.nextInt(6)) {
+			case 0, 1, 2 -> table(number, (random.nextInt(100) == 0) ? new byte[12 << 20] : bytes);
+			case 3 -> new Command.SubmitJob(new JobSubmission(id, "host", "model", 0, 1, 2, 3,
+					List.of(new JobItem("item", "", "/", Map.of(), bytes, "", 0, null))));
+			case 4 -> new Command.FinishItems(id,
+					List.of(new ItemResult("item", true, "x".repeat(bytes.length), List.of(number), "")));
+			default -> new Command.RemoveJobs(List.of(id));
+		};
+	}
+
+	private byte[] state() throws Exception {
+		return this.driver.read((state) -> {
+			try {
+				return StateCodec.encode(state.image());
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void awaitState(byte[] expected) throws Exception {
+		await("the state before the restart", () -> Arrays.equals(state(), expected));
+	}
+
+	private void awaitBoundedLog(int life) throws Exception {
+		await("a bounded log in life " + life, () -> bytesOf("journal-") <= 3 * bytesOf("snapshot-") + FLOOR_BYTES);
+	}
+
+	private long bytesOf(String prefix) throws IOException {
+		long bytes = 0;
+		try (DirectoryStream<Path> files = Files.newDirectoryStream(this.folder, prefix + '*')) {
+			for (Path file : files) {
+				bytes += Files.size(file);
+			}
+		}
+		return bytes;
+	}
+
+	private static void await(String what, Callable<Boolean> condition) throws Exception {
+		long startedNs = System.nanoTime();
+		while (!condition.call()) {
+			if (TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs) > TIMEOUT_MS) {
+				throw new AssertionError(what + " is not reached");
+			}
+			TimeUnit.MILLISECONDS.sleep(POLL_MS);
+		}
+	}
+
+	// Guards against a log that is never compacted, or changes that are refused, after a
+	// disk was full.
+	@Test
+	void aDiskThatIsFullDuringASnapshotDelaysItAndRefusesNothing() throws Exception {
+		ReplicaStore disk = openStore(this.folder);
+		AtomicInteger attempts = new AtomicInteger();
+		ReplicaStore fullAtFirst = (ReplicaStore) Proxy.newProxyInstance(ReplicaStore.class.getClassLoader(),
+				new Class<?>[] { ReplicaStore.class }, (proxy, method, arguments) -> {
+					if (method.getName().equals("prepareSnapshot") && attempts.incrementAndGet() == 1) {
+						throw ServiceException.of(ResultCode.DISK_FULL, "injected");
+					}
+					return method.invoke(disk, arguments);
+				});
+		start(fullAtFirst, (state) -> {
+		}, SMALL_FLOOR);
+		for (int number = 1; number <= 10; number++) {
+			commit(table(number, new byte[(int) FLOOR_BYTES]));
+		}
+		assertThat(attempts.get(), is(1));
+		awaitBoundedLog(0);
+		assertThat(attempts.get(), is(2));
+	}
+
 }
--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -261,6 +261,11 @@
 		return this.initialized;
 	}
 
+	@Override
+	public long journalBytes() {
+		return this.journalLengthBytes;
+	}
+
 	@Override
 	public PersistentState load() throws ServiceException {
 		try {
--- a/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
@@ -52,6 +52,12 @@
 	 */
 	boolean isInitialized();
 
+	/**
+	 * Returns the size of the journal, which holds the changes since the snapshot.
+	 * @return the size, in bytes
+	 */
+	long journalBytes();
+
 	/**
 	 * Reads the state from the folder, and cuts off a torn record at the end of the
 	 * journal.
