--- a/zinniatack-store/src/main/java/org/zinniatack/store/Batch.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/Batch.java
@@ -1,6 +1,8 @@
 package org.zinniatack.store;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.util.List;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -25,12 +27,18 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
 
-	static Batch decode(byte[] bytes) throws IOException {
-		return MAPPER.readValue(bytes, Batch.class);
+	/** Reads a batch and closes the stream. */
+	static Batch decode(InputStream payload) throws IOException {
+		return MAPPER.readValue(payload, Batch.class);
 	}
 
 	byte[] encode() throws IOException {
 		return MAPPER.writeValueAsBytes(this);
 	}
 
+	/** Writes the batch and closes the stream. */
+	void encodeTo(OutputStream payload) throws IOException {
+		MAPPER.writeValue(payload, this);
+	}
+
 }
--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -1,6 +1,7 @@
 package org.zinniatack.store;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +20,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
+import org.jspecify.annotations.Nullable;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 import org.zinniatack.core.consensus.Effects;
@@ -52,12 +54,6 @@
 
 	private static final int INCARNATION_BYTES = 6;
 
-	/**
-	 * Files are synced in chunks so that a journal sync does not wait long behind a
-	 * snapshot.
-	 */
-	private static final int SYNC_CHUNK_BYTES = 256 * 1024;
-
 	private final Path folder;
 
 	private final FolderLock lock;
@@ -76,6 +72,9 @@
 
 	private boolean tornByFailedWrite;
 
+	/** What the folder held when it was opened, until it is loaded or changed. */
+	private @Nullable PersistentState recovered;
+
 	private volatile boolean initialized;
 
 	private FolderStore(Path folder, FolderLock lock, Journal.Factory journalFactory, String replicaId)
@@ -87,7 +86,7 @@
 		this.journalNumber = newestFile(JOURNAL_PREFIX).map((file) -> numberOf(file, JOURNAL_PREFIX)).orElse(0L);
 		this.initialized = this.journalNumber > 0;
 		if (this.initialized) {
-			recover();
+			this.recovered = recover();
 		}
 		this.journal = journalFactory.open(journalPath());
 	}
@@ -97,6 +96,7 @@
 			Files.createDirectories(folder);
 			FolderLock lock = FolderLock.acquire(folder);
 			try {
+				deleteTemporaryFiles(folder);
 				return new FolderStore(folder, lock, journalFactory, readOrCreateIdentity(folder, replicaName));
 			}
 			catch (IOException | ServiceException ex) {
@@ -109,6 +109,15 @@
 		}
 	}
 
+	/** Deletes what a process that ended has left half written. */
+	private static void deleteTemporaryFiles(Path folder) throws IOException {
+		try (Stream<Path> files = Files.list(folder)) {
+			for (Path file : files.filter((path) -> path.toString().endsWith(TEMPORARY_SUFFIX)).toList()) {
+				Files.delete(file);
+			}
+		}
+	}
+
 	private static ServiceException diskFailure(IOException cause) {
 		return ServiceException.of(ResultCode.DISK_FULL, String.valueOf(cause.getMessage()));
 	}
@@ -119,7 +128,7 @@
 			byte[] incarnation = new byte[INCARNATION_BYTES];
 			new SecureRandom().nextBytes(incarnation);
 			String id = replicaName + '.' + HexFormat.of().formatHex(incarnation);
-			writeAtomically(folder, file, (FORMAT_VERSION + '\n' + id + '\n').getBytes(StandardCharsets.UTF_8));
+			writeText(folder, file, FORMAT_VERSION + '\n' + id + '\n');
 		}
 		List<String> lines = Files.readAllLines(file);
 		if (lines.size() < 2 || !lines.get(0).equals(FORMAT_VERSION)) {
@@ -129,26 +138,53 @@
 		return lines.get(1);
 	}
 
-	private static void writeAtomically(Path folder, Path file, byte[] bytes) throws IOException {
-		Path temporaryFile = folder.resolve(file.getFileName() + TEMPORARY_SUFFIX);
+	private static void writeText(Path folder, Path file, String text) throws IOException {
+		Path temporaryFile = temporaryFile(file);
 		try (FileChannel channel = FileChannel.open(temporaryFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
 				StandardOpenOption.TRUNCATE_EXISTING)) {
-			ByteBuffer buffer = ByteBuffer.wrap(bytes);
-			while (buffer.hasRemaining()) {
-				int chunk = Math.min(SYNC_CHUNK_BYTES, buffer.remaining());
-				ByteBuffer part = buffer.slice(buffer.position(), chunk);
-				while (part.hasRemaining()) {
-					channel.write(part);
-				}
-				buffer.position(buffer.position() + chunk);
-				channel.force(false);
+			ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+			while (bytes.hasRemaining()) {
+				channel.write(bytes);
 			}
 			channel.force(true);
 		}
+		rename(folder, temporaryFile, file);
+	}
+
+	private static Path temporaryFile(Path file) {
+		return file.resolveSibling(file.getFileName() + TEMPORARY_SUFFIX);
+	}
+
+	private static void rename(Path folder, Path temporaryFile, Path file) throws IOException {
 		Files.move(temporaryFile, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
 		syncFolder(folder);
 	}
 
+	/**
+	 * Writes a file of records under a temporary name and renames it. A file that could
+	 * not be finished is deleted, since it may be what fills the disk.
+	 * @return the length of the file, in bytes
+	 */
+	private long writeAtomically(Path file, List<RecordWriter.Payload> payloads) throws IOException {
+		Path temporaryFile = temporaryFile(file);
+		try {
+			Files.deleteIfExists(temporaryFile);
+			long lengthBytes;
+			try (Journal output = this.journalFactory.open(temporaryFile)) {
+				RecordWriter writer = new RecordWriter(output);
+				for (RecordWriter.Payload payload : payloads) {
+					writer.write(payload);
+				}
+				lengthBytes = writer.finish();
+			}
+			rename(this.folder, temporaryFile, file);
+			return lengthBytes;
+		}
+		finally {
+			Files.deleteIfExists(temporaryFile);
+		}
+	}
+
 	private static void syncFolder(Path folder) throws IOException {
 		try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
 			channel.force(true);
@@ -156,49 +192,26 @@
 	}
 
 	private PersistentState recover() throws IOException, ServiceException {
-		Snapshot snapshot = readSnapshot();
-		Records.Content content = Records.decode(Files.readAllBytes(journalPath()));
-		List<LogEntry> entries = new ArrayList<>();
-		long baseIndex = 0;
-		long baseTerm = 0;
-		for (byte[] payload : content.payloads()) {
-			Batch batch = Batch.decode(payload);
-			if (batch.baseIndex() >= 0) {
-				baseIndex = batch.baseIndex();
-				baseTerm = batch.baseTerm();
+		JournalReplay replay = new JournalReplay(this.hardState, readSnapshot());
+		try (RecordReader records = RecordReader.open(journalPath())) {
+			for (Optional<InputStream> payload = records.next(); payload.isPresent(); payload = records.next()) {
+				replay.add(Batch.decode(payload.get()));
 			}
-			replay(batch, entries);
-		}
-		if (content.torn()) {
-			LOGGER.atWarning().log("event=torn_tail_cut file=%s length=%d", journalPath(), content.intactLengthBytes());
-			try (Journal tornJournal = this.journalFactory.open(journalPath())) {
-				tornJournal.truncate(content.intactLengthBytes());
+			this.journalLengthBytes = records.intactLengthBytes();
+			if (records.hasMore()) {
+				cutTornTail();
 			}
 		}
-		this.journalLengthBytes = content.intactLengthBytes();
-		return new PersistentState(this.hardState, snapshot, entriesAfter(snapshot, baseIndex, baseTerm, entries));
+		PersistentState state = replay.state();
+		this.hardState = state.hardState();
+		return state;
 	}
 
-	private void replay(Batch batch, List<LogEntry> entries) {
-		if (batch.hardState() != null) {
-			this.hardState = batch.hardState();
+	private void cutTornTail() throws IOException {
+		LOGGER.atWarning().log("event=torn_tail_cut file=%s length=%d", journalPath(), this.journalLengthBytes);
+		try (Journal tornJournal = this.journalFactory.open(journalPath())) {
+			tornJournal.truncate(this.journalLengthBytes);
 		}
-		if (batch.truncateFrom() > 0) {
-			entries.removeIf((entry) -> entry.index() >= batch.truncateFrom());
-		}
-		entries.addAll(batch.entries());
-	}
-
-	/**
-	 * Returns the entries after the snapshot, or none if the journal does not continue
-	 * the snapshot.
-	 */
-	private static List<LogEntry> entriesAfter(Snapshot snapshot, long baseIndex, long baseTerm,
-			List<LogEntry> entries) {
-		boolean continuesSnapshot = (baseIndex == snapshot.index() && baseTerm == snapshot.term())
-				|| entries.stream().anyMatch((e) -> e.index() == snapshot.index() && e.term() == snapshot.term());
-		return continuesSnapshot ? entries.stream().filter((entry) -> entry.index() > snapshot.index()).toList()
-				: List.of();
 	}
 
 	private Snapshot readSnapshot() throws IOException, ServiceException {
@@ -206,12 +219,19 @@
 		if (file.isEmpty()) {
 			return Snapshot.empty();
 		}
-		Records.Content content = Records.decode(Files.readAllBytes(file.get()));
-		if (content.payloads().size() != 1) {
-			throw ServiceException.of(ResultCode.LOG_CORRUPT, "snapshot file " + file.get() + " holds "
-					+ content.payloads().size() + " intact records instead of 1");
+		try (RecordReader records = RecordReader.open(file.get())) {
+			Optional<InputStream> payload = records.next();
+			if (payload.isEmpty()) {
+				throw ServiceException.of(ResultCode.LOG_CORRUPT,
+						"snapshot file " + file.get() + " holds no intact record");
+			}
+			Snapshot snapshot = MAPPER.readValue(payload.get(), Snapshot.class);
+			if (records.next().isPresent()) {
+				throw ServiceException.of(ResultCode.LOG_CORRUPT,
+						"snapshot file " + file.get() + " holds more than one record");
+			}
+			return snapshot;
 		}
-		return MAPPER.readValue(content.payloads().get(0), Snapshot.class);
 	}
 
 	@Override
@@ -239,8 +259,7 @@
 	@Override
 	public void rememberFounders(Set<String> names) throws ServiceException {
 		try {
-			writeAtomically(this.folder, this.folder.resolve(FOUNDERS_FILE),
-					String.join("\n", names).getBytes(StandardCharsets.UTF_8));
+			writeText(this.folder, this.folder.resolve(FOUNDERS_FILE), String.join("\n", names));
 		}
 		catch (IOException ex) {
 			throw diskFailure(ex);
@@ -269,6 +288,11 @@
 	@Override
 	public PersistentState load() throws ServiceException {
 		try {
+			PersistentState state = this.recovered;
+			this.recovered = null;
+			if (state != null) {
+				return state;
+			}
 			return this.initialized ? recover() : PersistentState.empty();
 		}
 		catch (IOException ex) {
@@ -278,6 +302,7 @@
 
 	@Override
 	public void persist(Effects effects) throws ServiceException {
+		this.recovered = null;
 		if (effects.hardState() != null) {
 			this.hardState = effects.hardState();
 		}
@@ -315,8 +340,7 @@
 	@Override
 	public void prepareSnapshot(Snapshot snapshot) throws ServiceException {
 		try {
-			byte[] record = Records.encode(MAPPER.writeValueAsBytes(snapshot)).array();
-			writeAtomically(this.folder, snapshotPath(snapshot), record);
+			writeAtomically(snapshotPath(snapshot), List.of((output) -> MAPPER.writeValue(output, snapshot)));
 		}
 		catch (IOException ex) {
 			throw diskFailure(ex);
@@ -329,11 +353,12 @@
 
 	@Override
 	public void saveSnapshot(Snapshot snapshot, List<LogEntry> laterEntries) throws ServiceException {
+		this.recovered = null;
 		if (snapshot.index() > 0 && !Files.exists(snapshotPath(snapshot))) {
 			prepareSnapshot(snapshot);
 		}
 		try {
-			startJournal(new Batch(this.hardState, snapshot.index(), snapshot.term(), 0, laterEntries));
+			startJournal(snapshot, laterEntries);
 			deleteOlder(JOURNAL_PREFIX, this.journalNumber);
 			deleteOlder(SNAPSHOT_PREFIX, snapshot.index());
 		}
@@ -342,14 +367,18 @@
 		}
 	}
 
-	private void startJournal(Batch first) throws IOException {
-		byte[] record = Records.encode(first.encode()).array();
+	/** Starts a journal after a snapshot, with one record for each of its entries. */
+	private void startJournal(Snapshot snapshot, List<LogEntry> laterEntries) throws IOException {
+		List<RecordWriter.Payload> batches = new ArrayList<>();
+		batches.add(new Batch(this.hardState, snapshot.index(), snapshot.term(), 0, List.of())::encodeTo);
+		laterEntries.forEach((entry) -> batches.add(new Batch(null, -1, 0, 0, List.of(entry))::encodeTo));
 		Path next = this.folder.resolve(JOURNAL_PREFIX + (this.journalNumber + 1));
-		writeAtomically(this.folder, next, record);
+		long lengthBytes = writeAtomically(next, batches);
 		this.journal.close();
 		this.journalNumber++;
 		this.journal = this.journalFactory.open(next);
-		this.journalLengthBytes = record.length;
+		this.journalLengthBytes = lengthBytes;
+		this.tornByFailedWrite = false;
 		this.initialized = true;
 	}
 
--- a/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
+++ b/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
@@ -300,6 +300,47 @@
 		assertThat(indexes(reload()), is(List.of(1L, 2L, 3L)));
 	}
 
+	// Guards against a full disk that stays full, since the half of a snapshot fills it.
+	@Test
+	void aDiskThatFillsDuringASnapshotKeepsWhatIsThereAndNothingOfTheSnapshot() throws Exception {
+		FullDisk disk = new FullDisk();
+		Snapshot snapshot = new Snapshot(2, 1, Membership.ofVoters(List.of("a")), new byte[1 << 20]);
+		try (FolderStore store = FolderStore.open(this.folder, "a", disk::open)) {
+			store.initialize(PersistentState.bootstrap(Membership.ofVoters(List.of(store.replicaId()))));
+			store.persist(appendEffects(1, 2, 3));
+			List<Path> before = files();
+			disk.full = true;
+			try {
+				store.prepareSnapshot(snapshot);
+				throw new AssertionError("the snapshot was written");
+			}
+			catch (ServiceException ex) {
+				assertThat(ex.code(), is(ResultCode.DISK_FULL));
+			}
+			assertThat(files(), is(before));
+			disk.full = false;
+			assertThat(indexes(store.load()), is(List.of(1L, 2L, 3L)));
+			store.saveSnapshot(snapshot, List.of(LogEntry.command(3, 1, new byte[] { 3 })));
+		}
+		assertThat(indexes(reload()), is(List.of(3L)));
+	}
+
+	// Guards against a folder that grows at each loss of power during a snapshot.
+	@Test
+	void whatAProcessThatEndedLeftHalfWrittenIsDeleted() throws Exception {
+		initializedStore().close();
+		List<Path> before = files();
+		Files.write(this.folder.resolve("snapshot-7.tmp"), new byte[] { 1 });
+		assertThat(indexes(reload()), is(List.of(1L)));
+		assertThat(files(), is(before));
+	}
+
+	private List<Path> files() throws IOException {
+		try (var files = Files.list(this.folder)) {
+			return files.sorted().toList();
+		}
+	}
+
 	/** A disk that, while full, writes half of each record and then fails. */
 	private static final class FullDisk {
 
