--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -23,6 +23,9 @@
 	 */
 	private static final long MAX_UNACKNOWLEDGED_BYTES = 1024 * 1024;
 
+	/** A snapshot is not sent again while a link of this speed still carries it. */
+	private static final long SLOW_LINK_BYTES_PER_MS = 10_000;
+
 	private final ReplicaSettings settings;
 
 	private final MemoryLog log;
@@ -145,7 +148,8 @@
 	}
 
 	private void sendSnapshot(String id, Progress progress, long nowMs, List<ConsensusMessage> messages) {
-		if (progress.startSnapshot(nowMs, 2 * this.settings.electionTimeoutMs())) {
+		long transferMs = this.log.snapshot().state().length / SLOW_LINK_BYTES_PER_MS;
+		if (progress.startSnapshot(nowMs, 2 * this.settings.electionTimeoutMs() + transferMs)) {
 			messages.add(new ConsensusMessage.SnapshotRequest(this.settings.id(), id, this.term, this.log.snapshot(),
 					nowMs));
 		}
