--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -245,4 +245,28 @@
 		assertThat(attempts.get(), is(2));
 	}
 
+	// Guards against changes that are lost while a slow snapshot is written.
+	@Test
+	void changesDuringASlowSnapshotAreKeptAndTheLogIsBoundedAfterwards() throws Exception {
+		ReplicaStore disk = openStore(this.folder);
+		ReplicaStore slow = (ReplicaStore) Proxy.newProxyInstance(ReplicaStore.class.getClassLoader(),
+				new Class<?>[] { ReplicaStore.class }, (proxy, method, arguments) -> {
+					if (method.getName().equals("prepareSnapshot")) {
+						TimeUnit.MILLISECONDS.sleep(300);
+					}
+					return method.invoke(disk, arguments);
+				});
+		start(slow, (state) -> {
+		}, SMALL_FLOOR);
+		for (int number = 1; number <= 100; number++) {
+			commit(table(number, new byte[(int) FLOOR_BYTES / 2]));
+		}
+		awaitBoundedLog(0);
+		byte[] expected = state();
+		this.driver.stop();
+		start(openStore(this.folder), (state) -> {
+		}, SMALL_FLOOR);
+		awaitState(expected);
+	}
+
 }
