Reserve the ports of tests whose addresses are known before the start

Cause: LocalSystem.freeAddress and ControlBench took a port of the range from which the system gives ports to outgoing connections, and released it before a process listened on it.

Change: ReservedPorts gives ports between 10000 and 19999, outside of that range as the system states it, never one twice, and none that is listened on. Blocks of 50 are held by file locks until the process ends, so tests that run at the same time on a machine don't meet.

Evidence: LocalSystemTests failed before: "127.0.0.1:44291 Expected: is <false> but: was <true>" (in the range). Remaining: a program that listens on a fixed port of these between the check and the start. SoakProcesses checks ports of 21000 to 28499 and does not lock them, and SeededControlTests takes a port of the system's range for addresses that no outgoing connection uses.

--- a/zinniatack-bench/src/main/java/org/zinniatack/bench/ControlBench.java
+++ b/zinniatack-bench/src/main/java/org/zinniatack/bench/ControlBench.java
@@ -1,7 +1,6 @@
 package org.zinniatack.bench;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -27,6 +26,7 @@
 import org.zinniatack.control.ControlSettings;
 import org.zinniatack.core.config.RecordKind;
 import org.zinniatack.core.state.Command;
+import org.zinniatack.standin.ReservedPorts;
 
 /**
  * Measures the control processes: commit latency compared with a plain disk sync, the
@@ -87,16 +87,10 @@
 		return latency;
 	}
 
-	private static String freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return "127.0.0.1:" + socket.getLocalPort();
-		}
-	}
-
 	private List<ControlService> startMembers() throws Exception {
 		Map<String, String> addresses = new LinkedHashMap<>();
 		for (String name : List.of("c1", "c2", "c3")) {
-			addresses.put(name, freeAddress());
+			addresses.put(name, ReservedPorts.nextAddress());
 		}
 		List<ControlService> members = new ArrayList<>();
 		List<CompletableFuture<Void>> starting = new ArrayList<>();
@@ -123,9 +117,9 @@
 		}, (task) -> new Thread(task).start());
 	}
 
-	private static ControlSettings settings(String name, Path data, Map<String, String> addresses) throws IOException {
-		return new ControlSettings(name, data.toString(), addresses.get(name), freeAddress(), addresses, List.of("a"),
-				"a secret of the bench", List.of(), "", 3_600_000, 0, 1_000);
+	private static ControlSettings settings(String name, Path data, Map<String, String> addresses) {
+		return new ControlSettings(name, data.toString(), addresses.get(name), ReservedPorts.nextAddress(), addresses,
+				List.of("a"), "a secret of the bench", List.of(), "", 3_600_000, 0, 1_000);
 	}
 
 	private static void awaitLeader(List<ControlService> members) throws InterruptedException {
@@ -186,7 +180,7 @@
 		Table table = new Table("changes", "restart until it leads and is current, ms", "folder, KB");
 		for (int count : new int[] { 500, this.changes }) {
 			Path data = this.folder.resolve("single-" + count);
-			Map<String, String> addresses = Map.of("c1", freeAddress());
+			Map<String, String> addresses = Map.of("c1", ReservedPorts.nextAddress());
 			ControlService writer = new ControlService(settings("c1", data, addresses));
 			writer.start();
 			awaitLeader(List.of(writer));
--- a/zinniatack-cli/src/test/java/org/zinniatack/cli/LocalSystem.java
+++ b/zinniatack-cli/src/test/java/org/zinniatack/cli/LocalSystem.java
@@ -1,7 +1,6 @@
 package org.zinniatack.cli;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -31,6 +30,7 @@
 import org.zinniatack.process.Metrics;
 import org.zinniatack.process.OperatorKeys;
 import org.zinniatack.process.Service;
+import org.zinniatack.standin.ReservedPorts;
 import org.zinniatack.standin.StandInEngine;
 import org.zinniatack.standin.StandInPlatform;
 import org.zinniatack.standin.StandInService;
@@ -76,12 +76,7 @@
 	}
 
 	static String freeAddress() {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return "127.0.0.1:" + socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
+		return ReservedPorts.nextAddress();
 	}
 
 	/**
