--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -91,6 +91,9 @@
 
 	private long snapshotRetryAtMs = Long.MIN_VALUE;
 
+	/** How often the replica was started from the state on disk. */
+	private int restartCount;
+
 	private Replica replica;
 
 	private ControlState state = new ControlState();
@@ -136,6 +139,7 @@
 		Replica restarted = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
 				RandomGenerator.getDefault(), idleSinceMs, nowMs());
 		replacedBy(persistent.snapshot());
+		this.restartCount++;
 		return restarted;
 	}
 
@@ -437,15 +441,20 @@
 		}
 		this.snapshotRunning = true;
 		Snapshot header = this.replica.snapshotAt(this.appliedIndex, new byte[0]);
-		this.snapshots.write(header, this.state.image(), (written) -> submit(() -> finishSnapshot(written)),
+		int startedBy = this.restartCount;
+		this.snapshots.write(header, this.state.image(), (written) -> submit(() -> finishSnapshot(written, startedBy)),
 				() -> submit(this::delaySnapshot));
 	}
 
-	private void finishSnapshot(Snapshot written) {
-		this.snapshotRunning = false;
-		if (written.index() <= this.snapshotIndex || written.index() > this.replica.commitIndex()) {
+	/** A replica that was restarted may not have applied what the snapshot covers. */
+	private void finishSnapshot(Snapshot written, int startedBy) {
+		boolean outdated = startedBy != this.restartCount || written.index() <= this.snapshotIndex
+				|| written.index() > this.replica.commitIndex();
+		if (outdated) {
+			delaySnapshot();
 			return;
 		}
+		this.snapshotRunning = false;
 		try {
 			this.replica.compact(written.index(), written.state());
 			this.store.saveSnapshot(written, this.replica.entriesAfter(written.index()));
@@ -455,6 +464,7 @@
 						this.store.journalBytes());
 		}
 		catch (ServiceException ex) {
+			delaySnapshot();
 			onDiskFailure(ex);
 		}
 	}
