Go on with periodic tasks and slots after an exception

Cause: an executor drops a periodic task that throws, without a trace; and an exception while a slot of a step is submitted kept the slots behind it from ever being submitted. Found by a review; no such exception is known.

Change: both are logged, and the task and the other slots go on.

--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/StepRunner.java
@@ -108,6 +108,11 @@
 			}
 			LOGGER.atFine().log("event=slot_waits step=%s slot=%d code=%d", this.step, slot, ex.code().number());
 		}
+		catch (RuntimeException ex) {
+			LOGGER.atSevere()
+				.withCause(ex)
+				.log("event=slot_not_submitted step=%s slot=%d code=%d", this.step, slot, ResultCode.INTERNAL.number());
+		}
 		finally {
 			synchronized (this) {
 				this.submittingSlots.remove(slot);
--- a/zinniatack-process/src/main/java/org/zinniatack/process/ProcessEnd.java
+++ b/zinniatack-process/src/main/java/org/zinniatack/process/ProcessEnd.java
@@ -23,22 +23,14 @@
 	void end(String task, Throwable failure);
 
 	/**
-	 * Returns a periodic task whose errors end the process. An executor would drop the
-	 * task without a trace.
+	 * Returns a periodic task whose errors end the process and whose exceptions are
+	 * logged. An executor would drop the task without a trace.
 	 * @param name the name of the task
 	 * @param task the task
 	 * @return the guarded task
 	 */
 	default Runnable guard(String name, Runnable task) {
-		return () -> {
-			try {
-				task.run();
-			}
-			catch (Error ex) {
-				end(name, ex);
-				throw ex;
-			}
-		};
+		return new GuardedTask(name, task, this);
 	}
 
 }
