--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -527,7 +527,14 @@
 		LOGGER.atInfo()
 			.log("event=item_lost job=%s item=%s target=%s events=%d losses=%d detail=\"%s\"", run.job.id().name(),
 					run.item.id(), (target != null) ? target.id() : "", run.text.eventCount(), run.lossCount, detail);
-		requeue(run, run.recordLoss());
+		int eventCount = run.text.eventCount();
+		long pauseMs = run.recordLoss();
+		if (run.text.eventCount() < eventCount) {
+			LOGGER.atInfo()
+				.log("event=item_restarted job=%s item=%s events=%d reason=\"no stream goes on\"", run.job.id().name(),
+						run.item.id(), eventCount);
+		}
+		requeue(run, pauseMs);
 	}
 
 	private void handleNotSent(ItemRun run, String detail) {
