--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -5,6 +5,7 @@
 import java.lang.reflect.Proxy;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -206,12 +207,22 @@
 		long bytes = 0;
 		try (DirectoryStream<Path> files = Files.newDirectoryStream(this.folder, prefix + '*')) {
 			for (Path file : files) {
-				bytes += Files.size(file);
+				bytes += sizeOf(file);
 			}
 		}
 		return bytes;
 	}
 
+	/** Returns the size of a file that the driver may delete meanwhile. */
+	private static long sizeOf(Path file) throws IOException {
+		try {
+			return Files.size(file);
+		}
+		catch (NoSuchFileException ex) {
+			return 0;
+		}
+	}
+
 	private static void await(String what, Callable<Boolean> condition) throws Exception {
 		long startedNs = System.nanoTime();
 		while (!condition.call()) {
