Read a bounded part of one target's connection at a time

Report: a faulty worker sent bytes that were no answer, without end; the machine kept them and ran out of memory.

Shown with real processes of 96 MB heap and four workers that write without end at 24 places of a response (status line, head, chunk size, trailer, body, event, failure, refusal), on calls, streams, items, scores and reports at once: the memory did not run out in any run, but the event loop of the front and of the leader did nothing else. Other callers of a sound worker got 504 and 502, or their answers after a median of 1,173 ms.

Cause: one turn of the event loop read up to 16 buffers of 64 KiB from each such connection, and events were split byte by byte. Change: one turn reads at most 8 KiB of a connection to a target, and events are split by lines.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/event/EventSplitter.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/event/EventSplitter.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 
 /**
  * Splits the bytes of an event stream into whole events. The bytes of an event whose end
@@ -25,19 +26,45 @@
 	 * @return false if the consumer stopped or the current event is too long
 	 */
 	public boolean read(ByteBuf content, Predicate<StreamEvent> consumer) {
-		return content.forEachByte((value) -> add(value, consumer)) < 0 && !isTooLong();
+		byte[] bytes = ByteBufUtil.getBytes(content);
+		int position = 0;
+		while (position < bytes.length) {
+			int end = lineEnd(bytes, position);
+			if (this.partial.size() + end - position > MAXIMUM_EVENT_BYTES + 1) {
+				return false;
+			}
+			this.partial.write(bytes, position, end - position);
+			boolean eventEnded = endsEvent(bytes, position, end);
+			if (eventEnded && !passOn(consumer) || isTooLong()) {
+				return false;
+			}
+			position = end;
+		}
+		return true;
 	}
 
-	private boolean add(byte value, Predicate<StreamEvent> consumer) {
-		this.partial.write(value);
-		if (value != '\n') {
-			this.lineEmpty &= value == '\r';
-			return !isTooLong();
+	/** Returns the position behind the line end, or the end of the bytes without one. */
+	private static int lineEnd(byte[] bytes, int from) {
+		for (int position = from; position < bytes.length; position++) {
+			if (bytes[position] == '\n') {
+				return position + 1;
+			}
 		}
-		if (!this.lineEmpty) {
-			this.lineEmpty = true;
-			return !isTooLong();
+		return bytes.length;
+	}
+
+	/** Returns whether the bytes end an empty line, which ends an event. */
+	private boolean endsEvent(byte[] bytes, int from, int to) {
+		boolean lineEnded = bytes[to - 1] == '\n';
+		for (int position = from; this.lineEmpty && position < (lineEnded ? to - 1 : to); position++) {
+			this.lineEmpty = bytes[position] == '\r';
 		}
+		boolean emptyLineEnded = lineEnded && this.lineEmpty;
+		this.lineEmpty |= lineEnded;
+		return emptyLineEnded;
+	}
+
+	private boolean passOn(Predicate<StreamEvent> consumer) {
 		StreamEvent event = new StreamEvent(this.partial.toByteArray());
 		this.partial.reset();
 		return consumer.test(event);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -12,6 +12,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +20,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -50,6 +52,16 @@
 		.setMaxHeaderSize(32 * 1024)
 		.setMaxChunkSize(8 * 1024);
 
+	private static final int MINIMUM_READ_BYTES = 64;
+
+	private static final int INITIAL_READ_BYTES = 2 * 1024;
+
+	/**
+	 * Bounds the time for which a target that writes without a pause keeps the event loop
+	 * from all other connections.
+	 */
+	private static final int MAXIMUM_READ_BYTES = 8 * 1024;
+
 	/** Ten round trips across a region; a running target accepts without delay. */
 	private static final int CONNECT_TIMEOUT_MS = 400;
 
@@ -157,6 +169,7 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, readTurn())
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
@@ -176,6 +189,12 @@
 		});
 	}
 
+	/** Returns how much of one connection is read before it is the turn of the others. */
+	private static RecvByteBufAllocator readTurn() {
+		return new AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
+			.maxMessagesPerRead(1);
+	}
+
 	/**
 	 * Closes the idle connections to a target.
 	 * @param address host and port of the target
