Answer what a planned stop of an entry interrupts

Report: requests that came late in the grace of a planned stop were taken and passed on, and cut without an answer at its end.

Shown with a real entry process, stopped in calm by SIGTERM, and requests of each kind on kept and new connections every 25 ms until the last millisecond of the grace: of 216 requests 12 calls that a worker ran were cut without an answer, 7 of which may not be repeated.

Cause: the drain waited for what was running until 0.7 s before the end of the grace and then closed all connections. It passed calls on with all the time that their callers had, also where that was longer than the grace.

What still runs at the end is answered with the outcome known so far before the connections close; streams are broken. The drain waits for requests that have arrived in part, and a request behind the last response of a connection is not run.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -84,6 +84,8 @@
 
 	private final CrashGuard crashGuard;
 
+	private final Set<PendingCall> pendingCalls = new LinkedHashSet<>();
+
 	private long bufferedBytes;
 
 	/**
@@ -122,10 +124,19 @@
 	 */
 	public Runnable dispatch(Call call, CallSink sink) {
 		PendingCall pending = new PendingCall(call, sink);
+		this.pendingCalls.add(pending);
 		pending.start();
 		return pending::cancel;
 	}
 
+	/**
+	 * Ends all calls with the outcome known so far, because the process stops. Streams
+	 * that have begun are broken.
+	 */
+	public void endAll() {
+		List.copyOf(this.pendingCalls).forEach(PendingCall::endAtStop);
+	}
+
 	/** Returns the bytes of incomplete responses that are buffered. */
 	long bufferedBytes() {
 		return this.bufferedBytes;
@@ -406,8 +417,18 @@
 			}
 		}
 
+		void endAtStop() {
+			this.mayHaveRun |= !this.runningAttempts.isEmpty();
+			if (!this.mayHaveRun && !this.stream.isBegun()) {
+				refuse(ResultCode.SHUTTING_DOWN, REFUSAL_PAUSE_MS);
+				return;
+			}
+			finishUnanswered();
+		}
+
 		private void end() {
 			this.finished = true;
+			CallDispatcher.this.pendingCalls.remove(this);
 			if (this.timeout != null) {
 				this.timeout.cancel(false);
 			}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ArrivalClock.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ArrivalClock.java
@@ -37,6 +37,11 @@
 		return this.firstByteAtMs;
 	}
 
+	/** Returns whether a part of a request has arrived, but not the whole. */
+	boolean isReading() {
+		return !this.betweenRequests;
+	}
+
 	ChannelInboundHandler beforeDecoder() {
 		return new ChannelInboundHandlerAdapter() {
 			@Override
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
@@ -162,6 +162,11 @@
 		actions.forEach(Runnable::run);
 	}
 
+	/** Returns whether the response is the last one on its connection. */
+	boolean closesConnection() {
+		return this.closeAfterResponse;
+	}
+
 	/** Closes the connection once the response is complete. */
 	void closeWhenComplete() {
 		this.closeAfterResponse = true;
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -141,9 +141,9 @@
 
 	/**
 	 * Stops accepting connections and closes those that have nothing left to do.
-	 * @return the number of connections with a running request or a response that is not
-	 * yet written, counted on the event loop, since another thread would miss requests
-	 * that the loop is about to handle
+	 * @return the number of connections with a request that arrives or runs or a response
+	 * that is not yet written, counted on the event loop, since another thread would miss
+	 * requests that the loop is about to handle
 	 */
 	public Future<Integer> closeIdle() {
 		return this.group.submit(() -> {
@@ -182,6 +182,9 @@
 
 		private volatile @Nullable Exchange current;
 
+		/** Whether nothing that arrives can be answered any more. */
+		private boolean lastResponseSent;
+
 		ConnectionHandler(ArrivalClock arrivals) {
 			this.arrivals = arrivals;
 		}
@@ -195,8 +198,7 @@
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			HttpListener.this.connections.remove(this);
-			this.pendingRequests.forEach((pending) -> pending.request().release());
-			this.pendingRequests.clear();
+			discardPendingRequests();
 			Exchange interrupted = this.current;
 			this.current = null;
 			if (interrupted != null) {
@@ -204,8 +206,16 @@
 			}
 		}
 
+		private void discardPendingRequests() {
+			this.pendingRequests.forEach((pending) -> pending.request().release());
+			this.pendingRequests.clear();
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+			if (this.lastResponseSent) {
+				return;
+			}
 			if (request.decoderResult().isFailure()) {
 				LOGGER.atInfo()
 					.log("event=request_malformed caller=%s cause=\"%s\"", context.channel().remoteAddress(),
@@ -254,6 +264,11 @@
 		}
 
 		private void onExchangeCompleted() {
+			Exchange completed = this.current;
+			if (completed != null && completed.closesConnection()) {
+				this.lastResponseSent = true;
+				discardPendingRequests();
+			}
 			this.current = null;
 			ChannelHandlerContext openContext = this.context;
 			if (openContext != null) {
@@ -273,10 +288,14 @@
 			return this.current != null || !this.pendingRequests.isEmpty();
 		}
 
-		/** Returns whether a request runs or waits, or a response is not yet written. */
+		/**
+		 * Returns whether a request arrives, waits or runs, or a response is not yet
+		 * written.
+		 */
 		private boolean isBusy() {
 			ChannelHandlerContext openContext = this.context;
-			return hasRequest() || (openContext != null && Exchange.unsentBytes(openContext.channel()) > 0);
+			boolean arriving = this.arrivals.isReading() && !this.lastResponseSent;
+			return hasRequest() || arriving || (openContext != null && Exchange.unsentBytes(openContext.channel()) > 0);
 		}
 
 		private void close() {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/EarlyRequests.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/EarlyRequests.java
@@ -79,6 +79,15 @@
 		});
 	}
 
+	/** Refuses all held requests. */
+	void refuseAll() {
+		List.copyOf(this.held).forEach((early) -> {
+			if (remove(early)) {
+				early.request.refuse();
+			}
+		});
+	}
+
 	/** Returns the number of requests that are held. */
 	int count() {
 		return this.held.size();
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -90,6 +90,8 @@
 
 	private volatile long startedAtMs;
 
+	private volatile long drainEndsAtMs;
+
 	private volatile long lastFeedAtMs = Long.MIN_VALUE / 2;
 
 	private long usageSequence;
@@ -153,10 +155,33 @@
 		LOGGER.atInfo().log("event=gateway_stopped name=%s", this.settings.name());
 	}
 
-	/** Makes the readiness check fail while running requests continue. */
-	public void leaveRotation() {
+	/**
+	 * Makes the readiness check fail while requests are still run.
+	 * @param drainMs the time in which requests have to end, in milliseconds
+	 */
+	public void leaveRotation(long drainMs) {
+		this.drainEndsAtMs = nowMs() + drainMs;
 		this.stopping = true;
-		LOGGER.atInfo().log("event=gateway_draining name=%s", this.settings.name());
+		LOGGER.atInfo().log("event=gateway_draining name=%s drain_ms=%d", this.settings.name(), drainMs);
+	}
+
+	/**
+	 * Returns how long a request can run that arrives now.
+	 * @return the time in milliseconds; without a limit while the process does not stop
+	 */
+	public long remainingMs() {
+		return this.stopping ? this.drainEndsAtMs - nowMs() : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Ends all calls and held requests with the outcome known so far.
+	 * @return completes when their callers' responses are on the way
+	 */
+	public Future<?> endCalls() {
+		return this.loop.submit(() -> {
+			this.earlyRequests.refuseAll();
+			this.dispatcher.endAll();
+		});
 	}
 
 	/**
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/PlannedStopTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/PlannedStopTests.java
@@ -25,6 +25,8 @@
 import org.zinniatack.core.table.CallerLimits;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
@@ -205,6 +207,44 @@
 		}
 	}
 
+	// Guards against a request whose body is cut off by the stop although there is time
+	// for it.
+	@Test
+	void aRequestThatHasArrivedInPartIsAwaited() throws Exception {
+		int port = this.listener.open("127.0.0.1:0");
+		String request = "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+		for (int cut : new int[] { 3, 30, request.length() - 1 }) {
+			try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+				caller.setSoTimeout(SOCKET_TIMEOUT_MS);
+				caller.getOutputStream().write(request.substring(0, cut).getBytes(StandardCharsets.US_ASCII));
+				TimeUnit.MILLISECONDS.sleep(ROTATION_MS);
+				this.listener.drain();
+				assertThat(this.listener.closeIdle().get(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS), is(1));
+				caller.getOutputStream().write(request.substring(cut).getBytes(StandardCharsets.US_ASCII));
+				assertThat(readHead(caller.getInputStream()), containsString(" 200 "));
+			}
+			port = this.listener.open("127.0.0.1:0");
+		}
+	}
+
+	// Guards against a request that is run although its connection closes behind the
+	// response before it.
+	@Test
+	void aRequestBehindTheLastResponseOfAConnectionIsNotRun() throws Exception {
+		int port = this.listener.open("127.0.0.1:0");
+		this.listener.drain();
+		try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+			caller.setSoTimeout(SOCKET_TIMEOUT_MS);
+			String requests = "GET %s HTTP/1.1\r\nHost: h\r\n\r\nGET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+				.formatted(LARGE_PATH);
+			caller.getOutputStream().write(requests.getBytes(StandardCharsets.US_ASCII));
+			readHead(caller.getInputStream());
+			assertThat(caller.getInputStream().readNBytes(LARGE_BODY_BYTES).length, is(LARGE_BODY_BYTES));
+			assertThat(caller.getInputStream().read(), is(-1));
+		}
+		assertThat(this.receivedPaths, contains(LARGE_PATH));
+	}
+
 	private static void awaitUninterruptibly(CountDownLatch latch) {
 		try {
 			latch.await();
