Bound what an agent keeps of its target's answers

Report: a faulty worker sent bytes that were no answer, without end; the machine that had called it ran out of memory.

Shown on the path with agents: the client of the agent kept the body of a check's or an order's answer up to 2 GiB and the line of an event without a limit, read on however slowly the entry read (1,037 MB in 1.5 s), and went on reading 9 GB of an answer that it had given up. An entry counted the body of a service, but not the text of an engine.

Change: the agent uses the client that entries without agents use. It closes the connection of an answer that it gives up. An answer has 32 MiB at most, a report 64 KiB, a line of events 64 KiB, and what entries have not read yet 64 MiB for all answers of the agent. An entry counts text as it counts bodies.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -353,8 +354,8 @@
 		}
 
 		@Override
-		public void chunk(byte[] data) {
-			this.responder.respond(new Message.AnswerChunk(data), false);
+		public CompletableFuture<Void> chunk(byte[] data) {
+			return this.responder.respond(new Message.AnswerChunk(data), false);
 		}
 
 		@Override
--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/EventSplitter.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/EventSplitter.java
@@ -4,12 +4,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+
 /**
  * Parses a stream of server-sent events incrementally and extracts the data of each
  * event.
  */
 final class EventSplitter {
 
+	/** An event usually has a few tokens; this has room for some thousands. */
+	private static final int MAXIMUM_LINE_BYTES = 64 * 1024;
+
 	private static final String DATA_PREFIX = "data:";
 
 	private static final String END_MARKER = "[DONE]";
@@ -18,14 +24,19 @@
 
 	private boolean done;
 
-	private int errorStatus;
-
-	/** Parses the next bytes and emits the data of each complete line. */
-	void feed(byte[] bytes, Consumer<byte[]> events) {
+	/**
+	 * Parses the next bytes and emits the data of each complete line.
+	 * @throws ServiceException if a line is too long to be an event
+	 */
+	void feed(byte[] bytes, Consumer<byte[]> events) throws ServiceException {
 		for (byte next : bytes) {
 			if (next == '\n') {
 				endLine(events);
 			}
+			else if (this.line.size() >= MAXIMUM_LINE_BYTES) {
+				throw ServiceException.of(ResultCode.TARGET_FAILED,
+						"a line of the engine's event stream exceeds " + MAXIMUM_LINE_BYTES + " bytes");
+			}
 			else if (next != '\r') {
 				this.line.write(next);
 			}
@@ -51,12 +62,4 @@
 		return this.done;
 	}
 
-	void setErrorStatus(int status) {
-		this.errorStatus = status;
-	}
-
-	int errorStatus() {
-		return this.errorStatus;
-	}
-
 }
--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
@@ -1,170 +1,338 @@
 package org.zinniatack.agent;
 
-import java.net.ConnectException;
-import java.net.MalformedURLException;
+import java.io.IOException;
 import java.net.URI;
-import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
-
-import com.google.common.flogger.FluentLogger;
-import io.micronaut.core.io.buffer.ByteBuffer;
-import io.micronaut.http.HttpMethod;
-import io.micronaut.http.HttpRequest;
-import io.micronaut.http.HttpResponse;
-import io.micronaut.http.MutableHttpRequest;
-import io.micronaut.http.client.DefaultHttpClientConfiguration;
-import io.micronaut.http.client.StreamingHttpClient;
-import reactor.core.Disposable;
-import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
-import reactor.util.context.Context;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.gateway.http.RequestFailure;
+import org.zinniatack.gateway.http.ResponseListener;
+import org.zinniatack.gateway.http.TargetClient;
 import org.zinniatack.wire.Message;
 
 /**
- * A target with an HTTP API: a model engine or a plain service.
+ * A target with an HTTP API: a model engine or a plain service. Each request has a
+ * connection of its own, since targets do not repeat its id in their response.
  */
 final class HttpTarget implements Target {
 
-	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private static final String DROPPED_ERROR_KEY = "reactor.onErrorDropped.local";
+	private static final long STATE_TIMEOUT_MS = 1_000;
 
-	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+	private static final long LOAD_WEIGHTS_TIMEOUT_MS = 30_000;
 
-	private static final Duration STATE_TIMEOUT = Duration.ofSeconds(1);
+	private static final int FIRST_ERROR_STATUS = 400;
 
-	private static final Duration LOAD_WEIGHTS_TIMEOUT = Duration.ofSeconds(30);
+	/** The longest answer that entries accept. */
+	private static final long MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
 
-	private static final int HTTP_THREADS = 2;
+	private static final long MAXIMUM_REPORT_BYTES = 64 * 1024;
 
-	private static final int FIRST_ERROR_STATUS = 400;
+	/** The limit on what entries have not read yet of all answers together. */
+	static final long MAXIMUM_UNSENT_BYTES = 64 * 1024 * 1024;
 
-	private final StreamingHttpClient client;
+	private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("target", true),
+			NioIoHandler.newFactory())
+		.next();
+
+	private final TargetClient client = new TargetClient(this.loop);
+
+	private final String address;
 
 	private final boolean engine;
 
+	private long unsentBytes;
+
 	HttpTarget(String url, boolean engine) throws ServiceException {
+		this.address = addressOf(url);
 		this.engine = engine;
-		DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
-		configuration.setConnectTimeout(CONNECT_TIMEOUT);
-		configuration.setReadTimeout(null);
-		configuration.setExceptionOnErrorStatus(false);
-		configuration.setMaxContentLength(Integer.MAX_VALUE);
-		configuration.setNumOfThreads(HTTP_THREADS);
-		// The client reads a response behind whatever followed the one before it, and
-		// targets do not repeat the id of a request.
-		configuration.getConnectionPoolConfiguration().setEnabled(false);
+	}
+
+	private static String addressOf(String url) throws ServiceException {
 		try {
-			this.client = StreamingHttpClient.create(URI.create(url).toURL(), configuration);
+			URI uri = URI.create(url);
+			if ("http".equals(uri.getScheme()) && uri.getHost() != null) {
+				return uri.getHost() + ':' + ((uri.getPort() >= 0) ? uri.getPort() : 80);
+			}
 		}
-		catch (MalformedURLException | IllegalArgumentException ex) {
-			throw ServiceException.of(ResultCode.SETTINGS_INVALID, "targetUrl must be a valid URL");
+		catch (IllegalArgumentException ex) {
+			// Reported below, as other addresses that are not valid.
 		}
+		throw ServiceException.of(ResultCode.SETTINGS_INVALID, "targetUrl must be a valid URL with the scheme http");
 	}
 
 	@Override
 	public Runnable run(Message.Run run, Receiver receiver) {
-		MutableHttpRequest<Object> request = HttpRequest.create(HttpMethod.parse(run.method()), run.path());
-		run.headers().forEach(request::header);
-		if (run.body().length > 0) {
-			request.body(run.body());
-		}
-		EventSplitter events = new EventSplitter();
-		AtomicBoolean headSent = new AtomicBoolean();
-		Disposable subscription = Flux.from(this.client.exchangeStream(request))
-			.timeout(Mono.delay(Duration.ofMillis(run.deadlineInMs())), (next) -> Mono.never())
-			.contextWrite(Context.of(DROPPED_ERROR_KEY,
-					(Consumer<Throwable>) (dropped) -> LOGGER.atFine()
-						.log("event=error_after_cancel detail=\"%s\"", dropped.getMessage())))
-			.subscribe((response) -> onPart(response, headSent, events, receiver),
-					(failure) -> receiver.failed(failure, !isConnectFailure(failure)),
-					() -> onComplete(events, receiver));
-		return subscription::dispose;
+		AnswerReader reader = new AnswerReader(receiver);
+		this.loop.execute(() -> reader.start(run));
+		return () -> this.loop.execute(reader::cancel);
 	}
 
-	private void onPart(HttpResponse<ByteBuffer<?>> response, AtomicBoolean headSent, EventSplitter events,
-			Receiver receiver) {
-		int status = response.code();
-		if (headSent.compareAndSet(false, true)) {
-			receiver.head(status, response.getHeaders().getContentType().orElse(""));
-		}
-		byte[] bytes = bytesOf(response);
-		if (!this.engine) {
-			if (bytes.length > 0) {
-				receiver.chunk(bytes);
+	private FullHttpRequest request(HttpMethod method, String path, Map<String, String> headers, byte[] body) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
+				Unpooled.wrappedBuffer(body));
+		headers.forEach((name, value) -> request.headers().set(name, value));
+		request.headers()
+			.set(HttpHeaderNames.HOST, this.address)
+			.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+			.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+		return request;
+	}
+
+	@Override
+	public CompletableFuture<State> state() {
+		FullHttpRequest request = request(HttpMethod.GET, this.engine ? "/admin/state" : "/health", Map.of(),
+				new byte[0]);
+		return call(request, STATE_TIMEOUT_MS).thenCompose((report) -> {
+			try {
+				JsonNode body = MAPPER.readTree(report.body());
+				return body.isObject() ? CompletableFuture.completedFuture(new State(versionOf(body)))
+						: CompletableFuture.failedFuture(new IOException("the target's state is no JSON object"));
 			}
+			catch (IOException ex) {
+				return CompletableFuture.failedFuture(ex);
+			}
+		});
+	}
+
+	private long versionOf(JsonNode state) {
+		return this.engine ? state.path("weight_version").asLong(0) : 0;
+	}
+
+	@Override
+	public CompletableFuture<Void> loadWeights(long version, long fencingNumber) {
+		byte[] body;
+		try {
+			body = MAPPER.writeValueAsBytes(Map.of("version", version, "fencing_number", fencingNumber));
 		}
-		else if (status >= FIRST_ERROR_STATUS) {
-			events.setErrorStatus(status);
-		}
-		else {
-			events.feed(bytes, receiver::chunk);
+		catch (JsonProcessingException ex) {
+			return CompletableFuture.failedFuture(ex);
 		}
+		FullHttpRequest order = request(HttpMethod.PUT, "/admin/weights", Map.of("Content-Type", "application/json"),
+				body);
+		return call(order, LOAD_WEIGHTS_TIMEOUT_MS)
+			.thenCompose((report) -> (report.status() < FIRST_ERROR_STATUS) ? CompletableFuture.completedFuture(null)
+					: CompletableFuture.failedFuture(ServiceException.of(ResultCode.TARGET_FAILED,
+							"the engine answered the weight order with status " + report.status())));
 	}
 
-	/** Copies the bytes of a part, because the client releases the buffer afterwards. */
-	private static byte[] bytesOf(HttpResponse<ByteBuffer<?>> response) {
-		ByteBuffer<?> buffer = response.body();
-		return (buffer != null) ? buffer.toByteArray() : new byte[0];
+	private CompletableFuture<Report> call(FullHttpRequest request, long timeoutMs) {
+		CompletableFuture<Report> report = new CompletableFuture<>();
+		this.loop.execute(() -> {
+			Runnable cancel = this.client.send(this.address, request, new ReportReader(report));
+			Future<?> timeout = this.loop.schedule(() -> {
+				cancel.run();
+				report.completeExceptionally(new TimeoutException("no answer within " + timeoutMs + " ms"));
+			}, timeoutMs, TimeUnit.MILLISECONDS);
+			report.whenComplete((done, failure) -> timeout.cancel(false));
+		});
+		return report;
 	}
 
-	private void onComplete(EventSplitter events, Receiver receiver) {
-		if (!this.engine || events.isDone()) {
-			receiver.end();
+	/** Passes the answer to one request on. All methods run on the event loop. */
+	private final class AnswerReader implements ResponseListener {
+
+		private final Receiver receiver;
+
+		private final EventSplitter events = new EventSplitter();
+
+		private Runnable canceller = () -> {
+		};
+
+		private boolean ended;
+
+		private int status;
+
+		private @Nullable Future<?> timeout;
+
+		AnswerReader(Receiver receiver) {
+			this.receiver = receiver;
 		}
-		else if (events.errorStatus() >= 500) {
-			receiver.failed(ServiceException.of(ResultCode.TARGET_FAILED,
-					"the engine answered with status " + events.errorStatus()), true);
+
+		void start(Message.Run run) {
+			if (this.ended) {
+				return;
+			}
+			this.timeout = HttpTarget.this.loop.schedule(
+					() -> abort(new TimeoutException("no answer began within " + run.deadlineInMs() + " ms")),
+					run.deadlineInMs(), TimeUnit.MILLISECONDS);
+			this.canceller = HttpTarget.this.client.send(HttpTarget.this.address,
+					request(HttpMethod.valueOf(run.method()), run.path(), run.headers(), run.body()), this);
 		}
-		else if (events.errorStatus() > 0) {
-			receiver.failed(ServiceException.of(ResultCode.FIELD_INVALID,
-					"the engine answered with status " + events.errorStatus()), true);
+
+		void cancel() {
+			if (end()) {
+				this.canceller.run();
+			}
 		}
-		else {
-			receiver.failed(ServiceException.of(ResultCode.ANSWER_CUT_SHORT, "the event stream ended without [DONE]"),
-					true);
+
+		/** Returns false if the answer has ended before. */
+		private boolean end() {
+			boolean first = !this.ended;
+			this.ended = true;
+			stopTimeout();
+			return first;
 		}
-	}
 
-	private static boolean isConnectFailure(Throwable failure) {
-		for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
-			if (cause instanceof ConnectException) {
-				return true;
+		private void stopTimeout() {
+			if (this.timeout != null) {
+				this.timeout.cancel(false);
+			}
+		}
+
+		private void abort(Exception failure) {
+			if (end()) {
+				this.canceller.run();
+				this.receiver.failed(failure, true);
+			}
+		}
+
+		@Override
+		public void onHead(HttpResponse head) {
+			stopTimeout();
+			this.status = head.status().code();
+			this.receiver.head(this.status, head.headers().get(HttpHeaderNames.CONTENT_TYPE, ""));
+		}
+
+		@Override
+		public long maximumBodyBytes() {
+			return MAXIMUM_ANSWER_BYTES;
+		}
+
+		@Override
+		public void onContent(ByteBuf content) {
+			if (this.ended) {
+				return;
+			}
+			byte[] bytes = ByteBufUtil.getBytes(content);
+			if (!HttpTarget.this.engine) {
+				passOn(bytes);
+			}
+			else if (this.status < FIRST_ERROR_STATUS) {
+				try {
+					this.events.feed(bytes, this::passOn);
+				}
+				catch (ServiceException ex) {
+					abort(ex);
+				}
+			}
+		}
+
+		private void passOn(byte[] bytes) {
+			if (HttpTarget.this.unsentBytes + bytes.length > MAXIMUM_UNSENT_BYTES) {
+				abort(ServiceException.of(ResultCode.OUTCOME_UNKNOWN,
+						"the entries have not read %d bytes of answers".formatted(HttpTarget.this.unsentBytes)));
+			}
+			if (!this.ended) {
+				HttpTarget.this.unsentBytes += bytes.length;
+				this.receiver.chunk(bytes)
+					.whenComplete((written, failure) -> HttpTarget.this.loop
+						.execute(() -> HttpTarget.this.unsentBytes -= bytes.length));
+			}
+		}
+
+		@Override
+		public void onEnd(HttpResponse head) {
+			HttpTarget.this.client.closeIdleConnections(HttpTarget.this.address);
+			if (!end()) {
+				return;
+			}
+			if (!HttpTarget.this.engine || this.status < FIRST_ERROR_STATUS && this.events.isDone()) {
+				this.receiver.end();
+			}
+			else if (this.status >= FIRST_ERROR_STATUS) {
+				this.receiver.failed(
+						ServiceException.of((this.status >= 500) ? ResultCode.TARGET_FAILED : ResultCode.FIELD_INVALID,
+								"the engine answered with status " + this.status),
+						true);
+			}
+			else {
+				this.receiver.failed(
+						ServiceException.of(ResultCode.ANSWER_CUT_SHORT, "the event stream ended without [DONE]"),
+						true);
+			}
+		}
+
+		@Override
+		public void onFailure(RequestFailure failure) {
+			if (end()) {
+				this.receiver.failed(new IOException(failure.detail()), failure.mayHaveRun());
 			}
 		}
-		return false;
-	}
 
-	@Override
-	public CompletableFuture<State> state() {
-		String path = this.engine ? "/admin/state" : "/health";
-		return Mono.from(this.client.exchange(HttpRequest.GET(path), Map.class))
-			.timeout(STATE_TIMEOUT)
-			.map((response) -> new State(this.engine ? versionOf(response.body()) : 0))
-			.toFuture();
 	}
 
-	private static long versionOf(Map<?, ?> state) {
-		return (state.get("weight_version") instanceof Number version) ? version.longValue() : 0;
+	/** Collects the answer to a check or an order. */
+	private final class ReportReader implements ResponseListener {
+
+		private final CompletableFuture<Report> report;
+
+		private final ByteBuf body = Unpooled.buffer();
+
+		ReportReader(CompletableFuture<Report> report) {
+			this.report = report;
+		}
+
+		@Override
+		public void onHead(HttpResponse head) {
+			// The status is read when the answer is complete.
+		}
+
+		@Override
+		public long maximumBodyBytes() {
+			return MAXIMUM_REPORT_BYTES;
+		}
+
+		@Override
+		public void onContent(ByteBuf content) {
+			this.body.writeBytes(content.duplicate());
+		}
+
+		@Override
+		public void onEnd(HttpResponse head) {
+			HttpTarget.this.client.closeIdleConnections(HttpTarget.this.address);
+			this.report.complete(new Report(head.status().code(), ByteBufUtil.getBytes(this.body)));
+		}
+
+		@Override
+		public void onFailure(RequestFailure failure) {
+			this.report.completeExceptionally(new IOException(failure.detail()));
+		}
+
 	}
 
-	@Override
-	public CompletableFuture<Void> loadWeights(long version, long fencingNumber) {
-		HttpRequest<?> order = HttpRequest.PUT("/admin/weights",
-				Map.of("version", version, "fencing_number", fencingNumber));
-		return Mono.from(this.client.exchange(order, Map.class)).timeout(LOAD_WEIGHTS_TIMEOUT).flatMap((response) -> {
-			boolean refused = response.code() >= FIRST_ERROR_STATUS;
-			return refused
-					? Mono.<Void>error(ServiceException.of(ResultCode.TARGET_FAILED,
-							"the engine answered the weight order with status " + response.code()))
-					: Mono.<Void>empty();
-		}).toFuture();
+	/**
+	 * The answer to a check or an order.
+	 *
+	 * @param status the HTTP status
+	 * @param body the whole body
+	 */
+	private record Report(int status, byte[] body) {
 	}
 
 }
--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/Target.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/Target.java
@@ -38,7 +38,12 @@
 
 		void head(int httpStatus, String contentType);
 
-		void chunk(byte[] data);
+		/**
+		 * Receives a part of the body.
+		 * @param data the bytes
+		 * @return completes when they were passed on to the entry
+		 */
+		CompletableFuture<Void> chunk(byte[] data);
 
 		void end();
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/AnswerProgress.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/AnswerProgress.java
@@ -61,8 +61,9 @@
 		this.body.reset();
 	}
 
-	int bodySize() {
-		return this.body.size();
+	/** Returns the length of the text and the body. */
+	int size() {
+		return this.text.length() + this.body.size();
 	}
 
 	boolean isFinished() {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/QueueingDispatcher.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/QueueingDispatcher.java
@@ -244,7 +244,7 @@
 				else {
 					request.progress().appendBody(data);
 				}
-				if (request.progress().bodySize() > MAXIMUM_ANSWER_BYTES) {
+				if (request.progress().size() > MAXIMUM_ANSWER_BYTES) {
 					throw ServiceException.of(ResultCode.TARGET_FAILED,
 							"the answer exceeds " + MAXIMUM_ANSWER_BYTES + " bytes");
 				}
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
@@ -230,16 +230,20 @@
 		}
 
 		@Override
-		public void respond(Message message, boolean last) {
+		public CompletableFuture<Void> respond(Message message, boolean last) {
+			CompletableFuture<Void> written = new CompletableFuture<>();
 			runOnEventLoop(() -> {
 				if (this.cancelled) {
+					written.complete(null);
 					return;
 				}
 				if (last) {
 					ChannelPeer.this.incoming.remove(this.exchangeId);
 				}
-				ChannelPeer.this.channel.writeAndFlush(new Frame(this.exchangeId, last, message));
+				ChannelPeer.this.channel.writeAndFlush(new Frame(this.exchangeId, last, message))
+					.addListener((done) -> written.complete(null));
 			});
+			return written;
 		}
 
 		void markCancelled() {
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Responder.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Responder.java
@@ -1,5 +1,7 @@
 package org.zinniatack.wire;
 
+import java.util.concurrent.CompletableFuture;
+
 /**
  * Sends the answers of an exchange that the other side opened.
  */
@@ -18,7 +20,9 @@
 	 * are discarded.
 	 * @param message the answer
 	 * @param last true if no further answer follows
+	 * @return completes when the answer was written to the socket or will never be; a
+	 * sender that waits for it does not get ahead of the reader
 	 */
-	void respond(Message message, boolean last);
+	CompletableFuture<Void> respond(Message message, boolean last);
 
 }
