Bound the scan for a copy of a head, and wait for idle connections in one place

The scan for a second copy kept a line of a body without a limit and read the lines before it again at each line end; it now keeps one line of 32 KiB at most and counts the lines that matched. A request that cannot be sent, as with a header that HTTP does not allow, is answered by the agent in place of never.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
@@ -181,8 +181,14 @@
 			this.timeout = HttpTarget.this.loop.schedule(
 					() -> abort(new TimeoutException("no answer began within " + run.deadlineInMs() + " ms")),
 					run.deadlineInMs(), TimeUnit.MILLISECONDS);
-			this.canceller = HttpTarget.this.client.send(HttpTarget.this.address,
-					request(HttpMethod.valueOf(run.method()), run.path(), run.headers(), run.body()), this);
+			try {
+				this.canceller = HttpTarget.this.client.send(HttpTarget.this.address,
+						request(HttpMethod.valueOf(run.method()), run.path(), run.headers(), run.body()), this);
+			}
+			catch (IllegalArgumentException ex) {
+				abort(ServiceException.of(ResultCode.FIELD_INVALID,
+						"the request cannot be sent to a target: " + ex.getMessage()));
+			}
 		}
 
 		void cancel() {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HeadCopyScan.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HeadCopyScan.java
@@ -18,17 +18,24 @@
 
 	private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
-	private static final int MAXIMUM_HEAD_BYTES = 32 * 1024;
+	private static final int MAXIMUM_LINE_BYTES = 32 * 1024;
 
 	private final String statusLine;
 
 	private final Set<String> headers;
 
-	/** What may be the head of a copy, from its beginning on. */
-	private final ByteArrayOutputStream candidate = new ByteArrayOutputStream();
+	private final int headerCount;
+
+	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
 	private int matchedBytes;
 
+	/** Whether all bytes since the last beginning may be the head of a copy. */
+	private boolean inCopy;
+
+	/** The lines of the copy that are those of the head, with the status line. */
+	private int matchedLines;
+
 	private boolean found;
 
 	HeadCopyScan(HttpResponse response) {
@@ -38,6 +45,7 @@
 			.stream()
 			.map((header) -> normalize(header.getKey() + ':' + header.getValue()))
 			.collect(Collectors.toSet());
+		this.headerCount = response.headers().size();
 	}
 
 	private static String normalize(String line) {
@@ -58,33 +66,33 @@
 		this.matchedBytes = (value == BEGINNING[this.matchedBytes]) ? this.matchedBytes + 1
 				: (value == BEGINNING[0]) ? 1 : 0;
 		if (this.matchedBytes == BEGINNING.length) {
-			this.matchedBytes = 0;
-			this.candidate.reset();
-			this.candidate.writeBytes(BEGINNING);
+			beginCopy();
+		}
+		else if (this.inCopy && value == '\n') {
+			endLine();
 		}
-		else if (this.candidate.size() > 0) {
-			this.candidate.write(value);
-			if (value == '\n') {
-				endLine();
-			}
+		else if (this.inCopy) {
+			this.line.write(value);
+			this.inCopy = this.line.size() <= MAXIMUM_LINE_BYTES;
 		}
 		return !this.found;
 	}
 
-	private void endLine() {
-		String[] lines = this.candidate.toString(StandardCharsets.ISO_8859_1).split("\r?\n", -1);
-		boolean emptyLine = lines[lines.length - 2].isEmpty();
-		if (emptyLine && lines.length - 3 >= this.headers.size()) {
-			this.found = true;
-		}
-		else if (emptyLine || !isLineOfHead(lines[lines.length - 2], lines.length == 2)
-				|| this.candidate.size() > MAXIMUM_HEAD_BYTES) {
-			this.candidate.reset();
-		}
+	private void beginCopy() {
+		this.matchedBytes = 0;
+		this.inCopy = true;
+		this.matchedLines = 0;
+		this.line.reset();
+		this.line.writeBytes(BEGINNING);
 	}
 
-	private boolean isLineOfHead(String line, boolean first) {
-		return first ? line.trim().equals(this.statusLine) : this.headers.contains(normalize(line));
+	private void endLine() {
+		String text = this.line.toString(StandardCharsets.ISO_8859_1).trim();
+		this.line.reset();
+		this.found = text.isEmpty() && this.matchedLines == this.headerCount + 1;
+		this.inCopy = (this.matchedLines == 0) ? text.equals(this.statusLine)
+				: this.matchedLines <= this.headerCount && this.headers.contains(normalize(text));
+		this.matchedLines++;
 	}
 
 	/**
@@ -92,7 +100,7 @@
 	 * header.
 	 */
 	boolean endsInCopy() {
-		return this.candidate.toString(StandardCharsets.ISO_8859_1).chars().filter((next) -> next == '\n').count() > 1;
+		return this.inCopy && this.matchedLines > 1;
 	}
 
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -49,6 +49,8 @@
 
 	private static final long FREEZE_CHECK_MS = 200;
 
+	private static final long IDLE_POLL_MS = 20;
+
 	/** Time to read the data that the network buffered while the VM was suspended. */
 	private static final long RESUME_DELAY_MS = 30;
 
@@ -158,6 +160,22 @@
 		});
 	}
 
+	/**
+	 * Stops accepting connections and waits until all have nothing left to do.
+	 * @param timeoutMs the longest time to wait, in milliseconds
+	 * @return the number of connections that still have something to do
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public int awaitIdle(long timeoutMs) throws InterruptedException {
+		long startedNs = System.nanoTime();
+		int busy = closeIdle().sync().getNow();
+		while (busy > 0 && TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs) < timeoutMs) {
+			TimeUnit.MILLISECONDS.sleep(IDLE_POLL_MS);
+			busy = closeIdle().sync().getNow();
+		}
+		return busy;
+	}
+
 	private int activeRequestCount() {
 		return (int) this.connections.stream().filter((connection) -> connection.current != null).count();
 	}
