--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -644,9 +644,10 @@
 			this.body.release();
 			String digest = CallDigest.of(this.pendingCall.call);
 			LOGGER.atInfo()
-				.log("event=attempt_lost request=%s fingerprint=%s target=%s may_have_run=%s detail=\"%s\"",
+				.log("event=attempt_lost request=%s fingerprint=%s target=%s may_have_run=%s ended_targets=%d detail=\"%s\"",
 						this.pendingCall.call.requestId(), CallDigest.abbreviated(digest), this.target.id(),
-						failure.mayHaveRun(), failure.detail());
+						failure.mayHaveRun(), CallDispatcher.this.crashGuard.endedTargets(this.pendingCall.call),
+						failure.detail());
 			if (failure.mayHaveRun() && !this.producedContent) {
 				CallDispatcher.this.crashGuard.connectionLost(this.pendingCall.call, digest, this.target);
 			}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
@@ -21,6 +21,11 @@
 			return 0;
 		}
 
+		@Override
+		public int endedTargets(Call call) {
+			return 0;
+		}
+
 		@Override
 		public void connectionLost(Call call, String digest, TargetNotice target) {
 			// Nothing is remembered.
@@ -47,6 +52,13 @@
 	 */
 	long retryAfterMs(Call call);
 
+	/**
+	 * Returns how many targets are known to have ended under a call.
+	 * @param call the call
+	 * @return the number of targets
+	 */
+	int endedTargets(Call call);
+
 	/**
 	 * Records that the connection to a target was lost while it may have run a call.
 	 * @param call the call
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
@@ -94,6 +94,7 @@
 		SuspectedRequests newest = withOwnTimes(suspects);
 		for (Suspicion before : this.shared.all()) {
 			if (newest.suspicion(before.digest()).isEmpty()) {
+				logForgotten(before.digest(), "control", "");
 				this.own.remove(before.digest());
 				this.known = null;
 			}
@@ -139,6 +140,25 @@
 					CallDigest.abbreviated(digest), targets.size(), targets, source);
 	}
 
+	/** Logs that a request is no longer suspected. */
+	private void logForgotten(String digest, String source, String requestId) {
+		int count = endedTargets(digest);
+		if (count > 1) {
+			LOGGER.atInfo()
+				.log("event=request_forgotten fingerprint=%s count=%d source=%s request=%s",
+						CallDigest.abbreviated(digest), count, source, requestId);
+		}
+	}
+
+	private int endedTargets(String digest) {
+		return known().suspicion(digest).map((suspicion) -> suspicion.targets().size()).orElse(0);
+	}
+
+	@Override
+	public int endedTargets(Call call) {
+		return knownDigest(call).map(this::endedTargets).orElse(0);
+	}
+
 	/**
 	 * Records that a target has started.
 	 * @param target the notice of the target
@@ -213,6 +233,7 @@
 	public void answered(Call call) {
 		knownDigest(call).ifPresent((digest) -> {
 			this.endedTargets.answered(digest);
+			logForgotten(digest, "answer", call.requestId());
 			boolean wasKnown = this.own.remove(digest) | this.shared.remove(digest);
 			if (wasKnown) {
 				this.reports.addAnswer(digest);
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
@@ -414,6 +414,11 @@
 			return 0;
 		}
 
+		@Override
+		public int endedTargets(Call call) {
+			return 0;
+		}
+
 		@Override
 		public void connectionLost(Call call, String digest, TargetNotice target) {
 			this.suspected = CutAnswerTests.this.suspectsAtOnce;
