Know a request by what its caller sent, whoever its customer is

Callers saw: a request under which three targets had ended was sent on after each change that gave its caller's key to another customer; each change cost up to three more targets and the requests of others on them. Cause: the fingerprint held the customer, which a configuration decides; on the path with agents also the route.

RequestIdentity now says on every path what makes two requests the same: method, host, path with query, body. A second digest with the caller's key keeps an answer to one caller from forgetting the ends under another's; an answer clears the request for all but the callers under whom targets ended. The digest of stored intents (idempotency keys) stays as it was.

During a rolling update old and new entries know a request under different digests.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -204,7 +204,7 @@
 	 * Reports a crash of a target together with the requests that it was running.
 	 *
 	 * @param crashId the id of the crash, by which several reports of it count once
-	 * @param requestDigests the digests of customer and request of the running requests
+	 * @param requestDigests the digests of the running requests
 	 * @param answeredDigests the digests of suspected requests that an entry without
 	 * agents has got answers to
 	 * @param losses the requests that an entry without agents lost on targets that ended
@@ -223,8 +223,7 @@
 		/**
 		 * Creates the report of an agent.
 		 * @param crashId the id of the crash
-		 * @param requestDigests the digests of customer and request of the running
-		 * requests
+		 * @param requestDigests the digests of the running requests
 		 */
 		public ReportCrash(String crashId, List<String> requestDigests) {
 			this(crashId, requestDigests, List.of(), List.of());
@@ -246,7 +245,7 @@
 	/**
 	 * Clears the suspicion of a request that completed while it ran alone on a target.
 	 *
-	 * @param requestDigest the digest of customer and request
+	 * @param requestDigest the digest of the request
 	 */
 	record ClearSuspect(String requestDigest) implements Command {
 	}
@@ -254,7 +253,7 @@
 	/**
 	 * Lifts the quarantine of a request.
 	 *
-	 * @param requestDigest the digest of customer and request
+	 * @param requestDigest the digest of the request
 	 */
 	record LiftQuarantine(String requestDigest) implements Command {
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
@@ -172,7 +172,7 @@
 			.toList();
 	}
 
-	/** What may be done with a request. */
+	/** What may be done with a request, from the least to the most restricted. */
 	public enum Standing {
 
 		/** The request may run. */
@@ -181,11 +181,11 @@
 		/** The request may run on one target at a time. */
 		SUSPECT,
 
-		/** The request may not run. */
-		QUARANTINED,
-
 		/** The quarantine has ended: one attempt may show whether a target survives. */
-		RELEASED
+		RELEASED,
+
+		/** The request may not run. */
+		QUARANTINED
 
 	}
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Suspicion.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Suspicion.java
@@ -8,7 +8,7 @@
 /**
  * A request that was lost on targets that ended while they ran it.
  *
- * @param digest the digest of the request
+ * @param digest the digest of the request, or of the request together with its caller
  * @param targets the starts of the targets that ended, in the order of their reports
  * @param lastLossAtMs the time of the last loss, in milliseconds; since the epoch in
  * reports and in the state of control
@@ -59,10 +59,12 @@
 	}
 
 	/**
-	 * Returns whether each target that ended under another request also ran this one.
+	 * Returns whether each target that ended under another request also ran this one. The
+	 * same request of another caller explains nothing.
 	 */
 	boolean explains(Suspicion other) {
-		return !this.digest.equals(other.digest) && this.targets.containsAll(other.targets);
+		return !RequestIdentity.withoutCaller(this.digest).equals(RequestIdentity.withoutCaller(other.digest))
+				&& this.targets.containsAll(other.targets);
 	}
 
 }
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
@@ -9,6 +9,7 @@
 import org.zinniatack.core.config.Specification;
 import org.zinniatack.core.key.Sha256Digest;
 import org.zinniatack.core.queue.RequestQueue;
+import org.zinniatack.core.state.RequestIdentity;
 
 /**
  * A request that this entry has accepted and not yet answered. Its mutable fields are
@@ -216,12 +217,16 @@
 	 * @param path the path and query for the target
 	 * @param headers the headers for the target
 	 * @param body the body, which depends on the progress so that an engine can resume
-	 * @param digest the digest of customer, route and content
+	 * @param identity what makes another request the same
 	 * @param prefixHash the hash of customer and prompt prefix, 0 for none
 	 * @param repeatable true if the request may be executed more than once
 	 */
 	record Call(String routeName, Specification.Route route, String method, String path, Map<String, String> headers,
-			RequestBody body, Sha256Digest digest, long prefixHash, boolean repeatable) {
+			RequestBody body, RequestIdentity identity, long prefixHash, boolean repeatable) {
+
+		String abbreviatedDigest() {
+			return RequestIdentity.abbreviated(this.identity.digest());
+		}
 
 		boolean isEngine() {
 			return this.route.protocol() == Specification.Protocol.ENGINE;
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/EntryService.java
@@ -196,7 +196,7 @@
 				usageBackupFor(request));
 		this.metrics.counter("zinniatack.requests.finished", "route", request.call().routeName()).increment();
 		if (finished.clearedSuspect()) {
-			this.control.propose(new Command.ClearSuspect(request.call().digest().hex()));
+			this.control.propose(new Command.ClearSuspect(request.call().identity().digest()));
 		}
 	}
 
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/GenerationRequest.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/GenerationRequest.java
@@ -1,6 +1,7 @@
 package org.zinniatack.entry;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -9,10 +10,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import org.zinniatack.core.config.Specification;
-import org.zinniatack.core.key.Sha256Digest;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.routing.Hashing;
+import org.zinniatack.core.state.RequestIdentity;
 
 /**
  * The body of a text generation request in the format of completions or chat completions.
@@ -93,9 +94,10 @@
 
 	/** Returns the call to the engine, which always streams its answer. */
 	CallerRequest.Call engineCall(String customer, Specification.Route route, boolean bulk) {
-		Sha256Digest digest = Sha256Digest.of(customer + '\0' + model() + '\0' + this.document);
+		RequestIdentity identity = RequestIdentity.of("POST", "", this.path,
+				this.document.toString().getBytes(StandardCharsets.UTF_8), null);
 		return new CallerRequest.Call(model(), route, "POST", this.path, Map.of("Content-Type", "application/json"),
-				(progress) -> engineBody(progress, bulk), digest, prefixHash(customer), true);
+				(progress) -> engineBody(progress, bulk), identity, prefixHash(customer), true);
 	}
 
 	private byte[] engineBody(AnswerProgress progress, boolean bulk) {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/QueueingDispatcher.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/QueueingDispatcher.java
@@ -122,7 +122,7 @@
 		}
 		if (this.suspects.isQuarantined(request)) {
 			throw ServiceException.of(ResultCode.QUARANTINED,
-					"quarantined digest " + request.call().digest().abbreviated());
+					"quarantined digest " + request.call().abbreviatedDigest());
 		}
 		if (this.targetRegistry.usableSlotCount(request.call().route().pool()) == 0) {
 			throw ServiceException.retryable(ResultCode.NO_TARGET,
@@ -202,7 +202,7 @@
 		poolState(request.call().route().pool()).requestStarted(request.isBulk(), nowMs);
 		this.running.add(request);
 		CallerRequest.Call call = request.call();
-		Message.Run run = new Message.Run(request.id() + "-" + request.attemptNumber(), call.digest().hex(),
+		Message.Run run = new Message.Run(request.id() + "-" + request.attemptNumber(), call.identity().digest(),
 				request.isSuspect(), call.method(), call.path(), call.headers(), call.body().bytes(request.progress()),
 				call.isEngine(), Math.max(1, request.deadlineMs() - nowMs));
 		AttemptListener listener = new AttemptListener(this, request, target, request.attemptNumber());
@@ -347,8 +347,9 @@
 	private void onCrash(CallerRequest request, DeferredActions actions) {
 		request.countLostTarget();
 		if (request.isSuspect() || request.lostTargetCount() >= MAXIMUM_LOST_TARGETS) {
-			failRequest(request, ServiceException.of(ResultCode.TARGET_CRASHED,
-					"quarantined after repeated target failures, digest " + request.call().digest().abbreviated()),
+			failRequest(request,
+					ServiceException.of(ResultCode.TARGET_CRASHED,
+							"quarantined after repeated target failures, digest " + request.call().abbreviatedDigest()),
 					actions);
 		}
 		else if (!request.call().repeatable()) {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/ServiceController.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/ServiceController.java
@@ -26,6 +26,7 @@
 import org.zinniatack.core.key.Sha256Digest;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.process.ErrorResponses;
 
 /**
@@ -94,9 +95,10 @@
 		boolean repeatable = route.repeatable() || REPEATABLE_METHODS.contains(http.getMethodName());
 		CallerRequest.Call call = new CallerRequest.Call(name, route, http.getMethodName(), pathAndQuery,
 				forwardedHeaders(http), RequestBody.fixed(body),
-				requestDigest(principal, name, http.getMethodName(), pathAndQuery, body), 0, repeatable);
+				RequestIdentity.of(http.getMethodName(), "", http.getUri().toString(), body, null), 0, repeatable);
 		return repeatable ? submit(principal, call, new NonStreamingSink(ServiceController::toResponse))
-				: runAtMostOnce(http, principal, call);
+				: runAtMostOnce(http, principal, call,
+						intentDigest(principal, name, http.getMethodName(), pathAndQuery, body));
 	}
 
 	private CompletableFuture<HttpResponse<?>> submit(CallerRequest.Principal principal, CallerRequest.Call call,
@@ -106,14 +108,14 @@
 	}
 
 	private CompletableFuture<HttpResponse<?>> runAtMostOnce(HttpRequest<?> http, CallerRequest.Principal principal,
-			CallerRequest.Call call) throws ServiceException {
+			CallerRequest.Call call, Sha256Digest intentDigest) throws ServiceException {
 		String key = Optional.ofNullable(http.getHeaders().get(IDEMPOTENCY_HEADER))
 			.filter((value) -> !value.isBlank())
 			.orElseThrow(() -> ServiceException.of(ResultCode.IDEMPOTENCY_KEY_MISSING,
 					"required by route " + call.routeName()));
 		AtMostOnceRunner runner = new AtMostOnceRunner(this.entry.control(), (sink) -> this.entry.dispatcher()
 			.submit(RequestFactory.create(this.entry, principal, call, 0, false, sink), true));
-		return runner.run(principal.customer(), key, call.digest().hex(), System.currentTimeMillis())
+		return runner.run(principal.customer(), key, intentDigest.hex(), System.currentTimeMillis())
 			.<HttpResponse<?>>thenApply(ServiceController::toResponse)
 			.exceptionally((failure) -> errorResponse(ControlLink.unwrap(failure)));
 	}
@@ -137,7 +139,8 @@
 		return headers;
 	}
 
-	private static Sha256Digest requestDigest(CallerRequest.Principal principal, String route, String method,
+	/** Returns the digest that stored intents of this idempotency key must have. */
+	private static Sha256Digest intentDigest(CallerRequest.Principal principal, String route, String method,
 			String path, byte[] body) {
 		return Sha256Digest
 			.of(principal.customer() + '\0' + route + '\0' + method + '\0' + path + '\0' + Sha256Digest.of(body).hex());
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/SuspectTracker.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/SuspectTracker.java
@@ -64,7 +64,7 @@
 	}
 
 	private static String digestOf(CallerRequest request) {
-		return request.call().digest().hex();
+		return request.call().identity().digest();
 	}
 
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/Call.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/Call.java
@@ -1,9 +1,12 @@
 package org.zinniatack.gateway.call;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.core.key.Sha256Digest;
+import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.core.table.Route;
 
 /**
@@ -17,7 +20,34 @@
  * @param headers the headers to forward
  * @param body the request body
  * @param deadlineMs how long the caller waits for a response, in milliseconds
+ * @param key the digest of the caller's API key, or null without one
  */
 public record Call(String requestId, Route route, @Nullable String customer, HttpMethod method, String uri,
-		HttpHeaders headers, byte[] body, long deadlineMs) {
+		HttpHeaders headers, byte[] body, long deadlineMs, @Nullable Sha256Digest key) {
+
+	/**
+	 * Creates a call without an API key.
+	 * @param requestId the id of this attempt by the caller
+	 * @param route the route that the request matched
+	 * @param customer the customer, or null if the route needs no API key
+	 * @param method the HTTP method
+	 * @param uri the path with its query
+	 * @param headers the headers to forward
+	 * @param body the request body
+	 * @param deadlineMs how long the caller waits for a response, in milliseconds
+	 */
+	public Call(String requestId, Route route, @Nullable String customer, HttpMethod method, String uri,
+			HttpHeaders headers, byte[] body, long deadlineMs) {
+		this(requestId, route, customer, method, uri, headers, body, deadlineMs, null);
+	}
+
+	/**
+	 * Returns what makes another request the same as this one.
+	 * @return the identity
+	 */
+	public RequestIdentity identity() {
+		return RequestIdentity.of(this.method.name(), this.headers.get(HttpHeaderNames.HOST, ""), this.uri, this.body,
+				this.key);
+	}
+
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -21,6 +21,7 @@
 
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.core.state.SuspectedRequests.Standing;
 import org.zinniatack.core.table.RouteKind;
 import org.zinniatack.gateway.http.RequestFailure;
@@ -151,6 +152,8 @@
 
 		private final Call call;
 
+		private final RequestIdentity identity;
+
 		private final CallSink sink;
 
 		private final CallStream stream;
@@ -189,6 +192,7 @@
 
 		PendingCall(Call call, CallSink sink) {
 			this.call = call;
+			this.identity = call.identity();
 			this.sink = sink;
 			this.stream = new CallStream(sink);
 			this.targetDeadlineMs = this.startedAtMs
@@ -198,8 +202,8 @@
 		}
 
 		void start() {
-			if (CallDispatcher.this.crashGuard.standing(this.call) == Standing.QUARANTINED) {
-				refuse(ResultCode.QUARANTINED, CallDispatcher.this.crashGuard.retryAfterMs(this.call));
+			if (CallDispatcher.this.crashGuard.standing(this.identity) == Standing.QUARANTINED) {
+				refuse(ResultCode.QUARANTINED, CallDispatcher.this.crashGuard.retryAfterMs(this.identity));
 				return;
 			}
 			if (this.call.deadlineMs() <= RETURN_MARGIN_MS) {
@@ -230,7 +234,7 @@
 
 		/** Returns whether the call may crash one more target if it is sent again. */
 		private boolean isSuspect() {
-			return CallDispatcher.this.crashGuard.standing(this.call) != Standing.CLEAR;
+			return CallDispatcher.this.crashGuard.standing(this.identity) != Standing.CLEAR;
 		}
 
 		private boolean mayRunAgain() {
@@ -601,7 +605,7 @@
 			}
 			end();
 			if (this.requestOutcome == RequestOutcome.ANSWERED || this.requestOutcome == RequestOutcome.FAILED) {
-				CallDispatcher.this.crashGuard.answered(this.pendingCall.call);
+				CallDispatcher.this.crashGuard.answered(this.pendingCall.identity, this.pendingCall.call.requestId());
 			}
 			RequestOutcome finalOutcome = (this.requestOutcome != null) ? this.requestOutcome : RequestOutcome.FAILED;
 			switch (finalOutcome) {
@@ -632,7 +636,7 @@
 				return;
 			}
 			end();
-			CallDispatcher.this.crashGuard.answered(this.pendingCall.call);
+			CallDispatcher.this.crashGuard.answered(this.pendingCall.identity, this.pendingCall.call.requestId());
 			this.stats.recordSuccess();
 			this.body.release();
 			this.pendingCall.endStream();
@@ -642,14 +646,14 @@
 		public void onFailure(RequestFailure failure) {
 			end();
 			this.body.release();
-			String digest = CallDigest.of(this.pendingCall.call);
+			RequestIdentity identity = this.pendingCall.identity;
 			LOGGER.atInfo()
 				.log("event=attempt_lost request=%s fingerprint=%s target=%s may_have_run=%s ended_targets=%d detail=\"%s\"",
-						this.pendingCall.call.requestId(), CallDigest.abbreviated(digest), this.target.id(),
-						failure.mayHaveRun(), CallDispatcher.this.crashGuard.endedTargets(this.pendingCall.call),
+						this.pendingCall.call.requestId(), RequestIdentity.abbreviated(identity.digest()),
+						this.target.id(), failure.mayHaveRun(), CallDispatcher.this.crashGuard.endedTargets(identity),
 						failure.detail());
 			if (failure.mayHaveRun() && !this.producedContent) {
-				CallDispatcher.this.crashGuard.connectionLost(this.pendingCall.call, digest, this.target);
+				CallDispatcher.this.crashGuard.connectionLost(identity, this.target);
 			}
 			this.stats.recordUnreachable(nowMs());
 			if (this.streamPart != null) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
@@ -1,76 +1,77 @@
 package org.zinniatack.gateway.call;
 
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.core.state.SuspectedRequests.Standing;
 
 /**
- * Knows which calls may crash targets. All methods are called on the event loop.
+ * Knows which requests may end targets. All methods are called on the event loop.
  */
 public interface CrashGuard {
 
-	/** Lets all calls run. */
+	/** Lets all requests run. */
 	CrashGuard NONE = new CrashGuard() {
 
 		@Override
-		public Standing standing(Call call) {
+		public Standing standing(RequestIdentity request) {
 			return Standing.CLEAR;
 		}
 
 		@Override
-		public long retryAfterMs(Call call) {
+		public long retryAfterMs(RequestIdentity request) {
 			return 0;
 		}
 
 		@Override
-		public int endedTargets(Call call) {
+		public int endedTargets(RequestIdentity request) {
 			return 0;
 		}
 
 		@Override
-		public void connectionLost(Call call, String digest, TargetNotice target) {
+		public void connectionLost(RequestIdentity request, TargetNotice target) {
 			// Nothing is remembered.
 		}
 
 		@Override
-		public void answered(Call call) {
+		public void answered(RequestIdentity request, String requestId) {
 			// Nothing is remembered.
 		}
 
 	};
 
 	/**
-	 * Returns whether a call may run.
-	 * @param call the call
-	 * @return the standing; an answer of RELEASED lets this call alone try
+	 * Returns whether a request may run.
+	 * @param request the request
+	 * @return the standing; an answer of RELEASED lets this attempt alone try
 	 */
-	Standing standing(Call call);
+	Standing standing(RequestIdentity request);
 
 	/**
-	 * Returns when a quarantined call may be tried again.
-	 * @param call the call
+	 * Returns when a quarantined request may be tried again.
+	 * @param request the request
 	 * @return the time until then, in milliseconds
 	 */
-	long retryAfterMs(Call call);
+	long retryAfterMs(RequestIdentity request);
 
 	/**
-	 * Returns how many targets are known to have ended under a call.
-	 * @param call the call
+	 * Returns how many targets are known to have ended under a request.
+	 * @param request the request
 	 * @return the number of targets
 	 */
-	int endedTargets(Call call);
+	int endedTargets(RequestIdentity request);
 
 	/**
-	 * Records that the connection to a target was lost while it may have run a call.
-	 * @param call the call
-	 * @param digest the digest of the call
+	 * Records that the connection to a target was lost while it may have run a request.
+	 * @param request the request
 	 * @param target the target
 	 */
-	void connectionLost(Call call, String digest, TargetNotice target);
+	void connectionLost(RequestIdentity request, TargetNotice target);
 
 	/**
-	 * Records that a target answered a call that it had run.
-	 * @param call the call
+	 * Records that a target answered a request that it had run.
+	 * @param request the request
+	 * @param requestId the id of this attempt by the caller
 	 */
-	void answered(Call call);
+	void answered(RequestIdentity request, String requestId);
 
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/EndedTargets.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/EndedTargets.java
@@ -42,7 +42,8 @@
 
 	private static final int MAXIMUM_TARGETS = 64;
 
-	private static final int MAXIMUM_DIGESTS = 256;
+	/** Two for each of the requests that a target may have run. */
+	private static final int MAXIMUM_DIGESTS = 512;
 
 	private final EventLoop loop;
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
@@ -1,10 +1,10 @@
 package org.zinniatack.gateway.suspect;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -17,11 +17,10 @@
 
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.core.state.SuspectedRequests;
 import org.zinniatack.core.state.SuspectedRequests.Standing;
 import org.zinniatack.core.state.Suspicion;
-import org.zinniatack.gateway.call.Call;
-import org.zinniatack.gateway.call.CallDigest;
 import org.zinniatack.gateway.call.CrashGuard;
 import org.zinniatack.wire.Message;
 
@@ -137,7 +136,7 @@
 		LOGGER.atInfo()
 			.log("event=%s fingerprint=%s count=%d targets=%s source=%s",
 					(standing == Standing.SUSPECT) ? "request_suspected" : "request_quarantined",
-					CallDigest.abbreviated(digest), targets.size(), targets, source);
+					RequestIdentity.abbreviated(digest), targets.size(), targets, source);
 	}
 
 	/** Logs that a request is no longer suspected. */
@@ -146,7 +145,7 @@
 		if (count > 1) {
 			LOGGER.atInfo()
 				.log("event=request_forgotten fingerprint=%s count=%d source=%s request=%s",
-						CallDigest.abbreviated(digest), count, source, requestId);
+						RequestIdentity.abbreviated(digest), count, source, requestId);
 		}
 	}
 
@@ -155,8 +154,8 @@
 	}
 
 	@Override
-	public int endedTargets(Call call) {
-		return knownDigest(call).map(this::endedTargets).orElse(0);
+	public int endedTargets(RequestIdentity request) {
+		return knownDigests(request).stream().mapToInt(this::endedTargets).max().orElse(0);
 	}
 
 	/**
@@ -174,49 +173,51 @@
 			this.own.all().forEach(current::add);
 			this.known = current;
 			Set<Integer> hashes = new HashSet<>();
-			current.all().forEach((suspicion) -> hashes.add(CallDigest.hashOf(suspicion.digest())));
-			this.endedTargets.digests().forEach((digest) -> hashes.add(CallDigest.hashOf(digest)));
+			current.all().forEach((suspicion) -> hashes.add(RequestIdentity.hashOf(suspicion.digest())));
+			this.endedTargets.digests().forEach((digest) -> hashes.add(RequestIdentity.hashOf(digest)));
 			this.knownHashes = hashes;
 		}
 		return current;
 	}
 
-	/** Returns the digest of a call if it may be known. */
-	private Optional<String> knownDigest(Call call) {
+	/** Returns the digests of a request if it may be known. */
+	private List<String> knownDigests(RequestIdentity request) {
 		known();
-		boolean maybeKnown = !this.knownHashes.isEmpty() && this.knownHashes.contains(CallDigest.hashOf(call));
-		return maybeKnown ? Optional.of(CallDigest.of(call)) : Optional.empty();
+		boolean maybeKnown = !this.knownHashes.isEmpty() && this.knownHashes.contains(request.hash());
+		return maybeKnown ? request.digests() : List.of();
 	}
 
 	@Override
-	public Standing standing(Call call) {
-		return knownDigest(call).map(this::standing).orElse(Standing.CLEAR);
+	public Standing standing(RequestIdentity request) {
+		long timeMs = this.nowMs.getAsLong();
+		Standing standing = knownDigests(request).stream()
+			.map((digest) -> known().standing(digest, timeMs))
+			.max(Comparator.naturalOrder())
+			.orElse(Standing.CLEAR);
+		return (standing == Standing.RELEASED) ? tryReleased(request.digest(), timeMs) : standing;
 	}
 
-	private Standing standing(String digest) {
-		long timeMs = this.nowMs.getAsLong();
-		Standing standing = known().standing(digest, timeMs);
-		if (standing != Standing.RELEASED) {
-			return standing;
-		}
+	/** Lets one attempt at a time try a released request, whoever sends it. */
+	private Standing tryReleased(String digest, long timeMs) {
 		this.trialAtMsByDigest.values().removeIf((trialAtMs) -> timeMs - trialAtMs > TRIAL_MS);
 		return (this.trialAtMsByDigest.putIfAbsent(digest, timeMs) == null) ? Standing.RELEASED : Standing.QUARANTINED;
 	}
 
 	@Override
-	public long retryAfterMs(Call call) {
+	public long retryAfterMs(RequestIdentity request) {
 		long timeMs = this.nowMs.getAsLong();
-		return knownDigest(call).flatMap((digest) -> known().suspicion(digest))
-			.map((suspicion) -> Math.max(TRIAL_RETRY_MS, SuspectedRequests.quarantineEndMs(suspicion) - timeMs))
-			.orElse(TRIAL_RETRY_MS);
+		return knownDigests(request).stream()
+			.flatMap((digest) -> known().suspicion(digest).stream())
+			.mapToLong((suspicion) -> SuspectedRequests.quarantineEndMs(suspicion) - timeMs)
+			.reduce(TRIAL_RETRY_MS, Math::max);
 	}
 
 	@Override
-	public void connectionLost(Call call, String digest, TargetNotice target) {
+	public void connectionLost(RequestIdentity request, TargetNotice target) {
 		if (!this.isLeaving.test(target)) {
 			known();
-			this.endedTargets.connectionLost(digest, target);
-			this.knownHashes.add(CallDigest.hashOf(digest));
+			request.digests().forEach((digest) -> this.endedTargets.connectionLost(digest, target));
+			this.knownHashes.add(request.hash());
 		}
 	}
 
@@ -224,23 +225,30 @@
 		Map<String, Standing> before = Map.of(digest, known().standing(digest, this.nowMs.getAsLong()));
 		this.own.add(new Suspicion(digest, List.of(targetStart), this.nowMs.getAsLong()));
 		this.known = null;
-		this.trialAtMsByDigest.remove(digest);
+		this.trialAtMsByDigest.remove(RequestIdentity.withoutCaller(digest));
 		this.reports.addLoss(new Suspicion(digest, List.of(targetStart), this.wallClockMs.getAsLong()));
 		logChange(digest, before, "own");
 	}
 
+	/**
+	 * Forgets a request, and what was known of it with this caller. What is known with
+	 * other callers stays: targets may end under theirs alone.
+	 */
 	@Override
-	public void answered(Call call) {
-		knownDigest(call).ifPresent((digest) -> {
+	public void answered(RequestIdentity request, String requestId) {
+		List<String> digests = knownDigests(request);
+		for (String digest : digests) {
 			this.endedTargets.answered(digest);
-			logForgotten(digest, "answer", call.requestId());
+			logForgotten(digest, "answer", requestId);
 			boolean wasKnown = this.own.remove(digest) | this.shared.remove(digest);
 			if (wasKnown) {
 				this.reports.addAnswer(digest);
 			}
-			this.trialAtMsByDigest.remove(digest);
+		}
+		if (!digests.isEmpty()) {
+			this.trialAtMsByDigest.remove(request.digest());
 			this.known = null;
-		});
+		}
 	}
 
 }
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/CrashingSystem.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/CrashingSystem.java
@@ -29,6 +29,7 @@
 import org.zinniatack.control.Platform;
 import org.zinniatack.control.SeededControlSettings;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.key.Sha256Digest;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.Suspicion;
@@ -185,6 +186,12 @@
 				false);
 	}
 
+	/** Returns the same call with an API key. */
+	static Call withKey(Call call, String key) {
+		return new Call(call.requestId(), call.route(), call.customer(), call.method(), call.uri(), call.headers(),
+				call.body(), call.deadlineMs(), Sha256Digest.of(key));
+	}
+
 	/** Returns a call under a new id. */
 	Call call(RouteKind kind, @Nullable String customer, String path) {
 		String id = "id" + this.lastId.incrementAndGet();
