Count a target that falls silent under a request and starts again

Callers saw: a request under which targets fall silent timed out or was given up by its caller, and was sent on without an end to whatever had started again. Cause: the guard was told of lost connections only, and a silent target loses none before nobody waits for it. An entry now remembers the targets from which it stopped waiting. Not covered: a target that answers other requests between the caller's leave and its end.

The hashes of known requests are collected anew as they grow, since requests are given up far more often than connections are lost.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -271,6 +271,7 @@
 				return;
 			}
 			this.runningAttempts.forEach((attempt) -> attempt.stats.recordUnreachable(nowMs()));
+			giveUpAttempts();
 			if (this.stream.isBegun()) {
 				breakStream();
 				return;
@@ -279,6 +280,12 @@
 					: ResultCode.NO_TARGET, REFUSAL_PAUSE_MS);
 		}
 
+		/** Notes the targets from which nobody will learn whether they answer. */
+		private void giveUpAttempts() {
+			this.runningAttempts
+				.forEach((attempt) -> CallDispatcher.this.crashGuard.givenUp(this.identity, attempt.target));
+		}
+
 		void executionStarted() {
 			if (!this.executionReported) {
 				this.executionReported = true;
@@ -416,6 +423,7 @@
 
 		void cancel() {
 			if (!this.finished) {
+				giveUpAttempts();
 				end();
 				log("abandoned", ResultCode.OUTCOME_UNKNOWN);
 			}
@@ -527,6 +535,7 @@
 
 		@Override
 		public void onHead(HttpResponse head) {
+			CallDispatcher.this.crashGuard.responded(this.target);
 			this.requestOutcome = CallDispatcher.this.protocol.outcome(head);
 			CallDispatcher.this.protocol.reportedLoad(head).ifPresent((load) -> this.stats.recordLoad(load, nowMs()));
 			if (CallDispatcher.this.protocol.isLeaving(head)) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
@@ -32,6 +32,16 @@
 			// Nothing is remembered.
 		}
 
+		@Override
+		public void givenUp(RequestIdentity request, TargetNotice target) {
+			// Nothing is remembered.
+		}
+
+		@Override
+		public void responded(TargetNotice target) {
+			// Nothing is remembered.
+		}
+
 		@Override
 		public void answered(RequestIdentity request, String requestId) {
 			// Nothing is remembered.
@@ -67,6 +77,20 @@
 	 */
 	void connectionLost(RequestIdentity request, TargetNotice target);
 
+	/**
+	 * Records that nobody waits any longer for a target that has not responded to a
+	 * request.
+	 * @param request the request
+	 * @param target the target
+	 */
+	void givenUp(RequestIdentity request, TargetNotice target);
+
+	/**
+	 * Records that a target responded to any request, so that it is not silent.
+	 * @param target the target
+	 */
+	void responded(TargetNotice target);
+
 	/**
 	 * Records that a target answered a request that it had run. A target's failure is no
 	 * answer: it doesn't show that the request can be run to its end.
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/EndedTargets.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/EndedTargets.java
@@ -24,8 +24,10 @@
 /**
  * Finds out whether a target ended when connections to it were lost: a target that has
  * ended refuses the next connection, or is replaced by another start at its address. A
- * reset connection or a broken network alone is no evidence. All methods must be called
- * on the event loop.
+ * reset connection or a broken network alone is no evidence. A target that only fell
+ * silent is not asked, since slow ones are silent as well; it has ended if another start
+ * replaces it before it responds to anything. All methods must be called on the event
+ * loop.
  */
 final class EndedTargets {
 
@@ -64,6 +66,25 @@
 
 	/** Records that the connection with a request to a target was lost. */
 	void connectionLost(String digest, TargetNotice target) {
+		caseOf(target).addLost(digest);
+	}
+
+	/** Records that nobody waits any longer for a target's response to a request. */
+	void givenUp(String digest, TargetNotice target) {
+		caseOf(target).addGivenUp(digest);
+	}
+
+	/** Records that a target responded to a request. */
+	void responded(TargetNotice target) {
+		if (!this.casesByStart.isEmpty()) {
+			OpenCase open = this.casesByStart.get(startOf(target));
+			if (open != null) {
+				open.givenUpAtMsByDigest.clear();
+			}
+		}
+	}
+
+	private OpenCase caseOf(TargetNotice target) {
 		String start = startOf(target);
 		OpenCase open = this.casesByStart.get(start);
 		if (open == null) {
@@ -71,7 +92,7 @@
 			removeOldest();
 			this.casesByStart.put(start, open);
 		}
-		open.add(digest);
+		return open;
 	}
 
 	private static String startOf(TargetNotice target) {
@@ -100,13 +121,13 @@
 
 	/** Removes a request that a target has answered meanwhile. */
 	void answered(String digest) {
-		this.casesByStart.values().forEach((open) -> open.lostAtMsByDigest.remove(digest));
+		this.casesByStart.values().forEach((open) -> open.remove(digest));
 	}
 
 	/** Returns the digests of the requests whose targets may have ended. */
 	Set<String> digests() {
 		Set<String> digests = new LinkedHashSet<>();
-		this.casesByStart.values().forEach((open) -> digests.addAll(open.lostAtMsByDigest.keySet()));
+		this.casesByStart.values().forEach((open) -> digests.addAll(open.digests()));
 		return digests;
 	}
 
@@ -119,6 +140,8 @@
 
 		private final Map<String, Long> lostAtMsByDigest = new LinkedHashMap<>();
 
+		private final Map<String, Long> givenUpAtMsByDigest = new LinkedHashMap<>();
+
 		private long lastLossAtMs;
 
 		private long probedAtMs = Long.MIN_VALUE / 2;
@@ -132,17 +155,39 @@
 			this.target = target;
 		}
 
-		void add(String digest) {
+		void addLost(String digest) {
+			if (add(digest, this.lostAtMsByDigest)) {
+				probeSoon();
+			}
+		}
+
+		void addGivenUp(String digest) {
+			add(digest, this.givenUpAtMsByDigest);
+		}
+
+		/** Returns false if the target is already known to have ended. */
+		private boolean add(String digest, Map<String, Long> atMsByDigest) {
 			this.lastLossAtMs = nowMs();
 			if (this.ended) {
 				EndedTargets.this.onLost.accept(digest, this.start);
-				return;
+				return false;
 			}
-			this.lostAtMsByDigest.values().removeIf(this::isOld);
-			if (this.lostAtMsByDigest.size() < MAXIMUM_DIGESTS) {
-				this.lostAtMsByDigest.put(digest, this.lastLossAtMs);
+			atMsByDigest.values().removeIf(this::isOld);
+			if (atMsByDigest.size() < MAXIMUM_DIGESTS) {
+				atMsByDigest.put(digest, this.lastLossAtMs);
 			}
-			probeSoon();
+			return true;
+		}
+
+		void remove(String digest) {
+			this.lostAtMsByDigest.remove(digest);
+			this.givenUpAtMsByDigest.remove(digest);
+		}
+
+		Set<String> digests() {
+			Set<String> digests = new LinkedHashSet<>(this.lostAtMsByDigest.keySet());
+			digests.addAll(this.givenUpAtMsByDigest.keySet());
+			return digests;
 		}
 
 		private boolean isOld(long lostAtMs) {
@@ -205,8 +250,10 @@
 			if (!this.ended) {
 				this.ended = true;
 				this.lostAtMsByDigest.values().removeIf(this::isOld);
-				List<String> lost = List.copyOf(this.lostAtMsByDigest.keySet());
+				this.givenUpAtMsByDigest.values().removeIf(this::isOld);
+				Set<String> lost = digests();
 				this.lostAtMsByDigest.clear();
+				this.givenUpAtMsByDigest.clear();
 				lost.forEach((digest) -> EndedTargets.this.onLost.accept(digest, this.start));
 			}
 		}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -39,6 +40,8 @@
 	/** The pause before a request that another one is being tried for may come again. */
 	private static final long TRIAL_RETRY_MS = 1_000;
 
+	private static final int MINIMUM_HASHES = 1_024;
+
 	private final LongSupplier nowMs;
 
 	private final LongSupplier wallClockMs;
@@ -62,6 +65,9 @@
 
 	private Set<Integer> knownHashes = Set.of();
 
+	/** The number of hashes at which they are collected anew. */
+	private int maximumHashes = MINIMUM_HASHES;
+
 	private final Map<String, Long> trialAtMsByDigest = new HashMap<>();
 
 	/**
@@ -214,13 +220,42 @@
 
 	@Override
 	public void connectionLost(RequestIdentity request, TargetNotice target) {
+		addCase(request, target, this.endedTargets::connectionLost);
+	}
+
+	@Override
+	public void givenUp(RequestIdentity request, TargetNotice target) {
+		addCase(request, target, this.endedTargets::givenUp);
+	}
+
+	private void addCase(RequestIdentity request, TargetNotice target, BiConsumer<String, TargetNotice> cases) {
 		if (!this.isLeaving.test(target)) {
 			known();
-			request.digests().forEach((digest) -> this.endedTargets.connectionLost(digest, target));
+			request.digests().forEach((digest) -> cases.accept(digest, target));
 			this.knownHashes.add(request.hash());
+			forgetOldHashes();
 		}
 	}
 
+	/** Collects the hashes anew once half of them may belong to forgotten requests. */
+	private void forgetOldHashes() {
+		if (this.knownHashes.size() >= this.maximumHashes) {
+			this.known = null;
+			known();
+			this.maximumHashes = Math.max(MINIMUM_HASHES, 2 * this.knownHashes.size());
+		}
+	}
+
+	/** Returns the number of hashes by which requests may be known. */
+	int hashCount() {
+		return this.knownHashes.size();
+	}
+
+	@Override
+	public void responded(TargetNotice target) {
+		this.endedTargets.responded(target);
+	}
+
 	private void onLost(String digest, String targetStart) {
 		Map<String, Standing> before = Map.of(digest, known().standing(digest, this.nowMs.getAsLong()));
 		this.own.add(new Suspicion(digest, List.of(targetStart), this.nowMs.getAsLong()));
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
@@ -425,6 +425,16 @@
 			this.suspected = CutAnswerTests.this.suspectsAtOnce;
 		}
 
+		@Override
+		public void givenUp(RequestIdentity request, TargetNotice target) {
+			// Only lost connections matter.
+		}
+
+		@Override
+		public void responded(TargetNotice target) {
+			// Only lost connections matter.
+		}
+
 		@Override
 		public void answered(RequestIdentity request, String requestId) {
 			this.suspected = false;
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/RepeatedCrashTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/RepeatedCrashTests.java
@@ -10,7 +10,6 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -95,7 +94,6 @@
 	// Guards against targets that fall silent until their callers have left, start again
 	// and don't count.
 	@Test
-	@Tag("known-red")
 	void aTargetThatFallsSilentUntilItStartsAgainCounts() throws Exception {
 		int late = this.system.lateCrashes(2 * TRIES, (n) -> {
 			Call call = this.system.call(RouteKind.IDEMPOTENT, "c", CrashingTarget.SILENCE_PATH);
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
@@ -233,6 +233,38 @@
 		}
 	}
 
+	// Guards against a slow target that starts again later and is taken for one that a
+	// request has silenced.
+	@Test
+	void aTargetThatRespondedAfterARequestWasGivenUpWasNotSilent() throws Exception {
+		Call call = call("c", "/x", "body");
+		TargetNotice slow = target("t1", 1, refusingAddress(11));
+		TargetNotice silent = target("t2", 1, refusingAddress(12));
+		onLoop(() -> {
+			this.guard.givenUp(call.identity(), slow);
+			this.guard.givenUp(call.identity(), silent);
+			this.guard.responded(slow);
+			this.guard.targetStarted(target("t3", 2, slow.address()));
+			this.guard.targetStarted(target("t4", 2, silent.address()));
+			return null;
+		});
+		settle();
+		assertThat(this.reports.get(0).losses(), is(List.of(suspicion(call, DAY_MS, "t2@1"))));
+	}
+
+	// Guards against memory that grows with each request that is given up.
+	@Test
+	void requestsThatAreGivenUpDoNotAccumulate() throws Exception {
+		TargetNotice target = target("t1", 1, refusingAddress(13));
+		int hashes = onLoop(() -> {
+			for (int n = 0; n < 20_000; n++) {
+				this.guard.givenUp(call("c", "/" + n, "body").identity(), target);
+			}
+			return this.guard.hashCount();
+		});
+		assertThat(hashes < 2_000, is(true));
+	}
+
 	// Guards against a target whose crash is not noticed because it had lost a connection
 	// before.
 	@Test
