Keep quarantines when the table of lost requests is full

The table forgot its oldest requests first, so more than a thousand requests lost beside a crash (a large pool, or many callers) ended the quarantine of the one that caused it. Now those under which the fewest targets ended go first. SuspectedRequestsTests#aFullTable... failed before (CLEAR in place of QUARANTINED).

Two more tests pass on the code before and guard the classes: the same request of one caller does not explain its ends, and with three targets a request that ends all of them is refused beside innocent requests that are lost on the same ones.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/SuspectedRequests.java
@@ -1,7 +1,7 @@
 package org.zinniatack.core.state;
 
 import java.util.Collection;
-import java.util.Iterator;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,7 +37,10 @@
 	/** Longer than a caller waits before it sends a request again. */
 	private static final long MEMORY_MS = TimeUnit.MINUTES.toMillis(20);
 
-	/** The number of requests that are remembered; the oldest are forgotten first. */
+	/**
+	 * The number of requests that are remembered; the oldest under which few targets
+	 * ended are forgotten first.
+	 */
 	public static final int MAXIMUM_REQUESTS = 1_024;
 
 	/** The suspicions by digest, in the order of their last losses. */
@@ -62,13 +65,23 @@
 		Suspicion known = this.suspicions.remove(suspicion.digest());
 		boolean remembered = known != null && !isForgotten(known, suspicion.lastLossAtMs());
 		this.suspicions.put(suspicion.digest(), remembered ? joined(known, suspicion) : suspicion);
-		Iterator<Suspicion> oldestFirst = this.suspicions.values().iterator();
-		while (this.suspicions.size() > MAXIMUM_REQUESTS) {
-			oldestFirst.next();
-			oldestFirst.remove();
+		if (this.suspicions.size() > MAXIMUM_REQUESTS) {
+			this.suspicions.remove(leastNeeded(suspicion.lastLossAtMs()).digest());
 		}
 	}
 
+	/** Returns the oldest of those under which the fewest targets ended. */
+	private Suspicion leastNeeded(long nowMs) {
+		return this.suspicions.values()
+			.stream()
+			.min(Comparator.comparingInt((suspicion) -> endedTargets(suspicion, nowMs)))
+			.orElseThrow();
+	}
+
+	private static int endedTargets(Suspicion suspicion, long nowMs) {
+		return isForgotten(suspicion, nowMs) ? 0 : Math.min(suspicion.targets().size(), QUARANTINED_TARGETS);
+	}
+
 	private static Suspicion joined(Suspicion known, Suspicion added) {
 		Suspicion joined = known.and(added);
 		boolean trialFailed = known.targets().size() >= QUARANTINED_TARGETS
--- a/zinniatack-core/src/test/java/org/zinniatack/core/state/SuspectedRequestsTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/state/SuspectedRequestsTests.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 
+import org.zinniatack.core.key.Sha256Digest;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.SuspectedRequests.Standing;
 
@@ -146,6 +147,27 @@
 		assertThat(this.requests.standing("busy", NOW_MS), is(Standing.QUARANTINED));
 	}
 
+	// Guards against a quarantine that is forgotten because many other requests were
+	// lost.
+	@Test
+	void aFullTableForgetsRequestsUnderWhichFewTargetsEndedFirst() {
+		lose("poison", "t1", "t2", "t3");
+		for (int n = 0; n < 3_000; n++) {
+			lose("d" + n, "t4");
+		}
+		assertThat(standing("poison"), is(Standing.QUARANTINED));
+		assertThat(this.requests.suspicion("d0").isPresent(), is(false));
+		assertThat(this.requests.suspicion("d2999").isPresent(), is(true));
+	}
+
+	// Guards against a request that explains its own ends since it is known twice.
+	@Test
+	void theSameRequestOfOneCallerDoesNotExplainItsEnds() {
+		RequestIdentity request = RequestIdentity.of("GET", "h", "/", new byte[0], Sha256Digest.of("key"));
+		request.digests().forEach((digest) -> lose(digest, "t1", "t2", "t3"));
+		request.digests().forEach((digest) -> assertThat(standing(digest), is(Standing.QUARANTINED)));
+	}
+
 	@Test
 	void theReplicatedStateKeepsLostRequestsUntilTheyAreAnsweredOrLifted() throws ServiceException {
 		ControlState state = new ControlState();
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/RepeatedCrashTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/RepeatedCrashTests.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -39,6 +40,9 @@
 	/** The retries after the crash of the third target that may still reach a target. */
 	private static final int ALLOWED_RETRIES = 3;
 
+	/** Each request to it is another one. */
+	private static final String ONCE_PATH = "/once";
+
 	@TempDir
 	private Path folder;
 
@@ -187,11 +191,38 @@
 		CrashingSystem.await(() -> this.system.suspicions().size() == 1);
 	}
 
+	// Guards against innocent requests that keep the one which ends all targets of a
+	// small
+	// pool from its quarantine.
+	@Test
+	void aRequestThatEndsAllTargetsOfASmallPoolIsRefusedBesideInnocentOnes(@TempDir Path small) throws Exception {
+		this.system.close();
+		this.system = new CrashingSystem(small, 3);
+		AtomicBoolean stopped = new AtomicBoolean();
+		List<ResultCode> codes = new CopyOnWriteArrayList<>();
+		List<Thread> others = new ArrayList<>();
+		for (int n = 0; n < 8; n++) {
+			int entry = n % 2;
+			Thread thread = new Thread(() -> sendUntil(stopped, entry, null, ONCE_PATH, codes));
+			thread.start();
+			others.add(thread);
+		}
+		int late = this.system.lateCrashes(2 * TRIES,
+				(n) -> this.system.call(RouteKind.IDEMPOTENT, null, CrashingTarget.CRASH_PATH));
+		stopped.set(true);
+		for (Thread other : others) {
+			other.join();
+		}
+		assertThat(late, is(lessThanOrEqualTo(ALLOWED_RETRIES)));
+		assertThat(codes.get(codes.size() - 1), is(ResultCode.OK));
+	}
+
 	private void sendUntil(AtomicBoolean stopped, int entry, @Nullable String customer, String path,
 			List<ResultCode> codes) {
 		try {
 			while (!stopped.get()) {
-				codes.add(this.system.send(entry, this.system.call(RouteKind.IDEMPOTENT, customer, path)));
+				String uri = path.equals(ONCE_PATH) ? path + UUID.randomUUID() : path;
+				codes.add(this.system.send(entry, this.system.call(RouteKind.IDEMPOTENT, customer, uri)));
 			}
 		}
 		catch (Exception ex) {
