Let one entry of all try a released request

Entries now ask control for the trial; the command is applied in the log's order, so one is granted until the trial's outcome is known or 30 s are over, also after a change of the leader. Earlier versions of control grant each request, as before.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -208,9 +208,11 @@
 	 * @param answeredDigests the digests of suspected requests that an entry without
 	 * agents has got answers to
 	 * @param losses the requests that an entry without agents lost on targets that ended
+	 * @param trial the trial of a released request that an entry without agents asks for,
+	 * or null
 	 */
 	record ReportCrash(String crashId, List<String> requestDigests, List<String> answeredDigests,
-			List<Suspicion> losses) implements Command {
+			List<Suspicion> losses, @Nullable Trial trial) implements Command {
 
 		/**
 		 * Accepts a command without answers and losses, as earlier versions wrote it.
@@ -226,7 +228,7 @@
 		 * @param requestDigests the digests of the running requests
 		 */
 		public ReportCrash(String crashId, List<String> requestDigests) {
-			this(crashId, requestDigests, List.of(), List.of());
+			this(crashId, requestDigests, List.of(), List.of(), null);
 		}
 
 		/**
@@ -237,7 +239,27 @@
 		 * @return the command
 		 */
 		public static ReportCrash ofLosses(List<String> answeredDigests, List<Suspicion> losses) {
-			return new ReportCrash("", List.of(), answeredDigests, losses);
+			return new ReportCrash("", List.of(), answeredDigests, losses, null);
+		}
+
+		/**
+		 * Creates the request for a trial, which is refused while another trial of the
+		 * same request may still run. Earlier versions of control accept each.
+		 * @param digest the digest of the released request
+		 * @param atMs the time of the trial, in milliseconds since the epoch
+		 * @return the command
+		 */
+		public static ReportCrash ofTrial(String digest, long atMs) {
+			return new ReportCrash("", List.of(), List.of(), List.of(), new Trial(digest, atMs));
+		}
+
+		/**
+		 * A trial of a released request.
+		 *
+		 * @param digest the digest of the request
+		 * @param atMs the time of the trial, in milliseconds since the epoch
+		 */
+		public record Trial(String digest, long atMs) {
 		}
 
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -15,6 +15,7 @@
 import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobLedger;
+import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.sample.Step;
 import org.zinniatack.core.sample.StepLedger;
@@ -140,7 +141,7 @@
 			this.weights.merge(announced.model(), announced.version(), Math::max);
 		}
 		else if (command instanceof Command.ReportCrash crash) {
-			report(crash);
+			return report(index, crash);
 		}
 		else if (command instanceof Command.ClearSuspect clear) {
 			this.crashes.clearSuspect(clear.requestDigest());
@@ -157,11 +158,14 @@
 		return new Reply.Accepted(index);
 	}
 
-	private void report(Command.ReportCrash crash) {
+	private Reply report(long index, Command.ReportCrash crash) {
 		if (!crash.requestDigests().isEmpty()) {
 			this.crashes.report(crash.crashId(), crash.requestDigests());
 		}
 		this.crashes.reportLosses(crash.answeredDigests(), crash.losses());
+		Command.ReportCrash.Trial trial = crash.trial();
+		return (trial == null || this.crashes.beginTrial(trial)) ? new Reply.Accepted(index)
+				: new Reply.Refused(ResultCode.QUARANTINED, "another entry tries the request", 0);
 	}
 
 	private void drain(Command.DrainTarget command) {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/CrashTable.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/CrashTable.java
@@ -5,8 +5,10 @@
 import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * Tracks requests that may crash targets. Agents tell all requests in flight on a crashed
@@ -18,6 +20,9 @@
 
 	private static final int MAX_ENTRIES = 4096;
 
+	/** Time for a released request to be answered, or to end its target. */
+	private static final long TRIAL_MS = 30_000;
+
 	private final Set<String> suspects = new LinkedHashSet<>();
 
 	private final Set<String> quarantined = new LinkedHashSet<>();
@@ -26,6 +31,8 @@
 
 	private SuspectedRequests lost = new SuspectedRequests();
 
+	private final Map<String, Long> trialAtMsByDigest = new TreeMap<>();
+
 	private long version;
 
 	static CrashTable of(Image image) {
@@ -34,6 +41,7 @@
 		table.quarantined.addAll(image.quarantined());
 		table.crashIds.addAll(image.crashIds());
 		table.lost = SuspectedRequests.of(image.lost());
+		table.trialAtMsByDigest.putAll(image.trialAtMsByDigest());
 		table.version = image.version();
 		return table;
 	}
@@ -65,11 +73,21 @@
 	void reportLosses(Collection<String> answeredDigests, Collection<Suspicion> losses) {
 		for (String digest : answeredDigests) {
 			this.version += this.lost.remove(digest) ? 1 : 0;
+			this.trialAtMsByDigest.remove(digest);
 		}
 		losses.forEach(this.lost::add);
+		losses.forEach((loss) -> this.trialAtMsByDigest.remove(loss.digest()));
 		this.version += losses.size();
 	}
 
+	/**
+	 * Lets one entry try a released request; returns false while another trial may run.
+	 */
+	boolean beginTrial(Command.ReportCrash.Trial trial) {
+		this.trialAtMsByDigest.values().removeIf((atMs) -> Math.abs(trial.atMs() - atMs) >= TRIAL_MS);
+		return this.trialAtMsByDigest.putIfAbsent(trial.digest(), trial.atMs()) == null;
+	}
+
 	void clearSuspect(String digest) {
 		boolean wasSuspect = this.suspects.remove(digest);
 		boolean wasLost = this.lost.remove(digest);
@@ -89,7 +107,7 @@
 
 	Image image() {
 		return new Image(this.version, List.copyOf(this.suspects), List.copyOf(this.quarantined),
-				List.copyOf(this.crashIds), this.lost.all());
+				List.copyOf(this.crashIds), this.lost.all(), Map.copyOf(this.trialAtMsByDigest));
 	}
 
 	/** Returns the requests that entries without agents lost. */
@@ -111,15 +129,19 @@
 	 * @param quarantined the digests of quarantined requests, oldest first
 	 * @param crashIds the ids of the counted crashes, oldest first
 	 * @param lost the requests that entries without agents lost, oldest first
+	 * @param trialAtMsByDigest the times of the last trials of released requests, in
+	 * milliseconds since the epoch
 	 */
 	public record Image(long version, List<String> suspects, List<String> quarantined, List<String> crashIds,
-			List<Suspicion> lost) {
+			List<Suspicion> lost, Map<String, Long> trialAtMsByDigest) {
 
 		/**
-		 * Accepts an image without lost requests, as earlier versions stored it.
+		 * Accepts an image without lost requests and trials, as earlier versions stored
+		 * it.
 		 */
 		public Image {
 			lost = Objects.requireNonNullElse(lost, List.of());
+			trialAtMsByDigest = Objects.requireNonNullElse(trialAtMsByDigest, Map.of());
 		}
 
 	}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/state/SuspectedRequestsTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/state/SuspectedRequestsTests.java
@@ -27,6 +27,8 @@
 
 	private static final long QUARANTINE_MS = TimeUnit.MINUTES.toMillis(1);
 
+	private static final long TRIAL_MS = 30_000;
+
 	private static final long MEMORY_MS = TimeUnit.MINUTES.toMillis(20);
 
 	private final SuspectedRequests requests = new SuspectedRequests();
@@ -186,4 +188,19 @@
 		assertThat(restored.crashes().crashIds(), empty());
 	}
 
+	@Test
+	void aTrialIsGrantedOnceUntilItsOutcomeIsKnownOrItsTimeIsOver() throws ServiceException {
+		ControlState state = new ControlState();
+		assertThat(mayTry(state, NOW_MS), is(true));
+		ControlState restored = ControlState.of(state.image());
+		assertThat(mayTry(restored, NOW_MS + TRIAL_MS - 1), is(false));
+		assertThat(mayTry(restored, NOW_MS + TRIAL_MS), is(true));
+		restored.apply(1, Command.ReportCrash.ofLosses(List.of(), List.of(new Suspicion("d", List.of("t4"), NOW_MS))));
+		assertThat(mayTry(restored, NOW_MS + TRIAL_MS + 1), is(true));
+	}
+
+	private static boolean mayTry(ControlState state, long atMs) throws ServiceException {
+		return state.apply(1, Command.ReportCrash.ofTrial("d", atMs)) instanceof Reply.Accepted;
+	}
+
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -202,8 +202,9 @@
 		}
 
 		void start() {
-			if (CallDispatcher.this.crashGuard.standing(this.identity) == Standing.QUARANTINED) {
-				refuse(ResultCode.QUARANTINED, CallDispatcher.this.crashGuard.retryAfterMs(this.identity));
+			Standing standing = CallDispatcher.this.crashGuard.standing(this.identity);
+			if (standing == Standing.QUARANTINED) {
+				refuseQuarantined();
 				return;
 			}
 			if (this.call.deadlineMs() <= RETURN_MARGIN_MS) {
@@ -212,6 +213,31 @@
 			}
 			this.timeout = CallDispatcher.this.loop.schedule(this::onTimeout,
 					Math.max(0, this.callDeadlineMs - nowMs()), TimeUnit.MILLISECONDS);
+			if (standing == Standing.RELEASED) {
+				CallDispatcher.this.crashGuard.requestTrial(this.identity, this::onTrialDecided);
+			}
+			else {
+				sendFirst();
+			}
+		}
+
+		private void onTrialDecided(boolean granted) {
+			if (this.finished) {
+				return;
+			}
+			if (granted) {
+				sendFirst();
+			}
+			else {
+				refuseQuarantined();
+			}
+		}
+
+		private void refuseQuarantined() {
+			refuse(ResultCode.QUARANTINED, CallDispatcher.this.crashGuard.retryAfterMs(this.identity));
+		}
+
+		private void sendFirst() {
 			if (!sendNext()) {
 				refuse(ResultCode.NO_TARGET, REFUSAL_PAUSE_MS);
 			}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
@@ -1,5 +1,7 @@
 package org.zinniatack.gateway.call;
 
+import java.util.function.Consumer;
+
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.core.state.SuspectedRequests.Standing;
@@ -17,6 +19,11 @@
 			return Standing.CLEAR;
 		}
 
+		@Override
+		public void requestTrial(RequestIdentity request, Consumer<Boolean> decision) {
+			decision.accept(true);
+		}
+
 		@Override
 		public long retryAfterMs(RequestIdentity request) {
 			return 0;
@@ -52,10 +59,17 @@
 	/**
 	 * Returns whether a request may run.
 	 * @param request the request
-	 * @return the standing; an answer of RELEASED lets this attempt alone try
+	 * @return the standing; a released request may run if a trial of it is granted
 	 */
 	Standing standing(RequestIdentity request);
 
+	/**
+	 * Asks for the only trial of a released request among all entries.
+	 * @param request the request
+	 * @param decision accepts whether the trial is granted, on the event loop
+	 */
+	void requestTrial(RequestIdentity request, Consumer<Boolean> decision);
+
 	/**
 	 * Returns when a quarantined request may be tried again.
 	 * @param request the request
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
@@ -5,9 +5,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -34,10 +36,10 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	/** Time for a released request to be answered, or to crash its target. */
-	private static final long TRIAL_MS = 30_000;
-
-	/** The pause before a request that another one is being tried for may come again. */
+	/**
+	 * The pause before a request that another one is being tried for may come again; also
+	 * the shortest time between two of this entry's requests for the same trial.
+	 */
 	private static final long TRIAL_RETRY_MS = 1_000;
 
 	private static final int MINIMUM_HASHES = 1_024;
@@ -68,6 +70,11 @@
 	/** The number of hashes at which they are collected anew. */
 	private int maximumHashes = MINIMUM_HASHES;
 
+	private final EventLoop loop;
+
+	private final Function<Command, CompletableFuture<?>> proposer;
+
+	/** When this entry last asked for the trials of released requests. */
 	private final Map<String, Long> trialAtMsByDigest = new HashMap<>();
 
 	/**
@@ -81,6 +88,8 @@
 	 */
 	public SharedCrashGuard(EventLoop loop, Function<Command, CompletableFuture<?>> proposer,
 			Predicate<TargetNotice> isLeaving, LongSupplier nowMs, LongSupplier wallClockMs) {
+		this.loop = loop;
+		this.proposer = proposer;
 		this.nowMs = nowMs;
 		this.wallClockMs = wallClockMs;
 		this.isLeaving = isLeaving;
@@ -195,18 +204,33 @@
 
 	@Override
 	public Standing standing(RequestIdentity request) {
-		long timeMs = this.nowMs.getAsLong();
-		Standing standing = knownDigests(request).stream()
-			.map((digest) -> known().standing(digest, timeMs))
-			.max(Comparator.naturalOrder())
+		return worstDigest(request).map((digest) -> known().standing(digest, this.nowMs.getAsLong()))
 			.orElse(Standing.CLEAR);
-		return (standing == Standing.RELEASED) ? tryReleased(request.digest(), timeMs) : standing;
 	}
 
-	/** Lets one attempt at a time try a released request, whoever sends it. */
-	private Standing tryReleased(String digest, long timeMs) {
-		this.trialAtMsByDigest.values().removeIf((trialAtMs) -> timeMs - trialAtMs > TRIAL_MS);
-		return (this.trialAtMsByDigest.putIfAbsent(digest, timeMs) == null) ? Standing.RELEASED : Standing.QUARANTINED;
+	/** Returns the digest under which a request is the most restricted. */
+	private Optional<String> worstDigest(RequestIdentity request) {
+		long timeMs = this.nowMs.getAsLong();
+		return knownDigests(request).stream().max(Comparator.comparing((digest) -> known().standing(digest, timeMs)));
+	}
+
+	@Override
+	public void requestTrial(RequestIdentity request, Consumer<Boolean> decision) {
+		long timeMs = this.nowMs.getAsLong();
+		String digest = worstDigest(request).orElseGet(request::digest);
+		this.trialAtMsByDigest.values().removeIf((askedAtMs) -> timeMs - askedAtMs >= TRIAL_RETRY_MS);
+		if (this.trialAtMsByDigest.putIfAbsent(digest, timeMs) != null) {
+			decision.accept(false);
+			return;
+		}
+		this.proposer.apply(Command.ReportCrash.ofTrial(digest, this.wallClockMs.getAsLong()))
+			.whenComplete((reply, failure) -> this.loop.execute(() -> {
+				LOGGER.atInfo()
+					.log("event=request_tried fingerprint=%s granted=%s detail=\"%s\"",
+							RequestIdentity.abbreviated(digest), failure == null,
+							(failure != null) ? failure.getMessage() : "");
+				decision.accept(failure == null);
+			}));
 	}
 
 	@Override
@@ -260,7 +284,6 @@
 		Map<String, Standing> before = Map.of(digest, known().standing(digest, this.nowMs.getAsLong()));
 		this.own.add(new Suspicion(digest, List.of(targetStart), this.nowMs.getAsLong()));
 		this.known = null;
-		this.trialAtMsByDigest.remove(RequestIdentity.withoutCaller(digest));
 		this.reports.addLoss(new Suspicion(digest, List.of(targetStart), this.wallClockMs.getAsLong()));
 		logChange(digest, before, "own");
 	}
@@ -281,7 +304,6 @@
 			}
 		}
 		if (!digests.isEmpty()) {
-			this.trialAtMsByDigest.remove(request.digest());
 			this.known = null;
 		}
 	}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -410,6 +411,11 @@
 			return this.suspected ? Standing.QUARANTINED : Standing.CLEAR;
 		}
 
+		@Override
+		public void requestTrial(RequestIdentity request, Consumer<Boolean> decision) {
+			decision.accept(true);
+		}
+
 		@Override
 		public long retryAfterMs(RequestIdentity request) {
 			return 0;
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/suspect/SharedCrashGuardTests.java
@@ -23,7 +23,9 @@
 
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.key.Sha256Digest;
+import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.SuspectedRequests.Standing;
 import org.zinniatack.core.state.Suspicion;
 import org.zinniatack.core.table.PoolShare;
@@ -172,11 +174,44 @@
 		accept(1, suspicion(call, DAY_MS, "t1", "t2", "t3"));
 		this.nowMs.addAndGet(QUARANTINE_MS);
 		assertThat(standing(call), is(Standing.RELEASED));
-		assertThat(standing(call), is(Standing.QUARANTINED));
+		assertThat(mayTry(this.guard, call), is(true));
+		assertThat(mayTry(this.guard, call), is(false));
 		answered(call);
 		assertThat(standing(call), is(Standing.CLEAR));
 		settle();
-		assertThat(this.reports.get(0).answeredDigests(), is(List.of(call.identity().digest())));
+		assertThat(this.reports.get(1).answeredDigests(), is(List.of(call.identity().digest())));
+	}
+
+	private boolean mayTry(SharedCrashGuard entry, Call call) throws Exception {
+		CompletableFuture<Boolean> decision = new CompletableFuture<>();
+		onLoop(() -> {
+			entry.requestTrial(call.identity(), decision::complete);
+			return null;
+		});
+		return decision.get(WAIT_S, TimeUnit.SECONDS);
+	}
+
+	// Guards against entries that each try a released request at the same moment.
+	@Test
+	void ofManyEntriesOneTriesAReleasedRequest() throws Exception {
+		ControlState control = new ControlState();
+		Call call = call("c", "/x", "body");
+		int granted = 0;
+		for (int n = 1; n <= 8; n++) {
+			SharedCrashGuard entry = new SharedCrashGuard(this.loop, (command) -> applied(control, command),
+					(target) -> false, this.nowMs::get, () -> DAY_MS);
+			granted += mayTry(entry, call) ? 1 : 0;
+		}
+		assertThat(granted, is(1));
+	}
+
+	private static CompletableFuture<?> applied(ControlState control, Command command) {
+		try {
+			return CompletableFuture.completedFuture(control.apply(1, command).orThrow());
+		}
+		catch (ServiceException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
 	}
 
 	@Test
