--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CrashGuard.java
@@ -92,8 +92,8 @@
 	void connectionLost(RequestIdentity request, TargetNotice target);
 
 	/**
-	 * Records that nobody waits any longer for a target that has not responded to a
-	 * request.
+	 * Records that nobody waits any longer for the rest of a target's response to a
+	 * request, of which no part need have come.
 	 * @param request the request
 	 * @param target the target
 	 */
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
@@ -20,6 +20,7 @@
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.state.Suspicion;
 import org.zinniatack.core.table.CallerLimits;
 import org.zinniatack.core.table.Customer;
@@ -32,6 +33,8 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -101,8 +104,14 @@
 		ControlState state = new ControlState();
 		Suspicion loss = new Suspicion("digest", List.of("t@1", "u@2", "v@3"), 5);
 		applyEncoded(state, 1, Command.ReportCrash.ofLosses(List.of("other"), List.of(loss)));
+		Command trial = Command.ReportCrash.ofTrial("digest", 7);
+		applyEncoded(state, 2, trial);
 		ControlState restored = ControlState.of(StateCodec.decodeImage(StateCodec.encode(state.image())));
 		assertThat(restored.lostRequests().all(), contains(loss));
+		assertThat(restored.image(), equalTo(state.image()));
+		Command decoded = StateCodec.decodeCommand(StateCodec.encode(trial));
+		assertThat(decoded, equalTo(trial));
+		assertThat(restored.apply(3, decoded), instanceOf(Reply.Refused.class));
 	}
 
 	/**
