Rebuild the set of known requests only when an answer forgets one

Found while reading the change: requests that are given up leave hashes behind, and each answer to a request with such a hash (the same path and length) rebuilt the whole set on the event loop. An answer that forgets nothing now changes nothing; stale hashes only cost a digest until they are collected.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/suspect/SharedCrashGuard.java
@@ -294,18 +294,15 @@
 	 */
 	@Override
 	public void answered(RequestIdentity request, String requestId) {
-		List<String> digests = knownDigests(request);
-		for (String digest : digests) {
+		for (String digest : knownDigests(request)) {
 			this.endedTargets.answered(digest);
 			logForgotten(digest, "answer", requestId);
 			boolean wasKnown = this.own.remove(digest) | this.shared.remove(digest);
 			if (wasKnown) {
 				this.reports.addAnswer(digest);
+				this.known = null;
 			}
 		}
-		if (!digests.isEmpty()) {
-			this.known = null;
-		}
 	}
 
 }
