--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -192,6 +192,7 @@
 			throw ServiceException.of(ResultCode.SHUTTING_DOWN,
 					"interrupted while waiting for the system to be formed");
 		}
+		long replicaStartedMs = clockMs();
 		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this.idleSinceMs,
 				this.members.maximumVoters(), this::sendConsensusMessage, this::onStateChanged,
 				SnapshotPolicy.proportional(), this.processEnd);
@@ -209,7 +210,9 @@
 				MEMBERSHIP_INTERVAL_MS, MEMBERSHIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.timer.scheduleWithFixedDelay(this.processEnd.guard("feeds", this.directoryFeeds::sendHeardTargets),
 				DirectoryFeeds.FEED_INTERVAL_MS, DirectoryFeeds.FEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
-		LOGGER.atInfo().log("event=control_started replica=%s", this.store.replicaId());
+		LOGGER.atInfo()
+			.log("event=control_started replica=%s journal_bytes=%d duration_ms=%d", this.store.replicaId(),
+					this.store.journalBytes(), clockMs() - replicaStartedMs);
 	}
 
 	private static Platform createPlatform(String platformUrl) throws ServiceException {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -106,6 +106,8 @@
 
 	private long diskRetryAtMs;
 
+	private long roundStartedMs;
+
 	private boolean writable = true;
 
 	private volatile boolean running = true;
@@ -250,7 +252,7 @@
 					roundTasks.add(first);
 					this.tasks.drainTo(roundTasks, MAX_TASKS_PER_ROUND);
 				}
-				long startedMs = nowMs();
+				this.roundStartedMs = nowMs();
 				int taskCount = roundTasks.size();
 				roundTasks.forEach(Runnable::run);
 				roundTasks.clear();
@@ -258,7 +260,7 @@
 				updateMembership();
 				processEffects();
 				startSnapshotIfDue();
-				logIfStalled(nowMs() - startedMs, taskCount);
+				logIfStalled(nowMs() - this.roundStartedMs, taskCount);
 			}
 			catch (InterruptedException ex) {
 				return;
@@ -358,6 +360,11 @@
 				&& (previous.term() != this.status.term() || !previous.leaderId().equals(this.status.leaderId()))) {
 			LOGGER.atInfo().log("event=leader_changed term=%d leader=%s", this.status.term(), this.status.leaderId());
 		}
+		if (previous != null && previous.open() && !this.status.open()) {
+			LOGGER.atWarning()
+				.log("event=lease_lost term=%d ended_ms_ago=%d round_ms=%d", previous.term(),
+						nowMs() - previous.leaseEndMs(), nowMs() - this.roundStartedMs);
+		}
 		if (!this.replica.isLeader() && !this.pendingCommands.isEmpty()) {
 			failPending(ServiceException.retryable(ResultCode.CHANGE_UNDECIDED,
 					"leadership was lost before the outcome of the command was known", TICK_MS));
@@ -422,9 +429,15 @@
 
 	private void restoreState(Snapshot snapshot) throws ServiceException {
 		try {
+			long startedMs = nowMs();
 			this.state = (snapshot.index() == 0) ? new ControlState()
 					: ControlState.of(StateCodec.decodeImage(snapshot.state()));
 			this.appliedIndex = snapshot.index();
+			if (snapshot.index() > 0) {
+				LOGGER.atInfo()
+					.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(),
+							snapshot.state().length, nowMs() - startedMs);
+			}
 		}
 		catch (IOException ex) {
 			throw ServiceException.of(ResultCode.LOG_CORRUPT, "the snapshot cannot be read: " + ex.getMessage());
