Apply changes on a thread of their own, so that heartbeats and votes wait for nothing that grows with the state

What callers saw: with some 40,000 unfinished items in the state the configuration was answered with 503 until the end; each new leader read all jobs on the thread that sends heartbeats, was replaced after 450 ms, and the next one did the same.

Change: AppliedState holds the state and does all of this on its own thread, in the order in which it was handed over; commands are encoded on another. A leader counts as such only once the entries that its term began with are handed over, and the time as of which a state is current is handed over with it, so a read after a look at the status sees what it did before.

Evidence: ReplicaDriverTests#aLongTaskOnTheStateDelaysNoAnswerToAnotherReplica failed on the code before (no answer in 225 ms), and passes.

--- /dev/null
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -0,0 +1,305 @@
+package org.zinniatack.control;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.Ticker;
+
+import org.zinniatack.core.consensus.LogEntry;
+import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.result.ResultCode;
+import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.ControlState;
+import org.zinniatack.core.state.Reply;
+import org.zinniatack.process.ProcessEnd;
+import org.zinniatack.process.Service;
+import org.zinniatack.wire.StateCodec;
+
+/**
+ * The replicated state as far as a replica has applied it. Everything that takes longer
+ * the larger the state is runs on a thread of its own, in the order in which it was
+ * handed over, so that heartbeats and votes do not wait for it.
+ */
+final class AppliedState implements Service {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private static final long STALL_THRESHOLD_MS = 200;
+
+	private static final long STOP_TIMEOUT_MS = 5_000;
+
+	private final Ticker ticker;
+
+	private final Consumer<ControlState> listener;
+
+	private final ProcessEnd processEnd;
+
+	private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
+
+	private final Map<Long, PendingCommand> pendingCommands = new ConcurrentSkipListMap<>();
+
+	private final List<AppliedWaiter> appliedWaiters = new ArrayList<>();
+
+	private final Thread thread = new Thread(this::run, "state");
+
+	private ControlState state = new ControlState();
+
+	private volatile long appliedIndex;
+
+	private volatile long currentAsOfMs = Long.MIN_VALUE / 2;
+
+	private volatile Set<String> retiringMembers = Set.of();
+
+	/** Only used by the thread itself. */
+	private boolean running = true;
+
+	AppliedState(Ticker ticker, Consumer<ControlState> listener, ProcessEnd processEnd) {
+		this.ticker = ticker;
+		this.listener = listener;
+		this.processEnd = processEnd;
+	}
+
+	@Override
+	public void start() {
+		this.thread.start();
+	}
+
+	/** Finishes what was handed over before, and stops. */
+	@Override
+	public void stop() {
+		this.tasks.add(() -> this.running = false);
+		try {
+			this.thread.join(STOP_TIMEOUT_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(this.ticker.nanoTime());
+	}
+
+	private void run() {
+		while (this.running) {
+			try {
+				Task task = this.tasks.take();
+				long startedMs = nowMs();
+				task.run();
+				long durationMs = nowMs() - startedMs;
+				if (durationMs > STALL_THRESHOLD_MS) {
+					LOGGER.atWarning()
+						.log("event=state_busy duration_ms=%d applied=%d waiting=%d", durationMs, this.appliedIndex,
+								this.tasks.size());
+				}
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+			catch (IOException | ServiceException | RuntimeException | Error ex) {
+				this.processEnd.end("state", ex);
+				return;
+			}
+		}
+	}
+
+	/** Returns the index of the last applied entry. */
+	long appliedIndex() {
+		return this.appliedIndex;
+	}
+
+	/**
+	 * Returns the monotonic time at which the applied state last included every accepted
+	 * change, in milliseconds, far in the past if never.
+	 */
+	long currentAsOfMs() {
+		return this.currentAsOfMs;
+	}
+
+	/** Returns the control processes that are retiring or have retired. */
+	Set<String> retiringMembers() {
+		return this.retiringMembers;
+	}
+
+	/** Returns the number of proposed commands that are not decided yet. */
+	int pendingCommands() {
+		return this.pendingCommands.size();
+	}
+
+	/** Completes a reply once the command at an index and term is applied. */
+	void expect(long index, long term, CompletableFuture<Reply> reply) {
+		this.pendingCommands.put(index, new PendingCommand(term, reply));
+	}
+
+	/** Fails the replies to all commands that are not applied yet. */
+	void failPending(ServiceException failure) {
+		for (Long index : List.copyOf(this.pendingCommands.keySet())) {
+			PendingCommand pending = this.pendingCommands.remove(index);
+			if (pending != null) {
+				pending.reply().completeExceptionally(failure);
+			}
+		}
+	}
+
+	/** Reads the state after all that was handed over before. */
+	<T> CompletableFuture<T> read(Function<ControlState, T> reader) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		this.tasks.add(() -> {
+			try {
+				result.complete(reader.apply(this.state));
+			}
+			catch (RuntimeException ex) {
+				result.completeExceptionally(ex);
+			}
+		});
+		return result;
+	}
+
+	/** Passes a consistent image of the state with its index to a consumer. */
+	void takeImage(Consumer<IndexedImage> consumer) {
+		this.tasks.add(() -> consumer.accept(new IndexedImage(this.appliedIndex, this.state.image())));
+	}
+
+	/** Returns a future that completes once the entry at an index is applied. */
+	CompletableFuture<Void> awaitApplied(long index) {
+		CompletableFuture<Void> applied = new CompletableFuture<>();
+		if (index <= this.appliedIndex) {
+			applied.complete(null);
+			return applied;
+		}
+		this.tasks.add(() -> {
+			this.appliedWaiters.add(new AppliedWaiter(index, applied));
+			completeAppliedWaiters();
+		});
+		return applied;
+	}
+
+	/**
+	 * Restores the state that a disk holds before the thread starts.
+	 * @throws ServiceException if the snapshot cannot be read
+	 */
+	void restoreAtStart(Snapshot snapshot) throws ServiceException {
+		restore(snapshot);
+	}
+
+	/** Hands over a snapshot, which is ignored if the state has its changes already. */
+	void handOver(Snapshot snapshot) {
+		this.tasks.add(() -> {
+			if (snapshot.index() > this.appliedIndex) {
+				restore(snapshot);
+				onApplied();
+			}
+		});
+	}
+
+	/** Hands over committed entries, of which those that are applied are ignored. */
+	void handOver(List<LogEntry> committed) {
+		this.tasks.add(() -> {
+			for (LogEntry entry : committed) {
+				if (entry.index() > this.appliedIndex) {
+					apply(entry);
+				}
+			}
+			onApplied();
+		});
+	}
+
+	/**
+	 * Records that the state includes every change that was accepted at a time, once it
+	 * has applied what was handed over before.
+	 * @param asOfMs the monotonic time, in milliseconds
+	 */
+	void handOverCurrentAsOf(long asOfMs) {
+		this.tasks.add(() -> this.currentAsOfMs = asOfMs);
+	}
+
+	private void restore(Snapshot snapshot) throws ServiceException {
+		long startedMs = nowMs();
+		try {
+			this.state = (snapshot.index() == 0) ? new ControlState()
+					: ControlState.of(StateCodec.decodeImage(snapshot.state()));
+		}
+		catch (IOException ex) {
+			throw ServiceException.of(ResultCode.LOG_CORRUPT, "the snapshot cannot be read: " + ex.getMessage());
+		}
+		this.appliedIndex = snapshot.index();
+		this.retiringMembers = this.state.retiringMembers();
+		if (snapshot.index() > 0) {
+			LOGGER.atInfo()
+				.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(), snapshot.state().length,
+						nowMs() - startedMs);
+		}
+	}
+
+	private void apply(LogEntry entry) throws IOException {
+		PendingCommand pending = this.pendingCommands.remove(entry.index());
+		boolean expected = pending != null && pending.term() == entry.term();
+		if (entry.kind() == LogEntry.Kind.COMMAND) {
+			Reply reply = this.state.apply(entry.index(), StateCodec.decodeCommand(entry.command()));
+			if (expected) {
+				pending.reply().complete(reply);
+			}
+		}
+		this.appliedIndex = entry.index();
+		if (pending != null && !expected) {
+			pending.reply()
+				.completeExceptionally(
+						ServiceException.of(ResultCode.NOT_ACCEPTED, "an entry of another term replaced the command"));
+		}
+	}
+
+	private void onApplied() {
+		this.retiringMembers = this.state.retiringMembers();
+		completeAppliedWaiters();
+		try {
+			this.listener.accept(this.state);
+		}
+		catch (RuntimeException ex) {
+			LOGGER.atSevere().withCause(ex).log("event=feed_failed code=%d", ResultCode.INTERNAL.number());
+		}
+	}
+
+	private void completeAppliedWaiters() {
+		this.appliedWaiters.removeIf((waiter) -> {
+			boolean due = waiter.index() <= this.appliedIndex;
+			if (due) {
+				waiter.applied().complete(null);
+			}
+			return due;
+		});
+	}
+
+	/** Something that the thread does. */
+	private interface Task {
+
+		void run() throws IOException, ServiceException;
+
+	}
+
+	/**
+	 * An image of the state.
+	 *
+	 * @param index the index of the last entry that it includes
+	 * @param image the image
+	 */
+	record IndexedImage(long index, ControlState.Image image) {
+	}
+
+	private record PendingCommand(long term, CompletableFuture<Reply> reply) {
+	}
+
+	private record AppliedWaiter(long index, CompletableFuture<Void> applied) {
+	}
+
+}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -4,12 +4,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -20,7 +21,7 @@
 
 import org.zinniatack.core.consensus.ConsensusMessage;
 import org.zinniatack.core.consensus.Effects;
-import org.zinniatack.core.consensus.LogEntry;
+import org.zinniatack.core.consensus.PersistentState;
 import org.zinniatack.core.consensus.Replica;
 import org.zinniatack.core.consensus.ReplicaSettings;
 import org.zinniatack.core.consensus.Snapshot;
@@ -38,7 +39,8 @@
 
 /**
  * Runs a replica on a single thread. Each round executes the queued tasks, persists their
- * changes with one sync, sends messages and applies committed entries.
+ * changes with one sync, sends messages and hands committed entries over to the thread
+ * that applies them. Nothing that grows with the state runs on the replica's thread.
  */
 final class ReplicaDriver implements Service {
 
@@ -69,15 +71,14 @@
 
 	private final Consumer<ConsensusMessage> messageSender;
 
-	private final Consumer<ControlState> stateListener;
-
 	private final ProcessEnd processEnd;
 
 	private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
 
-	private final Map<Long, PendingCommand> pendingCommands = new TreeMap<>();
+	private final AppliedState applied;
 
-	private final List<AppliedWaiter> appliedWaiters = new ArrayList<>();
+	private final ExecutorService encoder = Executors
+		.newSingleThreadExecutor((task) -> new Thread(task, "command-encoder"));
 
 	private final JoinRequests joinRequests = new JoinRequests();
 
@@ -96,9 +97,10 @@
 
 	private Replica replica;
 
-	private ControlState state = new ControlState();
+	/** The last term in which the state was handed over that its leader began with. */
+	private long readableTerm = -1;
 
-	private long appliedIndex;
+	private long handedOverAsOfMs = Long.MIN_VALUE;
 
 	private long snapshotIndex;
 
@@ -121,32 +123,31 @@
 		this.maximumVoters = maximumVoters;
 		this.ticker = ticker;
 		this.messageSender = messageSender;
-		this.stateListener = stateListener;
 		this.snapshotPolicy = snapshotPolicy;
 		this.processEnd = processEnd;
 		this.snapshots = new SnapshotWriter(store, processEnd);
-		this.replica = restartReplica(idleSinceMs);
+		this.applied = new AppliedState(ticker, stateListener, processEnd);
+		PersistentState persistent = store.load();
+		this.applied.restoreAtStart(persistent.snapshot());
+		this.replica = startReplica(persistent, idleSinceMs);
 		this.status = currentStatus();
 	}
 
 	/**
-	 * Restarts the replica from the state on disk.
+	 * Starts the replica from the state on disk.
 	 * @param idleSinceMs a time since which no replica has acted on it
 	 */
-	private Replica restartReplica(long idleSinceMs) throws ServiceException {
-		var persistent = this.store.load();
-		if (persistent.snapshot().index() > this.appliedIndex || this.appliedIndex == 0) {
-			restoreState(persistent.snapshot());
-		}
-		Replica restarted = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
+	private Replica startReplica(PersistentState persistent, long idleSinceMs) {
+		Replica started = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
 				RandomGenerator.getDefault(), idleSinceMs, nowMs());
 		replacedBy(persistent.snapshot());
 		this.restartCount++;
-		return restarted;
+		return started;
 	}
 
 	@Override
 	public void start() {
+		this.applied.start();
 		this.thread.start();
 	}
 
@@ -164,6 +165,8 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		this.encoder.shutdown();
+		this.applied.stop();
 		this.snapshots.stop();
 		this.store.close();
 	}
@@ -182,52 +185,56 @@
 	 */
 	CompletableFuture<Reply> propose(Command command) {
 		CompletableFuture<Reply> reply = new CompletableFuture<>();
-		submit(() -> {
-			try {
-				if (!this.writable) {
-					throw ServiceException.retryable(ResultCode.DISK_FULL, "the last write to the disk failed",
-							DISK_RETRY_MS);
-				}
-				if (this.pendingCommands.size() >= MAX_PENDING_COMMANDS) {
-					throw ServiceException.retryable(ResultCode.NOT_ACCEPTED,
-							"too many commands are waiting to be committed, the limit is " + MAX_PENDING_COMMANDS,
-							DISK_RETRY_MS);
-				}
-				long index = this.replica.propose(StateCodec.encode(command));
-				this.pendingCommands.put(index, new PendingCommand(this.replica.term(), reply));
-			}
-			catch (ServiceException ex) {
-				reply.completeExceptionally(ex);
-			}
-			catch (IOException ex) {
-				reply.completeExceptionally(ServiceException.of(ResultCode.MALFORMED_BODY, ex.getMessage()));
-			}
-		});
+		try {
+			this.encoder.execute(() -> encodeAndPropose(command, reply));
+		}
+		catch (RejectedExecutionException ex) {
+			reply.completeExceptionally(ServiceException.of(ResultCode.SHUTTING_DOWN, "the replica is stopping"));
+		}
 		return reply;
 	}
 
-	/** Reads the applied state on the replica's thread. */
-	<T> CompletableFuture<T> read(Function<ControlState, T> reader) {
-		CompletableFuture<T> result = new CompletableFuture<>();
-		submit(() -> {
-			try {
-				result.complete(reader.apply(this.state));
+	private void encodeAndPropose(Command command, CompletableFuture<Reply> reply) {
+		try {
+			byte[] encoded = StateCodec.encode(command);
+			submit(() -> propose(encoded, reply));
+		}
+		catch (IOException | RuntimeException ex) {
+			reply
+				.completeExceptionally(ServiceException.of(ResultCode.MALFORMED_BODY, String.valueOf(ex.getMessage())));
+		}
+		catch (Error ex) {
+			this.processEnd.end("command-encoder", ex);
+		}
+	}
+
+	private void propose(byte[] command, CompletableFuture<Reply> reply) {
+		try {
+			if (!this.writable) {
+				throw ServiceException.retryable(ResultCode.DISK_FULL, "the last write to the disk failed",
+						DISK_RETRY_MS);
 			}
-			catch (RuntimeException ex) {
-				result.completeExceptionally(ex);
+			if (this.applied.pendingCommands() >= MAX_PENDING_COMMANDS) {
+				throw ServiceException.retryable(ResultCode.NOT_ACCEPTED,
+						"too many commands are waiting to be committed, the limit is " + MAX_PENDING_COMMANDS,
+						DISK_RETRY_MS);
 			}
-		});
-		return result;
+			long index = this.replica.propose(command);
+			this.applied.expect(index, this.replica.term(), reply);
+		}
+		catch (ServiceException ex) {
+			reply.completeExceptionally(ex);
+		}
+	}
+
+	/** Reads the applied state on the thread that applies changes to it. */
+	<T> CompletableFuture<T> read(Function<ControlState, T> reader) {
+		return this.applied.read(reader);
 	}
 
 	/** Returns a future that completes once the entry at an index is applied. */
 	CompletableFuture<Void> awaitApplied(long index) {
-		CompletableFuture<Void> applied = new CompletableFuture<>();
-		submit(() -> {
-			this.appliedWaiters.add(new AppliedWaiter(index, applied));
-			completeAppliedWaiters();
-		});
-		return applied;
+		return this.applied.awaitApplied(index);
 	}
 
 	/** Records the request of a replica to become a member. */
@@ -268,7 +275,7 @@
 			catch (ServiceException ex) {
 				onDiskFailure(ex);
 			}
-			catch (IOException | RuntimeException | Error ex) {
+			catch (RuntimeException | Error ex) {
 				this.processEnd.end("replica", ex);
 				return;
 			}
@@ -285,7 +292,7 @@
 		long nowMs = nowMs();
 		Collection<String> joiningIds = this.joinRequests.pending(nowMs);
 		MemberChange.ReplaceableMembers replaceable = new MemberChange.ReplaceableMembers(
-				Set.copyOf(this.replica.unresponsiveVoters(nowMs, VOTER_TIMEOUT_MS)), this.state.retiringMembers());
+				Set.copyOf(this.replica.unresponsiveVoters(nowMs, VOTER_TIMEOUT_MS)), this.applied.retiringMembers());
 		boolean noChangeRequested = joiningIds.isEmpty() && replaceable.retiringNames().isEmpty();
 		if (noChangeRequested || !this.replica.holdsLease(nowMs) || transferIfRetiring(replaceable, nowMs)) {
 			return;
@@ -314,22 +321,26 @@
 		return isReplaced && this.replica.transferLeadership(nowMs);
 	}
 
-	private void processEffects() throws ServiceException, IOException {
+	private void processEffects() throws ServiceException {
 		if (!this.writable && nowMs() < this.diskRetryAtMs) {
 			return;
 		}
 		boolean hasMore = true;
 		while (hasMore) {
-			Effects effects = this.replica.takeEffects(nowMs());
+			long nowMs = nowMs();
+			long asOfMs = this.replica.currentAsOfMs(nowMs);
+			boolean readable = this.replica.holdsLease(nowMs);
+			Effects effects = this.replica.takeEffects(nowMs);
 			effects.messagesBeforeSync().forEach(this.messageSender);
 			this.store.persist(effects);
 			this.writable = true;
 			if (!effects.entries().isEmpty()) {
 				this.replica.markPersisted(effects.entries().get(effects.entries().size() - 1).index());
 			}
+			handOver(effects, asOfMs);
+			this.readableTerm = readable ? this.replica.term() : this.readableTerm;
 			updateStatus();
 			effects.messagesAfterSync().forEach(this.messageSender);
-			apply(effects);
 			hasMore = effects.needsSync() || !effects.committed().isEmpty();
 		}
 	}
@@ -343,9 +354,11 @@
 			.log("event=disk_refused code=%d detail=\"%s\"", diskFailure.code().number(), diskFailure.getMessage());
 		this.writable = false;
 		this.diskRetryAtMs = nowMs() + DISK_RETRY_MS;
-		failPending(diskFailure);
+		this.applied.failPending(diskFailure);
 		try {
-			this.replica = restartReplica(nowMs());
+			PersistentState persistent = this.store.load();
+			this.applied.handOver(persistent.snapshot());
+			this.replica = startReplica(persistent, nowMs());
 		}
 		catch (ServiceException ex) {
 			LOGGER.atSevere().log("event=disk_unreadable code=%d detail=\"%s\"", ex.code().number(), ex.getMessage());
@@ -365,97 +378,57 @@
 				.log("event=lease_lost term=%d ended_ms_ago=%d round_ms=%d", previous.term(),
 						nowMs() - previous.leaseEndMs(), nowMs() - this.roundStartedMs);
 		}
-		if (!this.replica.isLeader() && !this.pendingCommands.isEmpty()) {
-			failPending(ServiceException.retryable(ResultCode.CHANGE_UNDECIDED,
+		if (!this.replica.isLeader() && this.applied.pendingCommands() > 0) {
+			this.applied.failPending(ServiceException.retryable(ResultCode.CHANGE_UNDECIDED,
 					"leadership was lost before the outcome of the command was known", TICK_MS));
 		}
 	}
 
-	private void failPending(ServiceException failure) {
-		List<PendingCommand> failed = new ArrayList<>(this.pendingCommands.values());
-		this.pendingCommands.clear();
-		failed.forEach((pendingCommand) -> pendingCommand.reply().completeExceptionally(failure));
-	}
-
 	private ReplicaStatus currentStatus() {
 		long nowMs = nowMs();
 		return new ReplicaStatus(this.store.replicaId(), this.replica.term(), this.replica.leader().orElse(""),
-				this.replica.leaseEndMs(nowMs), this.replica.holdsLease(nowMs), this.replica.currentAsOfMs(nowMs),
-				this.replica.commitIndex(), this.appliedIndex, this.replica.membership(), this.writable);
+				this.replica.leaseEndMs(nowMs), isReadable(nowMs), this.applied.currentAsOfMs(),
+				this.replica.commitIndex(), this.applied.appliedIndex(), this.replica.membership(), this.writable);
 	}
 
-	private void apply(Effects effects) throws IOException, ServiceException {
-		if (effects.snapshot() != null) {
-			restoreState(effects.snapshot());
-			replacedBy(effects.snapshot());
-		}
-		for (LogEntry entry : effects.committed()) {
-			if (entry.index() > this.appliedIndex) {
-				applyEntry(entry);
-			}
-		}
-		if (effects.snapshot() != null || !effects.committed().isEmpty()) {
-			updateStatus();
-			completeAppliedWaiters();
-			notifyStateListener();
-		}
+	private boolean isReadable(long nowMs) {
+		return this.readableTerm == this.replica.term() && this.replica.holdsLease(nowMs);
 	}
 
-	/** Notifies the listener of the new state. Its failure does not stop the replica. */
-	private void notifyStateListener() {
-		try {
-			this.stateListener.accept(this.state);
-		}
-		catch (RuntimeException ex) {
-			LOGGER.atSevere().withCause(ex).log("event=feed_failed code=%d", ResultCode.INTERNAL.number());
-		}
-	}
-
-	private void applyEntry(LogEntry entry) throws IOException {
-		this.appliedIndex = entry.index();
-		PendingCommand pendingCommand = this.pendingCommands.remove(entry.index());
-		if (entry.kind() == LogEntry.Kind.COMMAND) {
-			Reply reply = this.state.apply(entry.index(), StateCodec.decodeCommand(entry.command()));
-			if (pendingCommand != null && pendingCommand.term() == entry.term()) {
-				pendingCommand.reply().complete(reply);
-			}
-		}
-		if (pendingCommand != null && pendingCommand.term() != entry.term()) {
-			pendingCommand.reply()
-				.completeExceptionally(
-						ServiceException.of(ResultCode.NOT_ACCEPTED, "an entry of another term replaced the command"));
+	private void handOver(Effects effects, long asOfMs) {
+		if (effects.snapshot() != null) {
+			this.applied.handOver(effects.snapshot());
+			replacedBy(effects.snapshot());
 		}
-	}
-
-	private void restoreState(Snapshot snapshot) throws ServiceException {
-		try {
-			long startedMs = nowMs();
-			this.state = (snapshot.index() == 0) ? new ControlState()
-					: ControlState.of(StateCodec.decodeImage(snapshot.state()));
-			this.appliedIndex = snapshot.index();
-			if (snapshot.index() > 0) {
-				LOGGER.atInfo()
-					.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(),
-							snapshot.state().length, nowMs() - startedMs);
-			}
+		if (!effects.committed().isEmpty()) {
+			this.applied.handOver(effects.committed());
 		}
-		catch (IOException ex) {
-			throw ServiceException.of(ResultCode.LOG_CORRUPT, "the snapshot cannot be read: " + ex.getMessage());
+		if (asOfMs > this.handedOverAsOfMs) {
+			this.handedOverAsOfMs = asOfMs;
+			this.applied.handOverCurrentAsOf(asOfMs);
 		}
 	}
 
-	/** Starts a snapshot; only the image of the state is created on this thread. */
+	/** Starts a snapshot, of which only the header is created on this thread. */
 	private void startSnapshotIfDue() {
-		long entries = this.appliedIndex - this.snapshotIndex;
+		long entries = this.applied.appliedIndex() - this.snapshotIndex;
 		boolean mayStart = this.writable && !this.snapshotRunning && nowMs() >= this.snapshotRetryAtMs;
 		if (entries <= 0 || !mayStart
 				|| !this.snapshotPolicy.isDue(this.snapshotBytes, this.store.journalBytes(), entries)) {
 			return;
 		}
 		this.snapshotRunning = true;
-		Snapshot header = this.replica.snapshotAt(this.appliedIndex, new byte[0]);
 		int startedBy = this.restartCount;
-		this.snapshots.write(header, this.state.image(), (written) -> submit(() -> finishSnapshot(written, startedBy)),
+		this.applied.takeImage((image) -> submit(() -> writeSnapshot(image, startedBy)));
+	}
+
+	private void writeSnapshot(AppliedState.IndexedImage image, int startedBy) {
+		if (startedBy != this.restartCount || image.index() <= this.snapshotIndex) {
+			delaySnapshot();
+			return;
+		}
+		Snapshot header = this.replica.snapshotAt(image.index(), new byte[0]);
+		this.snapshots.write(header, image.image(), (written) -> submit(() -> finishSnapshot(written, startedBy)),
 				() -> submit(this::delaySnapshot));
 	}
 
@@ -492,20 +465,4 @@
 		this.snapshotRetryAtMs = nowMs() + SNAPSHOT_RETRY_MS;
 	}
 
-	private void completeAppliedWaiters() {
-		this.appliedWaiters.removeIf((waiter) -> {
-			boolean due = waiter.index() <= this.appliedIndex;
-			if (due) {
-				waiter.applied().complete(null);
-			}
-			return due;
-		});
-	}
-
-	private record PendingCommand(long term, CompletableFuture<Reply> reply) {
-	}
-
-	private record AppliedWaiter(long index, CompletableFuture<Void> applied) {
-	}
-
 }
--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -11,9 +11,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -26,6 +29,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.zinniatack.core.consensus.ConsensusMessage;
 import org.zinniatack.core.consensus.Membership;
 import org.zinniatack.core.consensus.PersistentState;
 import org.zinniatack.core.consensus.Snapshot;
@@ -43,6 +47,7 @@
 import org.zinniatack.wire.StateCodec;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -54,6 +59,9 @@
 
 	private static final long POLL_MS = 20;
 
+	/** Half of the shortest election timeout. */
+	private static final long ANSWER_MS = 225;
+
 	private static final long FLOOR_BYTES = 64 * 1024;
 
 	private static final SnapshotPolicy SMALL_FLOOR = new ProportionalSnapshots(FLOOR_BYTES, 4096);
@@ -117,6 +125,31 @@
 		}
 	}
 
+	// Guards against a leader that is replaced, and a voter that is missed, while its
+	// process works on a large state.
+	@Test
+	void aLongTaskOnTheStateDelaysNoAnswerToAnotherReplica() throws Exception {
+		BlockingQueue<ConsensusMessage> sent = new LinkedBlockingQueue<>();
+		ReplicaStore store = openStore(this.folder);
+		this.driver = new ReplicaDriver(store, Ticker.systemTicker(), -TIMEOUT_MS, 1, sent::add, (state) -> {
+		}, SMALL_FLOOR, this::end);
+		this.driver.start();
+		CountDownLatch done = new CountDownLatch(1);
+		CompletableFuture<Boolean> task = this.driver.read((state) -> {
+			try {
+				return done.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+			}
+			catch (InterruptedException ex) {
+				return false;
+			}
+		});
+		this.driver.receive(new ConsensusMessage.VoteRequest("b", store.replicaId(), 1_000, 1_000, 1_000, true, false));
+		assertThat(sent.poll(ANSWER_MS, TimeUnit.MILLISECONDS), instanceOf(ConsensusMessage.VoteResponse.class));
+		assertThat(task.isDone(), is(false));
+		done.countDown();
+		assertThat(task.get(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+	}
+
 	// Guards against a process that answers on while its replica's thread is gone.
 	@Test
 	void anErrorOnTheThreadOfTheReplicaEndsTheProcess() throws Exception {
