Divide a large command over several entries of the log

What callers saw: with tables of 20,000 routes the second change got 503 or 504 for 20 s and the leader changed over 30 times.

Cause: a command was one entry, one message and one sync, whatever its size; a heartbeat waited behind it on the link and in the follower.

Change: commands over 256 KiB become entries of at most that size, so a message, too, has at most that size and 1 MiB of them are on their way.

Evidence: CommandPartsTests; ReplicaDriverTests with tables of 12 MB.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -55,6 +56,8 @@
 
 	private ControlState state = new ControlState();
 
+	private CommandParts commandParts = new CommandParts();
+
 	private volatile long appliedIndex;
 
 	private volatile long currentAsOfMs = Long.MIN_VALUE / 2;
@@ -166,9 +169,13 @@
 		return result;
 	}
 
-	/** Passes a consistent image of the state with its index to a consumer. */
+	/**
+	 * Passes a consistent image of the state with its index to a consumer. Parts of a
+	 * command that is not complete stay in the log.
+	 */
 	void takeImage(Consumer<IndexedImage> consumer) {
-		this.tasks.add(() -> consumer.accept(new IndexedImage(this.appliedIndex, this.state.image())));
+		this.tasks.add(() -> consumer
+			.accept(new IndexedImage(this.appliedIndex - this.commandParts.count(), this.state.image())));
 	}
 
 	/** Returns a future that completes once the entry at an index is applied. */
@@ -233,6 +240,7 @@
 		catch (IOException ex) {
 			throw ServiceException.of(ResultCode.LOG_CORRUPT, "the snapshot cannot be read: " + ex.getMessage());
 		}
+		this.commandParts = new CommandParts();
 		this.appliedIndex = snapshot.index();
 		this.retiringMembers = this.state.retiringMembers();
 		if (snapshot.index() > 0) {
@@ -245,8 +253,9 @@
 	private void apply(LogEntry entry) throws IOException {
 		PendingCommand pending = this.pendingCommands.remove(entry.index());
 		boolean expected = pending != null && pending.term() == entry.term();
-		if (entry.kind() == LogEntry.Kind.COMMAND) {
-			Reply reply = this.state.apply(entry.index(), StateCodec.decodeCommand(entry.command()));
+		Optional<byte[]> command = this.commandParts.add(entry);
+		if (command.isPresent()) {
+			Reply reply = this.state.apply(entry.index(), StateCodec.decodeCommand(command.get()));
 			if (expected) {
 				pending.reply().complete(reply);
 			}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/LogEntry.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/LogEntry.java
@@ -35,6 +35,18 @@
 		return new LogEntry(index, term, Kind.COMMAND, Membership.empty(), command);
 	}
 
+	/**
+	 * Returns an entry that carries a part of a command other than its last. The next
+	 * entry of the same term continues it.
+	 * @param index the position
+	 * @param term the leader's term
+	 * @param part the bytes of the part
+	 * @return the entry
+	 */
+	public static LogEntry part(long index, long term, byte[] part) {
+		return new LogEntry(index, term, Kind.PART, Membership.empty(), part);
+	}
+
 	/**
 	 * Returns an entry that changes the members.
 	 * @param index the position
@@ -67,7 +79,10 @@
 		MEMBERSHIP,
 
 		/** No payload; the first entry of a leader's term. */
-		NOOP
+		NOOP,
+
+		/** A part of a command, which the next entry of the same term continues. */
+		PART
 
 	}
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -1,6 +1,7 @@
 package org.zinniatack.core.consensus;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -24,6 +25,11 @@
 
 	}
 
+	/**
+	 * A heartbeat queued behind an entry of this size still passes a slow link in time.
+	 */
+	static final int MAX_ENTRY_BYTES = 256 * 1024;
+
 	private final ReplicaSettings settings;
 
 	private final RandomGenerator random;
@@ -197,7 +203,14 @@
 	@Override
 	public long propose(byte[] command) throws ServiceException {
 		requireLeader();
-		return append(LogEntry.command(this.log.lastIndex() + 1, term(), command));
+		int from = 0;
+		while (command.length - from > MAX_ENTRY_BYTES) {
+			append(LogEntry.part(this.log.lastIndex() + 1, term(),
+					Arrays.copyOfRange(command, from, from + MAX_ENTRY_BYTES)));
+			from += MAX_ENTRY_BYTES;
+		}
+		byte[] last = (from == 0) ? command : Arrays.copyOfRange(command, from, command.length);
+		return append(LogEntry.command(this.log.lastIndex() + 1, term(), last));
 	}
 
 	private void requireLeader() throws ServiceException {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -137,9 +137,10 @@
 	void markPersisted(long index);
 
 	/**
-	 * Proposes a command.
+	 * Proposes a command. A large one is divided into several entries, since heartbeats
+	 * would wait for a large entry.
 	 * @param command the encoded command
-	 * @return the index of the entry; it is accepted once an entry of this term is
+	 * @return the index of its last entry; it is accepted once an entry of this term is
 	 * committed at the index
 	 * @throws ServiceException with NOT_LEADER if this replica does not lead
 	 */
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -12,10 +12,7 @@
  */
 final class Replication {
 
-	/**
-	 * A heartbeat queued behind a message of this size still passes a slow link in time.
-	 */
-	private static final long MAX_MESSAGE_BYTES = 256 * 1024;
+	private static final long MAX_MESSAGE_BYTES = RaftReplica.MAX_ENTRY_BYTES;
 
 	/**
 	 * Fills a gigabit link for 8 ms, several round trips between failure domains. At this
