Read the jobs of a takeover in one pass

What callers saw: no job could be read after a restart with some 40,000 unfinished items.

Cause: a new leader looked for the earlier output of each unfinished item in each job, so a takeover cost items times jobs.

Change: EarlierOutputs finds them in one pass over all items, and only for the jobs that the runner does not know.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -192,9 +192,11 @@
 
 	private static StateView openJobs(ControlState state, Set<JobId> known) {
 		List<Job> all = state.jobs().jobs();
-		List<OpenJob> open = all.stream()
-			.filter(Job::isOpen)
-			.map((job) -> known.contains(job.submission().id()) ? OpenJob.known(job) : OpenJob.of(job, all))
+		List<Job> openJobs = all.stream().filter(Job::isOpen).toList();
+		EarlierOutputs earlier = EarlierOutputs
+			.of(openJobs.stream().filter((job) -> !known.contains(job.submission().id())).toList(), all);
+		List<OpenJob> open = openJobs.stream()
+			.map((job) -> known.contains(job.submission().id()) ? OpenJob.known(job) : OpenJob.of(job, earlier))
 			.toList();
 		return new StateView(open, known, state.routingTable());
 	}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/OpenJob.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/OpenJob.java
@@ -2,12 +2,10 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
-import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.JobSubmission;
@@ -35,9 +33,9 @@
 	 * jobs: a trainer resubmits groups that one job did not complete in a later job,
 	 * under the same ids.
 	 * @param job the job
-	 * @param others all jobs
+	 * @param earlier the outputs of other jobs
 	 */
-	static OpenJob of(Job job, List<Job> others) {
+	static OpenJob of(Job job, EarlierOutputs earlier) {
 		Set<String> finished = new HashSet<>();
 		Map<String, StoredOutput> stored = new HashMap<>();
 		for (JobItem item : job.submission().items()) {
@@ -45,31 +43,15 @@
 				finished.add(item.id());
 			}
 			else {
-				storedOutput(job, item.id(), others).ifPresent((text) -> stored.put(item.id(), text));
+				storedOutput(job, item.id(), earlier).ifPresent((text) -> stored.put(item.id(), text));
 			}
 		}
 		return new OpenJob(job.submission(), finished, stored);
 	}
 
-	private static Optional<StoredOutput> storedOutput(Job job, String itemId, List<Job> others) {
+	private static Optional<StoredOutput> storedOutput(Job job, String itemId, EarlierOutputs earlier) {
 		Optional<PartialText> own = job.partialText(itemId);
-		if (own.isPresent()) {
-			return own.map((text) -> new StoredOutput(text, false, true));
-		}
-		return others.stream()
-			.filter((other) -> other != job && other.contains(itemId)
-					&& other.submission().id().customer().equals(job.submission().id().customer()))
-			.flatMap((other) -> earlierOutput(other, itemId).stream())
-			.filter((text) -> text.text().meetsOldestVersion(job.submission().oldestVersion()))
-			.findFirst();
-	}
-
-	private static Optional<StoredOutput> earlierOutput(Job job, String itemId) {
-		return job.result(itemId)
-			.filter(ItemResult::completed)
-			.map((result) -> new StoredOutput(new PartialText(List.of(result.text()), result.versions(), 0), true,
-					false))
-			.or(() -> job.partialText(itemId).map((text) -> new StoredOutput(text, false, false)));
+		return own.isPresent() ? own.map((text) -> new StoredOutput(text, false, true)) : earlier.find(job, itemId);
 	}
 
 	/**
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
@@ -41,10 +41,15 @@
 		return job;
 	}
 
+	private OpenJob opened(JobSubmission submission) {
+		Job job = job(submission);
+		return OpenJob.of(job, EarlierOutputs.of(List.of(job), this.ledger.jobs()));
+	}
+
 	/** Returns a run that resumes from the stored state. */
 	private ItemRun resumedRun(JobSubmission job) {
 		ItemRun run = run(job);
-		run.restore(OpenJob.of(job(job), this.ledger.jobs()).stored().get("i"));
+		run.restore(opened(job).stored().get("i"));
 		return run;
 	}
 
@@ -160,7 +165,7 @@
 		this.ledger.end(job.id());
 		JobSubmission fitting = submitted("k", 3);
 		JobSubmission newer = submitted("l", 4);
-		assertThat(OpenJob.of(job(newer), this.ledger.jobs()).stored().isEmpty(), is(true));
+		assertThat(opened(newer).stored().isEmpty(), is(true));
 		ItemRun again = resumedRun(fitting);
 		assertThat(again.restoredComplete, is(false));
 		read(again, 13, 24);
@@ -188,7 +193,7 @@
 		JobSubmission otherCustomerJob = new JobSubmission(new JobId("other", "k"), "h", "m", 1, 0, 7_500, 40_000,
 				List.of(ITEM));
 		this.ledger.submit(otherCustomerJob);
-		assertThat(OpenJob.of(job(otherCustomerJob), this.ledger.jobs()).stored().isEmpty(), is(true));
+		assertThat(opened(otherCustomerJob).stored().isEmpty(), is(true));
 	}
 
 	private static ItemRun runWithOutput(JobSubmission job) {
