--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -1,6 +1,7 @@
 package org.zinniatack.control;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,8 @@
 
 	private final List<AppliedWaiter> appliedWaiters = new ArrayList<>();
 
+	private final List<ImageWaiter> imageWaiters = new ArrayList<>();
+
 	private final Thread thread = new Thread(this::run, "state");
 
 	private ControlState state = new ControlState();
@@ -170,12 +173,26 @@
 	}
 
 	/**
-	 * Passes a consistent image of the state with its index to a consumer. Parts of a
-	 * command that is not complete stay in the log.
+	 * Passes a consistent image of the state with its index to a consumer, once it
+	 * includes the entry at an index. Parts of a command that is not complete are not
+	 * included.
 	 */
-	void takeImage(Consumer<IndexedImage> consumer) {
-		this.tasks.add(() -> consumer
-			.accept(new IndexedImage(this.appliedIndex - this.commandParts.count(), this.state.image())));
+	void takeImage(long index, Consumer<IndexedImage> consumer) {
+		this.tasks.add(() -> {
+			this.imageWaiters.add(new ImageWaiter(index, consumer));
+			completeImageWaiters();
+		});
+	}
+
+	private void completeImageWaiters() {
+		long index = this.appliedIndex - this.commandParts.count();
+		this.imageWaiters.removeIf((waiter) -> {
+			boolean due = waiter.index() <= index;
+			if (due) {
+				waiter.consumer().accept(new IndexedImage(index, this.state.image()));
+			}
+			return due;
+		});
 	}
 
 	/** Returns a future that completes once the entry at an index is applied. */
@@ -196,17 +213,20 @@
 	 * Restores the state that a disk holds before the thread starts.
 	 * @throws ServiceException if the snapshot cannot be read
 	 */
-	void restoreAtStart(Snapshot snapshot) throws ServiceException {
-		restore(snapshot);
+	void restoreAtStart(Snapshot snapshot, InputStream encoded) throws ServiceException {
+		restore(snapshot, encoded);
 	}
 
 	/** Hands over a snapshot, which is ignored if the state has its changes already. */
-	void handOver(Snapshot snapshot) {
+	void handOver(Snapshot snapshot, InputStream encoded) {
 		this.tasks.add(() -> {
 			if (snapshot.index() > this.appliedIndex) {
-				restore(snapshot);
+				restore(snapshot, encoded);
 				onApplied();
 			}
+			else {
+				encoded.close();
+			}
 		});
 	}
 
@@ -231,11 +251,13 @@
 		this.tasks.add(() -> this.currentAsOfMs = asOfMs);
 	}
 
-	private void restore(Snapshot snapshot) throws ServiceException {
+	private void restore(Snapshot snapshot, InputStream encoded) throws ServiceException {
 		long startedMs = nowMs();
-		try {
-			this.state = (snapshot.index() == 0) ? new ControlState()
-					: ControlState.of(StateCodec.decodeImage(snapshot.state()));
+		try (encoded) {
+			// The state before it is not needed any more, and both might not fit the
+			// heap.
+			this.state = new ControlState();
+			this.state = ControlState.of(StateCodec.decodeImage(encoded));
 		}
 		catch (IOException ex) {
 			throw ServiceException.of(ResultCode.LOG_CORRUPT, "the snapshot cannot be read: " + ex.getMessage());
@@ -243,11 +265,9 @@
 		this.commandParts = new CommandParts();
 		this.appliedIndex = snapshot.index();
 		this.retiringMembers = this.state.retiringMembers();
-		if (snapshot.index() > 0) {
-			LOGGER.atInfo()
-				.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(), snapshot.state().length,
-						nowMs() - startedMs);
-		}
+		LOGGER.atInfo()
+			.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(), snapshot.sizeBytes(),
+					nowMs() - startedMs);
 	}
 
 	private void apply(LogEntry entry) throws IOException {
@@ -271,6 +291,7 @@
 	private void onApplied() {
 		this.retiringMembers = this.state.retiringMembers();
 		completeAppliedWaiters();
+		completeImageWaiters();
 		try {
 			this.listener.accept(this.state);
 		}
@@ -305,6 +326,9 @@
 	record IndexedImage(long index, ControlState.Image image) {
 	}
 
+	private record ImageWaiter(long index, Consumer<IndexedImage> consumer) {
+	}
+
 	private record PendingCommand(long term, CompletableFuture<Reply> reply) {
 	}
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -128,7 +128,9 @@
 		this.snapshots = new SnapshotWriter(store, processEnd);
 		this.applied = new AppliedState(ticker, stateListener, processEnd);
 		PersistentState persistent = store.load();
-		this.applied.restoreAtStart(persistent.snapshot());
+		if (persistent.snapshot().index() > 0) {
+			this.applied.restoreAtStart(persistent.snapshot(), store.openSnapshot(persistent.snapshot()));
+		}
 		this.replica = startReplica(persistent, idleSinceMs);
 		this.status = currentStatus();
 	}
@@ -331,7 +333,7 @@
 			long asOfMs = this.replica.currentAsOfMs(nowMs);
 			boolean readable = this.replica.holdsLease(nowMs);
 			Effects effects = this.replica.takeEffects(nowMs);
-			effects.messagesBeforeSync().forEach(this.messageSender);
+			effects.messagesBeforeSync().forEach(this::send);
 			this.store.persist(effects);
 			this.writable = true;
 			if (!effects.entries().isEmpty()) {
@@ -340,11 +342,27 @@
 			handOver(effects, asOfMs);
 			this.readableTerm = readable ? this.replica.term() : this.readableTerm;
 			updateStatus();
-			effects.messagesAfterSync().forEach(this.messageSender);
+			effects.messagesAfterSync().forEach(this::send);
 			hasMore = effects.needsSync() || !effects.committed().isEmpty();
 		}
 	}
 
+	private void send(ConsensusMessage message) {
+		if (!(message instanceof ConsensusMessage.SnapshotPart part) || part.length() == 0) {
+			this.messageSender.accept(message);
+			return;
+		}
+		try {
+			this.messageSender
+				.accept(part.withBytes(this.store.readSnapshotPart(part.snapshot(), part.offset(), part.length())));
+		}
+		catch (ServiceException ex) {
+			LOGGER.atWarning()
+				.log("event=snapshot_part_unreadable index=%d offset=%d to=%s code=%d detail=\"%s\"",
+						part.snapshot().index(), part.offset(), part.to(), ex.code().number(), ex.getMessage());
+		}
+	}
+
 	/**
 	 * Restarts the replica from the state on disk, since it must not act on changes that
 	 * were not written.
@@ -357,7 +375,7 @@
 		this.applied.failPending(diskFailure);
 		try {
 			PersistentState persistent = this.store.load();
-			this.applied.handOver(persistent.snapshot());
+			handOver(persistent.snapshot());
 			this.replica = startReplica(persistent, nowMs());
 		}
 		catch (ServiceException ex) {
@@ -395,9 +413,15 @@
 		return this.readableTerm == this.replica.term() && this.replica.holdsLease(nowMs);
 	}
 
-	private void handOver(Effects effects, long asOfMs) {
+	private void handOver(Snapshot snapshot) throws ServiceException {
+		if (snapshot.index() > this.applied.appliedIndex()) {
+			this.applied.handOver(snapshot, this.store.openSnapshot(snapshot));
+		}
+	}
+
+	private void handOver(Effects effects, long asOfMs) throws ServiceException {
 		if (effects.snapshot() != null) {
-			this.applied.handOver(effects.snapshot());
+			handOver(effects.snapshot());
 			replacedBy(effects.snapshot());
 		}
 		if (!effects.committed().isEmpty()) {
@@ -410,16 +434,17 @@
 	}
 
 	/** Starts a snapshot, of which only the header is created on this thread. */
-	private void startSnapshotIfDue() {
+	private void startSnapshotIfDue() throws ServiceException {
 		long entries = this.applied.appliedIndex() - this.snapshotIndex;
 		boolean mayStart = this.writable && !this.snapshotRunning && nowMs() >= this.snapshotRetryAtMs;
 		if (entries <= 0 || !mayStart
 				|| !this.snapshotPolicy.isDue(this.snapshotBytes, this.store.journalBytes(), entries)) {
 			return;
 		}
+		long journaledIndex = this.store.startJournal();
 		this.snapshotRunning = true;
 		int startedBy = this.restartCount;
-		this.applied.takeImage((image) -> submit(() -> writeSnapshot(image, startedBy)));
+		this.applied.takeImage(journaledIndex, (image) -> submit(() -> writeSnapshot(image, startedBy)));
 	}
 
 	private void writeSnapshot(AppliedState.IndexedImage image, int startedBy) {
@@ -427,9 +452,8 @@
 			delaySnapshot();
 			return;
 		}
-		Snapshot header = this.replica.snapshotAt(image.index(), new byte[0]);
-		this.snapshots.write(header, image.image(), (written) -> submit(() -> finishSnapshot(written, startedBy)),
-				() -> submit(this::delaySnapshot));
+		this.snapshots.write(this.replica.snapshotAt(image.index()), image.image(),
+				(written) -> submit(() -> finishSnapshot(written, startedBy)), () -> submit(this::delaySnapshot));
 	}
 
 	/** A replica that was restarted may not have applied what the snapshot covers. */
@@ -442,11 +466,11 @@
 		}
 		this.snapshotRunning = false;
 		try {
-			this.replica.compact(written.index(), written.state());
-			this.store.saveSnapshot(written, this.replica.entriesAfter(written.index()));
+			this.replica.compact(written.index(), written.sizeBytes());
+			this.store.commitSnapshot(written);
 			replacedBy(written);
 			LOGGER.atInfo()
-				.log("event=snapshot_saved index=%d bytes=%d journal_bytes=%d", written.index(), written.state().length,
+				.log("event=snapshot_saved index=%d bytes=%d journal_bytes=%d", written.index(), written.sizeBytes(),
 						this.store.journalBytes());
 		}
 		catch (ServiceException ex) {
@@ -457,7 +481,7 @@
 
 	private void replacedBy(Snapshot snapshot) {
 		this.snapshotIndex = snapshot.index();
-		this.snapshotBytes = snapshot.state().length;
+		this.snapshotBytes = snapshot.sizeBytes();
 	}
 
 	private void delaySnapshot() {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
@@ -1,6 +1,5 @@
 package org.zinniatack.control;
 
-import java.io.IOException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -45,12 +44,9 @@
 	void write(Snapshot header, ControlState.Image image, Consumer<Snapshot> onWritten, Runnable onFailed) {
 		this.executor.execute(() -> {
 			try {
-				Snapshot snapshot = new Snapshot(header.index(), header.term(), header.membership(),
-						StateCodec.encode(image));
-				this.store.prepareSnapshot(snapshot);
-				onWritten.accept(snapshot);
+				onWritten.accept(this.store.prepareSnapshot(header, (output) -> StateCodec.encode(image, output)));
 			}
-			catch (IOException | ServiceException ex) {
+			catch (ServiceException ex) {
 				LOGGER.atWarning().log("event=snapshot_failed index=%d detail=\"%s\"", header.index(), ex.getMessage());
 				onFailed.run();
 			}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ConsensusMessage.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ConsensusMessage.java
@@ -13,7 +13,8 @@
 		@JsonSubTypes.Type(value = ConsensusMessage.VoteResponse.class, name = "vr"),
 		@JsonSubTypes.Type(value = ConsensusMessage.AppendRequest.class, name = "aq"),
 		@JsonSubTypes.Type(value = ConsensusMessage.AppendResponse.class, name = "ar"),
-		@JsonSubTypes.Type(value = ConsensusMessage.SnapshotRequest.class, name = "sq"),
+		@JsonSubTypes.Type(value = ConsensusMessage.SnapshotPart.class, name = "sp"),
+		@JsonSubTypes.Type(value = ConsensusMessage.SnapshotPartResponse.class, name = "sr"),
 		@JsonSubTypes.Type(value = ConsensusMessage.TransferRequest.class, name = "tq") })
 public sealed interface ConsensusMessage {
 
@@ -80,7 +81,7 @@
 	}
 
 	/**
-	 * Answers an append request or a snapshot request.
+	 * Answers an append request or the last part of a snapshot.
 	 *
 	 * @param from the follower
 	 * @param to the leader
@@ -97,15 +98,44 @@
 	}
 
 	/**
-	 * Sends a snapshot to a follower whose next entries the leader has compacted.
+	 * Sends a part of a snapshot to a follower whose next entries the leader has
+	 * compacted. A part without bytes serves as a heartbeat.
 	 *
 	 * @param from the leader
 	 * @param to the follower
 	 * @param term the leader's term
 	 * @param snapshot the snapshot
+	 * @param offset the position of the part in the encoded state, in bytes
+	 * @param length the size of the part, in bytes
+	 * @param bytes the part, which the owner of the leader reads from its disk
 	 * @param sentAtMs the leader's clock when sending, in milliseconds
 	 */
-	record SnapshotRequest(String from, String to, long term, Snapshot snapshot,
+	record SnapshotPart(String from, String to, long term, Snapshot snapshot, long offset, int length, byte[] bytes,
+			long sentAtMs) implements ConsensusMessage {
+
+		/**
+		 * Returns the message with the bytes of the part.
+		 * @param read the bytes that were read from the disk
+		 * @return the message to send
+		 */
+		public SnapshotPart withBytes(byte[] read) {
+			return new SnapshotPart(this.from, this.to, this.term, this.snapshot, this.offset, this.length, read,
+					this.sentAtMs);
+		}
+
+	}
+
+	/**
+	 * Answers a part that does not complete its snapshot.
+	 *
+	 * @param from the follower
+	 * @param to the leader
+	 * @param term the follower's term
+	 * @param snapshotIndex the index of the snapshot
+	 * @param receivedBytes the size of what the follower holds of the snapshot, in bytes
+	 * @param sentAtMs the sending time from the part, in milliseconds
+	 */
+	record SnapshotPartResponse(String from, String to, long term, long snapshotIndex, long receivedBytes,
 			long sentAtMs) implements ConsensusMessage {
 	}
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
@@ -4,6 +4,8 @@
 import java.util.Deque;
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * A leader's replication progress for one follower.
  */
@@ -22,7 +24,7 @@
 
 	private boolean probing = true;
 
-	private long snapshotSentAtMs = NEVER_MS;
+	private @Nullable SnapshotTransfer snapshotTransfer;
 
 	private final Deque<UnacknowledgedBatch> unacknowledged = new ArrayDeque<>();
 
@@ -62,7 +64,7 @@
 			this.unacknowledgedBytes -= this.unacknowledged.removeFirst().bytes();
 		}
 		this.probing = false;
-		this.snapshotSentAtMs = NEVER_MS;
+		this.snapshotTransfer = null;
 	}
 
 	/**
@@ -107,13 +109,23 @@
 		return this.unacknowledgedBytes;
 	}
 
-	/** Returns whether a snapshot may be sent, and if so records it as sent. */
-	boolean startSnapshot(long nowMs, long retryMs) {
-		if (nowMs - this.snapshotSentAtMs < retryMs) {
-			return false;
+	/** Returns the transfer of a snapshot, which begins anew for another snapshot. */
+	SnapshotTransfer transferOf(Snapshot snapshot, long nowMs) {
+		SnapshotTransfer transfer = this.snapshotTransfer;
+		if (transfer == null || !transfer.isOf(snapshot)) {
+			transfer = new SnapshotTransfer(snapshot, nowMs);
+			this.snapshotTransfer = transfer;
 		}
-		this.snapshotSentAtMs = nowMs;
-		return true;
+		return transfer;
+	}
+
+	/**
+	 * Records a follower's answer to a part and returns whether to send to it at once.
+	 */
+	boolean acknowledgePart(ConsensusMessage.SnapshotPartResponse response, long nowMs) {
+		acknowledge(response.sentAtMs());
+		SnapshotTransfer transfer = this.snapshotTransfer;
+		return transfer != null && transfer.acknowledge(response, nowMs);
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -40,6 +40,8 @@
 
 	private final List<ConsensusMessage> messages = new ArrayList<>();
 
+	private final SnapshotReceipt snapshotReceipt = new SnapshotReceipt();
+
 	private Role role = Role.FOLLOWER;
 
 	private HardState hardState;
@@ -144,13 +146,13 @@
 	}
 
 	@Override
-	public Snapshot compact(long index, byte[] state) {
-		return this.log.compact(index, state);
+	public Snapshot compact(long index, long sizeBytes) {
+		return this.log.compact(index, sizeBytes);
 	}
 
 	@Override
-	public Snapshot snapshotAt(long index, byte[] state) {
-		return this.log.snapshotAt(index, state);
+	public Snapshot snapshotAt(long index) {
+		return this.log.snapshotAt(index, 0);
 	}
 
 	@Override
@@ -162,11 +164,6 @@
 				: Progress.NEVER_MS;
 	}
 
-	@Override
-	public List<LogEntry> entriesAfter(long index) {
-		return this.log.writtenAfter(index);
-	}
-
 	@Override
 	public boolean holdsLease(long nowMs) {
 		return this.role == Role.LEADER && this.replication.isNoopCommitted(commitIndex()) && nowMs < leaseEndMs(nowMs);
@@ -252,8 +249,8 @@
 		if (message instanceof ConsensusMessage.AppendRequest request) {
 			onAppendRequest(request, nowMs);
 		}
-		else if (message instanceof ConsensusMessage.SnapshotRequest request) {
-			onSnapshotRequest(request, nowMs);
+		else if (message instanceof ConsensusMessage.SnapshotPart part) {
+			onSnapshotPart(part, nowMs);
 		}
 		else if (message.term() < term()) {
 			return;
@@ -261,6 +258,9 @@
 		else if (message instanceof ConsensusMessage.AppendResponse response) {
 			onAppendResponse(response, nowMs);
 		}
+		else if (message instanceof ConsensusMessage.SnapshotPartResponse response) {
+			onSnapshotPartResponse(response, nowMs);
+		}
 		else if (message instanceof ConsensusMessage.VoteResponse response) {
 			onVoteResponse(response, nowMs);
 		}
@@ -426,13 +426,27 @@
 		respond(request.from(), true, matchIndex, 0, request.sentAtMs());
 	}
 
-	private void onSnapshotRequest(ConsensusMessage.SnapshotRequest request, long nowMs) {
-		if (!followLeader(request, nowMs)) {
-			respond(request.from(), false, 0, 0, request.sentAtMs());
+	private void onSnapshotPart(ConsensusMessage.SnapshotPart part, long nowMs) {
+		if (!followLeader(part, nowMs)) {
+			respond(part.from(), false, 0, 0, part.sentAtMs());
 			return;
 		}
-		this.log.receive(request.snapshot());
-		respond(request.from(), true, request.snapshot().index(), 0, request.sentAtMs());
+		Snapshot snapshot = part.snapshot();
+		boolean whole = snapshot.index() <= commitIndex() || this.snapshotReceipt.add(part);
+		if (whole) {
+			this.log.receive(snapshot);
+			respond(part.from(), true, snapshot.index(), 0, part.sentAtMs());
+		}
+		else {
+			this.messages.add(new ConsensusMessage.SnapshotPartResponse(this.settings.id(), part.from(), term(),
+					snapshot.index(), this.snapshotReceipt.receivedBytes(), part.sentAtMs()));
+		}
+	}
+
+	private void onSnapshotPartResponse(ConsensusMessage.SnapshotPartResponse response, long nowMs) {
+		if (this.role == Role.LEADER && this.replication.onResponse(response, nowMs)) {
+			this.replication.sendTo(response.from(), commitIndex(), false, nowMs, this.messages);
+		}
 	}
 
 	private void onAppendResponse(ConsensusMessage.AppendResponse response, long nowMs) {
@@ -478,7 +492,7 @@
 			this.replication.sendAll(membership(), commitIndex(), false, nowMs, this.messages);
 		}
 		Effects effects = this.log.takeEffects(this.hardStateChanged ? this.hardState : null,
-				List.copyOf(this.messages));
+				List.copyOf(this.messages), this.snapshotReceipt.takeParts());
 		this.hardStateChanged = false;
 		this.messages.clear();
 		return effects;
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -54,18 +54,18 @@
 	/**
 	 * Replaces the log up to an applied index by a snapshot.
 	 * @param index an index that has been applied
-	 * @param state the encoded state as of the index
-	 * @return the snapshot, which the owner must store
+	 * @param sizeBytes the size of the encoded state as of the index, in bytes
+	 * @return the snapshot, which the owner has stored
 	 */
-	Snapshot compact(long index, byte[] state);
+	Snapshot compact(long index, long sizeBytes);
 
 	/**
-	 * Returns a snapshot as of an applied index without compacting the log.
+	 * Returns a snapshot of unknown size as of an applied index without compacting the
+	 * log.
 	 * @param index an index that has been applied and is not compacted
-	 * @param state the encoded state as of the index
 	 * @return the snapshot
 	 */
-	Snapshot snapshotAt(long index, byte[] state);
+	Snapshot snapshotAt(long index);
 
 	/**
 	 * Returns when the replica last knew that it held every accepted change: on a leader
@@ -76,13 +76,6 @@
 	 */
 	long currentAsOfMs(long nowMs);
 
-	/**
-	 * Returns the entries after an index that earlier effects handed over for writing.
-	 * @param index an index that is not compacted
-	 * @return the entries to store after a snapshot of the index
-	 */
-	List<LogEntry> entriesAfter(long index);
-
 	/**
 	 * Returns whether the replica leads with a valid lease and has committed an entry of
 	 * its term, so that its state includes every accepted change.
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaLog.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaLog.java
@@ -167,34 +167,30 @@
 		return advanced;
 	}
 
-	Snapshot compact(long index, byte[] state) {
+	Snapshot compact(long index, long sizeBytes) {
 		if (index > this.appliedIndex || index <= this.log.snapshot().index()) {
 			throw new IllegalArgumentException("cannot compact up to index " + index + ": applied index is "
 					+ this.appliedIndex + ", compacted index is " + this.log.snapshot().index());
 		}
-		Snapshot snapshot = snapshotAt(index, state);
+		Snapshot snapshot = snapshotAt(index, sizeBytes);
 		this.log.compact(snapshot);
 		return snapshot;
 	}
 
-	Snapshot snapshotAt(long index, byte[] state) {
-		return new Snapshot(index, this.log.termAt(index), this.log.membershipAt(index), state);
-	}
-
-	/** Returns the entries after an index that were handed over for writing. */
-	List<LogEntry> writtenAfter(long index) {
-		return this.log.slice(index + 1, (int) (this.writtenIndex - index));
+	Snapshot snapshotAt(long index, long sizeBytes) {
+		return new Snapshot(index, this.log.termAt(index), this.log.membershipAt(index), sizeBytes);
 	}
 
 	/**
 	 * Returns the pending writes and committed entries, and advances the written and
 	 * applied indexes past them.
 	 */
-	Effects takeEffects(@Nullable HardState changedHardState, List<ConsensusMessage> messages) {
+	Effects takeEffects(@Nullable HardState changedHardState, List<ConsensusMessage> messages,
+			List<ConsensusMessage.SnapshotPart> parts) {
 		List<LogEntry> unwritten = this.log.slice(Math.max(this.writtenIndex + 1, this.log.firstIndex()),
 				Integer.MAX_VALUE);
 		Effects effects = new Effects(changedHardState, this.snapshotReceived ? this.log.snapshot() : null,
-				this.truncateFrom, unwritten, messages, takeCommitted());
+				this.truncateFrom, unwritten, messages, takeCommitted(), parts);
 		this.snapshotReceived = false;
 		this.truncateFrom = 0;
 		this.writtenIndex = this.log.lastIndex();
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -20,9 +20,6 @@
 	 */
 	private static final long MAX_UNACKNOWLEDGED_BYTES = 1024 * 1024;
 
-	/** A snapshot is not sent again while a link of this speed still carries it. */
-	private static final long SLOW_LINK_BYTES_PER_MS = 10_000;
-
 	private final ReplicaSettings settings;
 
 	private final MemoryLog log;
@@ -89,6 +86,14 @@
 		return progress.rejected(response.matchIndex(), response.rejectedIndex());
 	}
 
+	/**
+	 * Records a follower's answer to a part and returns whether to send to it at once.
+	 */
+	boolean onResponse(ConsensusMessage.SnapshotPartResponse response, long nowMs) {
+		Progress progress = this.followers.get(response.from());
+		return progress != null && progress.acknowledgePart(response, nowMs);
+	}
+
 	/** Returns the sending time of the newest message that a quorum has acknowledged. */
 	long quorumContactMs(Membership membership, long nowMs) {
 		return membership.voters()
@@ -120,7 +125,7 @@
 			return;
 		}
 		if (progress.nextIndex() < this.log.firstIndex()) {
-			sendSnapshot(id, progress, nowMs, messages);
+			sendSnapshot(id, progress, heartbeat, nowMs, messages);
 		}
 		else if (!progress.isProbing()) {
 			List<LogEntry> entries = nextEntries(progress);
@@ -144,14 +149,27 @@
 				: List.of();
 	}
 
-	private void sendSnapshot(String id, Progress progress, long nowMs, List<ConsensusMessage> messages) {
-		long transferMs = this.log.snapshot().state().length / SLOW_LINK_BYTES_PER_MS;
-		if (progress.startSnapshot(nowMs, 2 * this.settings.electionTimeoutMs() + transferMs)) {
-			messages.add(new ConsensusMessage.SnapshotRequest(this.settings.id(), id, this.term, this.log.snapshot(),
-					nowMs));
+	private void sendSnapshot(String id, Progress progress, boolean heartbeat, long nowMs,
+			List<ConsensusMessage> messages) {
+		Snapshot snapshot = this.log.snapshot();
+		SnapshotTransfer transfer = progress.transferOf(snapshot, nowMs);
+		transfer.restartIfStalled(nowMs, 2 * this.settings.electionTimeoutMs());
+		int length = transfer.nextLength();
+		if (length == 0 && heartbeat) {
+			messages.add(part(id, transfer.sentBytes(), 0, nowMs));
+		}
+		while (length > 0) {
+			messages.add(part(id, transfer.sentBytes(), length, nowMs));
+			transfer.sent(length);
+			length = transfer.nextLength();
 		}
 	}
 
+	private ConsensusMessage part(String id, long offset, int length, long nowMs) {
+		return new ConsensusMessage.SnapshotPart(this.settings.id(), id, this.term, this.log.snapshot(), offset, length,
+				new byte[0], nowMs);
+	}
+
 	private void sendAppend(String id, Progress progress, List<LogEntry> entries, long commitIndex, long nowMs,
 			List<ConsensusMessage> messages) {
 		long previousIndex = progress.nextIndex() - 1;
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ReplicationTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ReplicationTests.java
@@ -121,18 +121,16 @@
 	// Guards against copies of a large snapshot that fill the 96 MB of direct memory.
 	@Test
 	void aLargeSnapshotIsNotSentAgainBeforeASlowLinkHasCarriedIt() {
-		this.log.compact(new Snapshot(1, TERM, MEMBERS, new byte[16 * 1024 * 1024]));
+		this.log.compact(new Snapshot(1, TERM, MEMBERS, 16 * 1024 * 1024));
 		answer("b", false, 0, 0);
 		long bytes = 0;
 		for (int round = 0; round < ROUNDS; round++) {
 			this.nowMs += ROUND_MS;
 			List<ConsensusMessage> messages = new ArrayList<>();
 			this.replication.sendTo("b", 0, true, this.nowMs, messages);
-			bytes += messages.stream()
-				.mapToLong((message) -> ((ConsensusMessage.SnapshotRequest) message).snapshot().state().length)
-				.sum();
+			bytes += messages.stream().mapToLong((message) -> ((ConsensusMessage.SnapshotPart) message).length()).sum();
 		}
-		assertThat(bytes, lessThan(96L * 1024 * 1024));
+		assertThat(bytes, lessThan(2 * MAX_SENT_BYTES));
 	}
 
 }
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -369,7 +369,8 @@
 	}
 
 	private void send(ConsensusMessage original) {
-		ConsensusMessage message = (this.injectedDefect == Defect.SECOND_VOTE) ? withVoteGranted(original) : original;
+		ConsensusMessage message = (this.injectedDefect == Defect.SECOND_VOTE) ? withVoteGranted(original)
+				: withBytes(original);
 		String route = MemberChange.nameOf(message.from()) + ">" + MemberChange.nameOf(message.to());
 		if (this.cuts.contains(route) || (this.lossy && this.random.nextInt(50) == 0)) {
 			return;
@@ -382,6 +383,11 @@
 		}
 	}
 
+	private static ConsensusMessage withBytes(ConsensusMessage message) {
+		return (message instanceof ConsensusMessage.SnapshotPart part) ? part.withBytes(new byte[part.length()])
+				: message;
+	}
+
 	private static ConsensusMessage withVoteGranted(ConsensusMessage message) {
 		return (message instanceof ConsensusMessage.VoteResponse response && !response.preVote())
 				? new ConsensusMessage.VoteResponse(response.from(), response.to(), response.term(), false, true)
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedNode.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedNode.java
@@ -9,6 +9,9 @@
  */
 final class SimulatedNode {
 
+	/** Several parts, and more than a leader sends before it is answered. */
+	private static final long SNAPSHOT_BYTES = 6L * Snapshot.PART_BYTES + 1;
+
 	private final String name;
 
 	private final SplittableRandom random;
@@ -23,6 +26,8 @@
 
 	private final List<LogEntry> diskEntries = new ArrayList<>();
 
+	private long receivedBytes;
+
 	private Replica replica;
 
 	private long applied;
@@ -144,10 +149,20 @@
 	}
 
 	void persist(Effects effects) {
+		for (ConsensusMessage.SnapshotPart part : effects.snapshotParts()) {
+			this.receivedBytes = (part.offset() == 0) ? 0 : this.receivedBytes;
+			if (part.offset() != this.receivedBytes) {
+				throw new AssertionError("the part at " + part.offset() + " follows byte " + this.receivedBytes);
+			}
+			this.receivedBytes += part.bytes().length;
+		}
 		if (effects.hardState() != null) {
 			this.diskHardState = effects.hardState();
 		}
 		if (effects.snapshot() != null) {
+			if (this.receivedBytes != effects.snapshot().sizeBytes()) {
+				throw new AssertionError("the snapshot has " + this.receivedBytes + " bytes");
+			}
 			this.diskSnapshot = effects.snapshot();
 			this.diskEntries.clear();
 		}
@@ -159,9 +174,8 @@
 
 	void compact() {
 		if (this.applied > this.diskSnapshot.index()) {
-			this.diskSnapshot = this.replica.compact(this.applied, new byte[] { 1 });
-			this.diskEntries.clear();
-			this.diskEntries.addAll(this.replica.entriesAfter(this.applied));
+			this.diskSnapshot = this.replica.compact(this.applied, SNAPSHOT_BYTES);
+			this.diskEntries.removeIf((entry) -> entry.index() <= this.applied);
 		}
 	}
 
--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -14,18 +14,20 @@
 import java.util.Comparator;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
 import org.jspecify.annotations.Nullable;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
 
+import org.zinniatack.core.consensus.ConsensusMessage;
 import org.zinniatack.core.consensus.Effects;
 import org.zinniatack.core.consensus.HardState;
 import org.zinniatack.core.consensus.LogEntry;
+import org.zinniatack.core.consensus.Membership;
 import org.zinniatack.core.consensus.PersistentState;
 import org.zinniatack.core.consensus.Snapshot;
 import org.zinniatack.core.result.ResultCode;
@@ -34,14 +36,14 @@
 /**
  * Stores a replica's state in a folder with the files {@code identity}, {@code founders},
  * {@code lock}, {@code snapshot-INDEX} and {@code journal-NUMBER}. Snapshots and new
- * journals are written to a temporary file, synced and atomically renamed.
+ * journals are written to a temporary file, synced and atomically renamed. A new journal
+ * begins with each snapshot, so that none is written anew behind it; while a snapshot is
+ * written there are several.
  */
 final class FolderStore implements ReplicaStore {
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
-
 	private static final String FORMAT_VERSION = "1";
 
 	private static final String FOUNDERS_FILE = "founders";
@@ -50,6 +52,8 @@
 
 	private static final String SNAPSHOT_PREFIX = "snapshot-";
 
+	private static final String RECEIVED_PREFIX = "received-";
+
 	private static final String TEMPORARY_SUFFIX = ".tmp";
 
 	private static final int INCARNATION_BYTES = 6;
@@ -68,7 +72,18 @@
 
 	private long journalNumber;
 
-	private long journalLengthBytes;
+	/** The lengths of the journals by their numbers, in bytes. */
+	private final NavigableMap<Long, Long> journalBytes = new TreeMap<>();
+
+	/** The index and term of the last entry, or of the snapshot if there is none. */
+	private long lastIndex;
+
+	private long lastTerm;
+
+	/** The number of the journal that began with the newest snapshot. */
+	private long rolledNumber;
+
+	private @Nullable ReceivedSnapshot received;
 
 	private boolean tornByFailedWrite;
 
@@ -199,50 +214,74 @@
 
 	private PersistentState recover() throws IOException, ServiceException {
 		JournalReplay replay = new JournalReplay(this.hardState, readSnapshot());
-		try (RecordReader records = RecordReader.open(journalPath())) {
+		this.journalBytes.clear();
+		for (long number : journalNumbers()) {
+			replay(number, replay);
+		}
+		PersistentState state = replay.state();
+		this.hardState = state.hardState();
+		this.nextJournalBase = replay.continuesSnapshot() ? null : state.snapshot();
+		moveEndTo(state.snapshot().index(), state.snapshot().term());
+		moveEndTo(state.entries());
+		return state;
+	}
+
+	/** Only the last journal may have a torn tail, since the others were synced whole. */
+	private void replay(long number, JournalReplay replay) throws IOException, ServiceException {
+		Path file = journalPath(number);
+		try (RecordReader records = RecordReader.open(file)) {
 			for (Optional<InputStream> payload = records.next(); payload.isPresent(); payload = records.next()) {
 				replay.add(Batch.decode(payload.get()));
 			}
-			this.journalLengthBytes = records.intactLengthBytes();
+			this.journalBytes.put(number, records.intactLengthBytes());
+			if (records.hasMore() && number != this.journalNumber) {
+				throw ServiceException.of(ResultCode.LOG_CORRUPT,
+						"the record at byte " + records.intactLengthBytes() + " of " + file + " is corrupt");
+			}
 			if (records.hasMore()) {
 				cutTornTail();
 			}
 		}
-		PersistentState state = replay.state();
-		this.hardState = state.hardState();
-		this.nextJournalBase = replay.continuesSnapshot() ? null : headerOf(state.snapshot());
-		return state;
 	}
 
-	private static Snapshot headerOf(Snapshot snapshot) {
-		return new Snapshot(snapshot.index(), snapshot.term(), snapshot.membership(), new byte[0]);
+	private List<Long> journalNumbers() throws IOException {
+		try (Stream<Path> files = Files.list(this.folder)) {
+			return files.filter((path) -> isNumbered(path, JOURNAL_PREFIX))
+				.map((path) -> numberOf(path, JOURNAL_PREFIX))
+				.filter((number) -> number > 0)
+				.sorted()
+				.toList();
+		}
+	}
+
+	private void moveEndTo(List<LogEntry> entries) {
+		if (!entries.isEmpty()) {
+			LogEntry last = entries.get(entries.size() - 1);
+			moveEndTo(last.index(), last.term());
+		}
+	}
+
+	private void moveEndTo(long index, long term) {
+		this.lastIndex = index;
+		this.lastTerm = term;
 	}
 
 	private void cutTornTail() throws IOException {
-		LOGGER.atWarning().log("event=torn_tail_cut file=%s length=%d", journalPath(), this.journalLengthBytes);
+		long lengthBytes = journalLengthBytes();
+		LOGGER.atWarning().log("event=torn_tail_cut file=%s length=%d", journalPath(), lengthBytes);
 		try (Journal tornJournal = this.journalFactory.open(journalPath())) {
-			tornJournal.truncate(this.journalLengthBytes);
+			tornJournal.truncate(lengthBytes);
 		}
 	}
 
+	private long journalLengthBytes() {
+		return this.journalBytes.getOrDefault(this.journalNumber, 0L);
+	}
+
 	private Snapshot readSnapshot() throws IOException, ServiceException {
 		Optional<Path> file = newestFile(SNAPSHOT_PREFIX);
-		if (file.isEmpty()) {
-			return Snapshot.empty();
-		}
-		try (RecordReader records = RecordReader.open(file.get())) {
-			Optional<InputStream> payload = records.next();
-			if (payload.isEmpty()) {
-				throw ServiceException.of(ResultCode.LOG_CORRUPT,
-						"snapshot file " + file.get() + " holds no intact record");
-			}
-			Snapshot snapshot = MAPPER.readValue(payload.get(), Snapshot.class);
-			if (records.next().isPresent()) {
-				throw ServiceException.of(ResultCode.LOG_CORRUPT,
-						"snapshot file " + file.get() + " holds more than one record");
-			}
-			return snapshot;
-		}
+		return file.isEmpty() ? Snapshot.empty() : SnapshotFile.readHeader(file.get(),
+				(temporary) -> rename(this.folder, temporary, file.get()), this.journalFactory);
 	}
 
 	@Override
@@ -293,7 +332,7 @@
 
 	@Override
 	public long journalBytes() {
-		return this.journalLengthBytes;
+		return this.journalBytes.values().stream().mapToLong(Long::longValue).sum();
 	}
 
 	@Override
@@ -314,6 +353,9 @@
 	@Override
 	public void persist(Effects effects) throws ServiceException {
 		this.recovered = null;
+		for (ConsensusMessage.SnapshotPart part : effects.snapshotParts()) {
+			store(part);
+		}
 		if (effects.hardState() != null) {
 			this.hardState = effects.hardState();
 		}
@@ -330,16 +372,15 @@
 			Snapshot base = this.nextJournalBase;
 			if (base != null) {
 				startJournal(base, List.of());
+				deleteJournalsBefore(this.journalNumber);
 			}
-			if (this.tornByFailedWrite) {
-				this.journal.truncate(this.journalLengthBytes);
-				this.tornByFailedWrite = false;
-			}
+			cutFailedWrite();
 			ByteBuffer record = Records.encode(batch.encode());
 			int length = record.remaining();
 			this.journal.append(record);
 			this.journal.sync();
-			this.journalLengthBytes += length;
+			this.journalBytes.merge(this.journalNumber, (long) length, Long::sum);
+			moveEndTo(batch.entries());
 		}
 		catch (IOException ex) {
 			this.tornByFailedWrite = true;
@@ -347,34 +388,138 @@
 		}
 	}
 
+	private void cutFailedWrite() throws IOException {
+		if (this.tornByFailedWrite) {
+			this.journal.truncate(journalLengthBytes());
+			this.tornByFailedWrite = false;
+		}
+	}
+
+	private void store(ConsensusMessage.SnapshotPart part) throws ServiceException {
+		try {
+			if (part.offset() == 0) {
+				discardReceived();
+				this.received = ReceivedSnapshot.create(
+						this.folder.resolve(RECEIVED_PREFIX + part.snapshot().index() + TEMPORARY_SUFFIX),
+						this.journalFactory);
+			}
+			if (this.received != null) {
+				this.received.add(part);
+			}
+		}
+		catch (IOException ex) {
+			throw diskFailure(ex);
+		}
+	}
+
+	private void discardReceived() throws IOException {
+		ReceivedSnapshot discarded = this.received;
+		this.received = null;
+		if (discarded != null) {
+			discarded.discard();
+		}
+	}
+
 	@Override
 	public String replicaId() {
 		return this.replicaId;
 	}
 
 	@Override
-	public void prepareSnapshot(Snapshot snapshot) throws ServiceException {
+	public long startJournal() throws ServiceException {
 		try {
-			writeAtomically(snapshotPath(snapshot), List.of((output) -> MAPPER.writeValue(output, snapshot)));
+			cutFailedWrite();
+			if (this.nextJournalBase == null) {
+				startJournal(new Snapshot(this.lastIndex, this.lastTerm, Membership.empty(), 0), List.of());
+			}
+			this.rolledNumber = this.journalNumber;
+			return this.lastIndex;
 		}
 		catch (IOException ex) {
 			throw diskFailure(ex);
 		}
 	}
 
+	@Override
+	public Snapshot prepareSnapshot(Snapshot header, SnapshotEncoder encoder) throws ServiceException {
+		Path file = snapshotPath(header);
+		Path temporaryFile = temporaryFile(file);
+		try {
+			Files.deleteIfExists(temporaryFile);
+			Snapshot written;
+			try (Journal output = this.journalFactory.open(temporaryFile)) {
+				written = SnapshotFile.write(output, header, encoder);
+			}
+			rename(this.folder, temporaryFile, file);
+			return written;
+		}
+		catch (IOException ex) {
+			throw diskFailure(ex);
+		}
+		finally {
+			deleteQuietly(temporaryFile);
+		}
+	}
+
+	private static void deleteQuietly(Path file) {
+		try {
+			Files.deleteIfExists(file);
+		}
+		catch (IOException ex) {
+			LOGGER.atWarning().log("event=delete_failed file=%s cause=\"%s\"", file, ex.getMessage());
+		}
+	}
+
 	private Path snapshotPath(Snapshot snapshot) {
-		return this.folder.resolve(SNAPSHOT_PREFIX + snapshot.index());
+		return snapshotPath(snapshot.index());
+	}
+
+	private Path snapshotPath(long index) {
+		return this.folder.resolve(SNAPSHOT_PREFIX + index);
+	}
+
+	@Override
+	public InputStream openSnapshot(Snapshot snapshot) throws ServiceException {
+		try {
+			return SnapshotFile.open(snapshotPath(snapshot), snapshot.sizeBytes());
+		}
+		catch (IOException ex) {
+			throw diskFailure(ex);
+		}
+	}
+
+	@Override
+	public byte[] readSnapshotPart(Snapshot snapshot, long offset, int length) throws ServiceException {
+		try {
+			return SnapshotFile.readPart(snapshotPath(snapshot), offset, length);
+		}
+		catch (IOException ex) {
+			throw diskFailure(ex);
+		}
+	}
+
+	@Override
+	public void commitSnapshot(Snapshot snapshot) throws ServiceException {
+		try {
+			deleteJournalsBefore(this.rolledNumber);
+			deleteOlder(SNAPSHOT_PREFIX, snapshot.index());
+		}
+		catch (IOException ex) {
+			throw diskFailure(ex);
+		}
 	}
 
 	@Override
 	public void saveSnapshot(Snapshot snapshot, List<LogEntry> laterEntries) throws ServiceException {
 		this.recovered = null;
-		if (snapshot.index() > 0 && !Files.exists(snapshotPath(snapshot))) {
-			prepareSnapshot(snapshot);
-		}
 		try {
+			if (snapshot.index() > 0 && !Files.exists(snapshotPath(snapshot))) {
+				finishReceived(snapshot);
+			}
 			startJournal(snapshot, laterEntries);
-			deleteOlder(JOURNAL_PREFIX, this.journalNumber);
+			moveEndTo(snapshot.index(), snapshot.term());
+			moveEndTo(laterEntries);
+			deleteJournalsBefore(this.journalNumber);
 			deleteOlder(SNAPSHOT_PREFIX, snapshot.index());
 		}
 		catch (IOException ex) {
@@ -382,6 +527,22 @@
 		}
 	}
 
+	private void finishReceived(Snapshot snapshot) throws IOException, ServiceException {
+		ReceivedSnapshot complete = this.received;
+		this.received = null;
+		if (complete == null) {
+			throw ServiceException.of(ResultCode.INTERNAL,
+					"no part of the snapshot at index " + snapshot.index() + " was received");
+		}
+		complete.finish(snapshot);
+		rename(this.folder, complete.file(), snapshotPath(snapshot));
+	}
+
+	private void deleteJournalsBefore(long number) throws IOException {
+		deleteOlder(JOURNAL_PREFIX, number);
+		this.journalBytes.headMap(number).clear();
+	}
+
 	/** Starts a journal after a snapshot, with one record for each of its entries. */
 	private void startJournal(Snapshot snapshot, List<LogEntry> laterEntries) throws IOException {
 		List<RecordWriter.Payload> batches = new ArrayList<>();
@@ -392,7 +553,7 @@
 		this.journal.close();
 		this.journalNumber++;
 		this.journal = this.journalFactory.open(next);
-		this.journalLengthBytes = lengthBytes;
+		this.journalBytes.put(this.journalNumber, lengthBytes);
 		this.tornByFailedWrite = false;
 		this.nextJournalBase = null;
 		this.initialized = true;
@@ -409,7 +570,11 @@
 	}
 
 	private Path journalPath() {
-		return this.folder.resolve(JOURNAL_PREFIX + this.journalNumber);
+		return journalPath(this.journalNumber);
+	}
+
+	private Path journalPath(long number) {
+		return this.folder.resolve(JOURNAL_PREFIX + number);
 	}
 
 	private Optional<Path> newestFile(String prefix) throws IOException {
--- a/zinniatack-store/src/main/java/org/zinniatack/store/JournalReplay.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/JournalReplay.java
@@ -22,9 +22,7 @@
 
 	private HardState hardState;
 
-	private long baseIndex;
-
-	private long baseTerm;
+	private boolean beginsAtSnapshot;
 
 	/** The term of the journal's entry at the snapshot's index. */
 	private long termAtSnapshot = NO_TERM;
@@ -32,12 +30,12 @@
 	JournalReplay(HardState hardState, Snapshot snapshot) {
 		this.hardState = hardState;
 		this.snapshot = snapshot;
+		this.beginsAtSnapshot = snapshot.index() == 0;
 	}
 
 	void add(Batch batch) {
 		if (batch.baseIndex() >= 0) {
-			this.baseIndex = batch.baseIndex();
-			this.baseTerm = batch.baseTerm();
+			begin(batch);
 		}
 		if (batch.hardState() != null) {
 			this.hardState = batch.hardState();
@@ -48,6 +46,14 @@
 		batch.entries().forEach(this::add);
 	}
 
+	/** Begins a journal, which continues the one before up to its base. */
+	private void begin(Batch first) {
+		truncate(first.baseIndex() + 1);
+		if (first.baseIndex() == this.snapshot.index() && first.baseTerm() == this.snapshot.term()) {
+			this.beginsAtSnapshot = true;
+		}
+	}
+
 	private void truncate(long index) {
 		if (index <= this.snapshot.index()) {
 			this.termAtSnapshot = NO_TERM;
@@ -73,10 +79,9 @@
 				continuesSnapshot() ? List.copyOf(this.entries) : List.of());
 	}
 
-	/** Returns whether the journal begins at the snapshot or holds its last entry. */
+	/** Returns whether a journal begins at the snapshot or holds its last entry. */
 	boolean continuesSnapshot() {
-		return this.termAtSnapshot == this.snapshot.term()
-				|| (this.baseIndex == this.snapshot.index() && this.baseTerm == this.snapshot.term());
+		return this.termAtSnapshot == this.snapshot.term() || this.beginsAtSnapshot;
 	}
 
 }
--- a/zinniatack-store/src/main/java/org/zinniatack/store/RecordReader.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/RecordReader.java
@@ -33,14 +33,20 @@
 
 	private long offset;
 
-	private RecordReader(Path file, FileChannel channel) throws IOException {
+	private RecordReader(Path file, FileChannel channel, long offset) throws IOException {
 		this.file = file;
 		this.channel = channel;
 		this.lengthBytes = channel.size();
+		this.offset = offset;
 	}
 
 	static RecordReader open(Path file) throws IOException {
-		return new RecordReader(file, FileChannel.open(file, StandardOpenOption.READ));
+		return open(file, 0);
+	}
+
+	/** Opens a file whose records before an offset are not read. */
+	static RecordReader open(Path file, long offset) throws IOException {
+		return new RecordReader(file, FileChannel.open(file, StandardOpenOption.READ), offset);
 	}
 
 	/**
@@ -58,7 +64,7 @@
 		return Optional.of(new PayloadStream(payloadOffset, this.offset));
 	}
 
-	/** Returns the length of the records read so far, in bytes. */
+	/** Returns the offset behind the records read so far, in bytes. */
 	long intactLengthBytes() {
 		return this.offset;
 	}
--- a/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/ReplicaStore.java
@@ -1,5 +1,8 @@
 package org.zinniatack.store;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
@@ -53,7 +56,7 @@
 	boolean isInitialized();
 
 	/**
-	 * Returns the size of the journal, which holds the changes since the snapshot.
+	 * Returns the size of the journals, which hold the changes since the snapshot.
 	 * @return the size, in bytes
 	 */
 	long journalBytes();
@@ -80,17 +83,54 @@
 	 */
 	String replicaId();
 
+	/**
+	 * Starts a new journal, so that the earlier ones can be deleted once a snapshot
+	 * covers them.
+	 * @return the index of the last entry in the earlier journals
+	 * @throws ServiceException with DISK_FULL if the write fails
+	 */
+	long startJournal() throws ServiceException;
+
 	/**
 	 * Writes a snapshot but keeps the journal entries that it covers. May be called from
 	 * any thread, so that writing a large snapshot does not delay other writes.
-	 * @param snapshot the snapshot
+	 * @param header the snapshot, whose size is not known yet
+	 * @param encoder writes the encoded state
+	 * @return the snapshot with its size
 	 * @throws ServiceException with DISK_FULL if the write fails
 	 */
-	void prepareSnapshot(Snapshot snapshot) throws ServiceException;
+	Snapshot prepareSnapshot(Snapshot header, SnapshotEncoder encoder) throws ServiceException;
+
+	/**
+	 * Deletes what a prepared snapshot replaces: older snapshots, and the journals before
+	 * the one that was started last.
+	 * @param snapshot the snapshot, which covers all entries of these journals
+	 * @throws ServiceException with DISK_FULL if a file cannot be deleted
+	 */
+	void commitSnapshot(Snapshot snapshot) throws ServiceException;
+
+	/**
+	 * Opens the encoded state of the stored snapshot. The stream remains readable when
+	 * another snapshot replaces this one.
+	 * @param snapshot the snapshot
+	 * @return the encoded state
+	 * @throws ServiceException with LOG_CORRUPT or DISK_FULL
+	 */
+	InputStream openSnapshot(Snapshot snapshot) throws ServiceException;
 
 	/**
-	 * Replaces the stored snapshot and entries by the given ones. The snapshot is written
-	 * here unless it was prepared.
+	 * Reads a part of the encoded state of the stored snapshot.
+	 * @param snapshot the snapshot
+	 * @param offset the position of the part, a multiple of {@link Snapshot#PART_BYTES}
+	 * @param length the size of the part, at most {@link Snapshot#PART_BYTES}
+	 * @return the part
+	 * @throws ServiceException with LOG_CORRUPT or DISK_FULL
+	 */
+	byte[] readSnapshotPart(Snapshot snapshot, long offset, int length) throws ServiceException;
+
+	/**
+	 * Replaces the stored snapshot and entries by the given ones. The snapshot was
+	 * prepared or received before.
 	 * @param snapshot the snapshot
 	 * @param laterEntries the entries after the snapshot
 	 * @throws ServiceException with DISK_FULL if the write fails
@@ -104,4 +144,17 @@
 	 */
 	void initialize(PersistentState state) throws ServiceException;
 
+	/** Writes the encoded state of a snapshot. */
+	@FunctionalInterface
+	interface SnapshotEncoder {
+
+		/**
+		 * Writes the encoded state.
+		 * @param output the stream to write to, which ignores a flush and a close
+		 * @throws IOException if the stream cannot be written
+		 */
+		void encodeTo(OutputStream output) throws IOException;
+
+	}
+
 }
--- a/zinniatack-store/src/test/java/org/zinniatack/store/RecoveryHeapTests.java
+++ b/zinniatack-store/src/test/java/org/zinniatack/store/RecoveryHeapTests.java
@@ -67,7 +67,8 @@
 	@Test
 	void entriesThatTheSnapshotCoversTakeNoHeap() throws Exception {
 		try (ReplicaStore store = storeOfLargeEntries()) {
-			store.prepareSnapshot(new Snapshot(ENTRIES, 1, Membership.empty(), new byte[MIB]));
+			store.prepareSnapshot(new Snapshot(ENTRIES, 1, Membership.empty(), 0),
+					(output) -> output.write(new byte[MIB]));
 		}
 		assertThat(entriesRestoredWithin(CONSTANT_MIB), is("0"));
 	}
--- a/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
+++ b/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
@@ -1,6 +1,7 @@
 package org.zinniatack.store;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,11 +10,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
+import org.zinniatack.core.consensus.ConsensusMessage;
 import org.zinniatack.core.consensus.Effects;
 import org.zinniatack.core.consensus.HardState;
 import org.zinniatack.core.consensus.LogEntry;
@@ -49,12 +54,30 @@
 		return store;
 	}
 
+	private static final ReplicaStore.SnapshotEncoder EMPTY = (output) -> {
+	};
+
 	private PersistentState reload() throws ServiceException {
 		try (ReplicaStore store = ReplicaStore.open(this.folder, "a")) {
 			return store.load();
 		}
 	}
 
+	private byte[] encoded(Snapshot snapshot) throws ServiceException, IOException {
+		try (ReplicaStore store = ReplicaStore.open(this.folder, "a");
+				InputStream stream = store.openSnapshot(snapshot)) {
+			return stream.readAllBytes();
+		}
+	}
+
+	private static ConsensusMessage.SnapshotPart part(Snapshot snapshot, long offset, byte[] bytes) {
+		return new ConsensusMessage.SnapshotPart("b", "a", 2, snapshot, offset, bytes.length, bytes, 0);
+	}
+
+	private static Effects partEffects(ConsensusMessage.SnapshotPart... parts) {
+		return new Effects(null, null, 0, List.of(), List.of(), List.of(), List.of(parts));
+	}
+
 	private static List<Long> indexes(PersistentState state) {
 		return state.entries().stream().map(LogEntry::index).toList();
 	}
@@ -217,20 +240,94 @@
 	}
 
 	@Test
-	void aSnapshotReplacesTheEntriesThatItCovers() throws ServiceException {
+	void aSnapshotReplacesTheEntriesThatItCovers() throws Exception {
 		Membership members = Membership.ofVoters(List.of("a"));
-		Snapshot snapshot = new Snapshot(3, 1, members, new byte[] { 7 });
+		byte[] encoded = new byte[3 * Snapshot.PART_BYTES + 7];
+		new Random(1).nextBytes(encoded);
 		try (ReplicaStore store = initializedStore()) {
 			store.persist(appendEffects(1, 2, 3, 4));
+			Snapshot snapshot = store.prepareSnapshot(new Snapshot(3, 1, members, 0),
+					(output) -> output.write(encoded));
 			store.saveSnapshot(snapshot, List.of(LogEntry.command(4, 1, new byte[] { 4 })));
 			store.persist(appendEffects(1, 5));
 		}
 		PersistentState state = reload();
 		assertThat(state.snapshot().index(), is(3L));
-		assertThat(state.snapshot().state(), is(new byte[] { 7 }));
+		assertThat(encoded(state.snapshot()), is(encoded));
 		assertThat(indexes(state), is(List.of(4L, 5L)));
 	}
 
+	@Test
+	void aReceivedSnapshotHoldsTheBytesThatItsSenderReadFromItsOwn(@TempDir Path other)
+			throws ServiceException, IOException {
+		byte[] encoded = new byte[2 * Snapshot.PART_BYTES + 11];
+		new Random(2).nextBytes(encoded);
+		Snapshot sent;
+		try (ReplicaStore sender = ReplicaStore.open(other, "b"); ReplicaStore store = initializedStore()) {
+			sent = sender.prepareSnapshot(new Snapshot(9, 2, Membership.ofVoters(List.of("b")), 0),
+					(output) -> output.write(encoded));
+			// A transfer that was broken off and begins anew.
+			store.persist(partEffects(part(sent, 0, sender.readSnapshotPart(sent, 0, Snapshot.PART_BYTES))));
+			for (long offset = 0; offset < encoded.length; offset += Snapshot.PART_BYTES) {
+				int length = (int) Math.min(Snapshot.PART_BYTES, encoded.length - offset);
+				store.persist(partEffects(part(sent, offset, sender.readSnapshotPart(sent, offset, length))));
+			}
+			store.persist(new Effects(new HardState(2, ""), sent, 0, List.of(), List.of(), List.of()));
+			store.persist(appendEffects(2, 10));
+		}
+		PersistentState state = reload();
+		assertThat(state.snapshot(), is(sent));
+		assertThat(encoded(sent), is(encoded));
+		assertThat(indexes(state), is(List.of(10L)));
+	}
+
+	// Guards against a folder that an earlier version wrote and this one cannot read.
+	@Test
+	void aSnapshotOfAnEarlierVersionIsReadAndReplaced() throws Exception {
+		initializedStore().close();
+		byte[] encoded = { 1, 2, 3 };
+		byte[] record = new ObjectMapper(new MessagePackFactory()).writeValueAsBytes(
+				Map.of("index", 1, "term", 0, "membership", Membership.ofVoters(List.of("a")), "state", encoded));
+		Files.write(this.folder.resolve("snapshot-1"), Records.encode(record).array());
+		for (int start = 0; start < 2; start++) {
+			Snapshot snapshot = reload().snapshot();
+			assertThat(snapshot, is(new Snapshot(1, 0, Membership.ofVoters(List.of("a")), encoded.length)));
+			assertThat(encoded(snapshot), is(encoded));
+		}
+	}
+
+	@Test
+	void theJournalsBeforeTheOneOfASnapshotAreDeletedWithIt() throws Exception {
+		Snapshot header = new Snapshot(3, 1, Membership.ofVoters(List.of("a")), 0);
+		try (ReplicaStore store = initializedStore()) {
+			store.persist(appendEffects(1, 2, 3));
+			assertThat(store.startJournal(), is(3L));
+			store.persist(appendEffects(1, 4));
+			Snapshot prepared = store.prepareSnapshot(header, EMPTY);
+			store.persist(appendEffects(1, 5));
+			long before = store.journalBytes();
+			store.commitSnapshot(prepared);
+			assertThat(store.journalBytes() < before, is(true));
+			store.persist(appendEffects(1, 6));
+		}
+		assertThat(indexes(reload()), is(List.of(4L, 5L, 6L)));
+	}
+
+	@Test
+	void aCrashAfterANewJournalBeganLosesNothing() throws Exception {
+		try (ReplicaStore store = initializedStore()) {
+			store.persist(appendEffects(1, 2, 3));
+			store.startJournal();
+			store.persist(appendEffects(1, 4));
+			store.persist(new Effects(new HardState(2, ""), null, 3, List.of(LogEntry.command(3, 2, new byte[] { 9 })),
+					List.of(), List.of()));
+		}
+		PersistentState state = reload();
+		assertThat(indexes(state), is(List.of(1L, 2L, 3L)));
+		assertThat(state.entries().get(2).term(), is(2L));
+		assertThat(state.hardState(), equalTo(new HardState(2, "")));
+	}
+
 	@Test
 	void aCrashBetweenSnapshotAndJournalLosesNothing() throws Exception {
 		Membership members = Membership.ofVoters(List.of("a"));
@@ -240,7 +337,7 @@
 			store.persist(appendEffects(1, 2, 3, 4));
 			oldName = journalFile();
 			oldJournal = Files.readAllBytes(oldName);
-			store.saveSnapshot(new Snapshot(3, 1, members, new byte[0]),
+			store.saveSnapshot(store.prepareSnapshot(new Snapshot(3, 1, members, 0), EMPTY),
 					List.of(LogEntry.command(4, 1, new byte[] { 4 })));
 		}
 		Files.delete(journalFile());
@@ -256,8 +353,9 @@
 			store.persist(appendEffects(1, 2, 3, 4));
 			oldName = journalFile();
 			oldJournal = Files.readAllBytes(oldName);
-			Snapshot received = new Snapshot(3, 2, Membership.ofVoters(List.of("a")), new byte[0]);
-			store.persist(new Effects(new HardState(2, ""), received, 0, List.of(), List.of(), List.of()));
+			Snapshot received = new Snapshot(3, 2, Membership.ofVoters(List.of("a")), 1);
+			store.persist(new Effects(new HardState(2, ""), received, 0, List.of(), List.of(), List.of(),
+					List.of(part(received, 0, new byte[1]))));
 		}
 		Files.delete(journalFile());
 		Files.write(oldName, oldJournal);
@@ -310,14 +408,14 @@
 	@Test
 	void aDiskThatFillsDuringASnapshotKeepsWhatIsThereAndNothingOfTheSnapshot() throws Exception {
 		FullDisk disk = new FullDisk();
-		Snapshot snapshot = new Snapshot(2, 1, Membership.ofVoters(List.of("a")), new byte[1 << 20]);
+		Snapshot header = new Snapshot(2, 1, Membership.ofVoters(List.of("a")), 0);
 		try (FolderStore store = FolderStore.open(this.folder, "a", disk::open)) {
 			store.initialize(PersistentState.bootstrap(Membership.ofVoters(List.of(store.replicaId()))));
 			store.persist(appendEffects(1, 2, 3));
 			List<Path> before = files();
 			disk.full = true;
 			try {
-				store.prepareSnapshot(snapshot);
+				store.prepareSnapshot(header, (output) -> output.write(new byte[1 << 20]));
 				throw new AssertionError("the snapshot was written");
 			}
 			catch (ServiceException ex) {
@@ -326,7 +424,7 @@
 			assertThat(files(), is(before));
 			disk.full = false;
 			assertThat(indexes(store.load()), is(List.of(1L, 2L, 3L)));
-			store.saveSnapshot(snapshot, List.of(LogEntry.command(3, 1, new byte[] { 3 })));
+			store.saveSnapshot(store.prepareSnapshot(header, EMPTY), List.of(LogEntry.command(3, 1, new byte[] { 3 })));
 		}
 		assertThat(indexes(reload()), is(List.of(3L)));
 	}
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
@@ -1,6 +1,8 @@
 package org.zinniatack.wire;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -40,6 +42,16 @@
 		return MAPPER.writeValueAsBytes(image);
 	}
 
+	/**
+	 * Writes the encoded replicated state to a stream and closes it.
+	 * @param image the serializable form of the state
+	 * @param output the stream
+	 * @throws IOException if the state cannot be encoded or the stream not be written
+	 */
+	public static void encode(ControlState.Image image, OutputStream output) throws IOException {
+		MAPPER.writeValue(output, image);
+	}
+
 	/**
 	 * Returns the size of a message on the wire, with its frame and length prefix.
 	 * @param message the message
@@ -60,6 +72,16 @@
 		return MAPPER.readValue(bytes, Command.class);
 	}
 
+	/**
+	 * Decodes the replicated state from a stream and closes it.
+	 * @param input the stream of MessagePack bytes
+	 * @return the serializable form of the state
+	 * @throws IOException if the bytes are not an encoded state
+	 */
+	public static ControlState.Image decodeImage(InputStream input) throws IOException {
+		return MAPPER.readValue(input, ControlState.Image.class);
+	}
+
 	/**
 	 * Decodes the replicated state.
 	 * @param bytes the MessagePack bytes
