--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -438,17 +438,24 @@
 	}
 
 	/** Starts a snapshot, of which only the header is created on this thread. */
-	private void startSnapshotIfDue() throws ServiceException {
+	private void startSnapshotIfDue() {
 		long entries = this.applied.appliedIndex() - this.snapshotIndex;
 		boolean mayStart = this.writable && !this.snapshotRunning && nowMs() >= this.snapshotRetryAtMs;
 		if (entries <= 0 || !mayStart
 				|| !this.snapshotPolicy.isDue(this.snapshotBytes, this.store.journalBytes(), entries)) {
 			return;
 		}
-		long journaledIndex = this.store.startJournal();
 		this.snapshotRunning = true;
-		int startedBy = this.restartCount;
-		this.applied.takeImage(journaledIndex, (image) -> submit(() -> writeSnapshot(image, startedBy)));
+		try {
+			long journaledIndex = this.store.startJournal();
+			int startedBy = this.restartCount;
+			this.applied.takeImage(journaledIndex, (image) -> submit(() -> writeSnapshot(image, startedBy)));
+		}
+		catch (ServiceException ex) {
+			LOGGER.atWarning()
+				.log("event=snapshot_failed index=%d detail=\"%s\"", this.applied.appliedIndex(), ex.getMessage());
+			delaySnapshot();
+		}
 	}
 
 	private void writeSnapshot(AppliedState.IndexedImage image, int startedBy) {
--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -310,6 +310,28 @@
 		assertThat(attempts.get(), is(2));
 	}
 
+	// Guards against changes that are refused since there is no room for a snapshot.
+	@Test
+	void aDiskWithoutRoomForANewJournalDelaysTheSnapshotAndRefusesNothing() throws Exception {
+		ReplicaStore disk = openStore(this.folder);
+		AtomicInteger attempts = new AtomicInteger();
+		ReplicaStore fullAtFirst = (ReplicaStore) Proxy.newProxyInstance(ReplicaStore.class.getClassLoader(),
+				new Class<?>[] { ReplicaStore.class }, (proxy, method, arguments) -> {
+					if (method.getName().equals("startJournal") && attempts.incrementAndGet() == 1) {
+						throw ServiceException.of(ResultCode.DISK_FULL, "injected");
+					}
+					return method.invoke(disk, arguments);
+				});
+		start(fullAtFirst, (state) -> {
+		}, SMALL_FLOOR);
+		commit(table(1, new byte[(int) FLOOR_BYTES]));
+		for (int number = 2; number <= 10; number++) {
+			this.driver.propose(table(number, new byte[(int) FLOOR_BYTES])).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		}
+		assertThat(attempts.get(), is(1));
+		awaitBoundedLog(0);
+	}
+
 	// Guards against changes that are lost while a slow snapshot is written.
 	@Test
 	void changesDuringASlowSnapshotAreKeptAndTheLogIsBoundedAfterwards() throws Exception {
--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -550,9 +550,10 @@
 		laterEntries.forEach((entry) -> batches.add(new Batch(null, -1, 0, 0, List.of(entry))::encodeTo));
 		Path next = this.folder.resolve(JOURNAL_PREFIX + (this.journalNumber + 1));
 		long lengthBytes = writeAtomically(next, batches);
+		Journal opened = this.journalFactory.open(next);
 		this.journal.close();
+		this.journal = opened;
 		this.journalNumber++;
-		this.journal = this.journalFactory.open(next);
 		this.journalBytes.put(this.journalNumber, lengthBytes);
 		this.tornByFailedWrite = false;
 		this.nextJournalBase = null;
