Encode a large table once for all entries, beside the threads that carry heartbeats

Cause: each entry asks a control process for the table, which was encoded anew for each of them on the event loops of the network, two threads that carry heartbeats and their answers too.

Change: DirectoryFeeds encodes a table once, on a thread of its own, and sends the bytes to whoever asks.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -86,6 +87,9 @@
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "control-timer"));
 
+	private final ExecutorService tableEncoder = Executors
+		.newSingleThreadExecutor((task) -> new Thread(task, "table-encoder"));
+
 	private final ProcessEnd processEnd = ProcessEnd.halt();
 
 	private final JobReads jobReads = new JobReads(this, this.timer);
@@ -159,7 +163,7 @@
 		this.network = new PeerNetwork(new PeerIdentity("control", members.ownName()), ClusterSecret.of(clusterSecret),
 				this, NETWORK_THREADS);
 		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses, members.ownName(), operatorsName,
-				() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+				() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), this.tableEncoder);
 		this.memberLinks = new MemberLinks(this.network, members, this.directoryFeeds::subscribeTo);
 	}
 
@@ -229,6 +233,7 @@
 	public void stop() {
 		this.stopping = true;
 		this.timer.shutdownNow();
+		this.tableEncoder.shutdown();
 		PresenceExchange runningExchange = this.exchange;
 		if (runningExchange != null) {
 			runningExchange.stop();
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -19,6 +21,7 @@
 import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.table.RoutingTable;
+import org.zinniatack.wire.EncodedNotification;
 import org.zinniatack.wire.Message;
 import org.zinniatack.wire.Peer;
 
@@ -46,6 +49,8 @@
 
 	private final LongSupplier clockMs;
 
+	private final Executor encoder;
+
 	private final TargetDirectory directory = new TargetDirectory(SILENCE_LIMIT_MS, EVICTION_MS);
 
 	private final Set<Peer> subscribers = new HashSet<>();
@@ -60,6 +65,10 @@
 
 	private Message.Suspects suspects = Message.Suspects.NONE;
 
+	private @Nullable CompletableFuture<EncodedNotification> encodedTable;
+
+	private long encodedNumber;
+
 	private long lastSentMs;
 
 	/** The names that operators use for control processes, by address. */
@@ -71,10 +80,13 @@
 	 * @param ownAddress the address of this process
 	 * @param ownName the operators' name of this process
 	 * @param clockMs the monotonic clock, in milliseconds
+	 * @param encoder encodes tables, which takes too long for a thread of the network
 	 */
-	DirectoryFeeds(Supplier<List<String>> controlAddresses, String ownAddress, String ownName, LongSupplier clockMs) {
+	DirectoryFeeds(Supplier<List<String>> controlAddresses, String ownAddress, String ownName, LongSupplier clockMs,
+			Executor encoder) {
 		this.controlAddresses = controlAddresses;
 		this.clockMs = clockMs;
+		this.encoder = encoder;
 		this.lastSentMs = clockMs.getAsLong();
 		this.namesByAddress.put(ownAddress, ownName);
 	}
@@ -180,8 +192,18 @@
 	synchronized void onTableRequest(Peer peer, Message.TableRequest request) {
 		RoutingTable newest = this.table;
 		if (newest != null && newest.number() > request.heldNumber()) {
-			send(peer, newest, List.of(), List.of());
+			encoded(newest).thenAccept(peer::send);
+		}
+	}
+
+	/** Returns a feed with the table, which is encoded once for all subscribers. */
+	private CompletableFuture<EncodedNotification> encoded(RoutingTable newest) {
+		if (this.encodedTable == null || this.encodedNumber != newest.number()) {
+			Message.SystemFeed feed = feed(newest, List.of(), List.of(), null);
+			this.encodedNumber = newest.number();
+			this.encodedTable = CompletableFuture.supplyAsync(() -> EncodedNotification.of(feed), this.encoder);
 		}
+		return this.encodedTable;
 	}
 
 	synchronized void onClosed(Peer peer) {
@@ -256,7 +278,7 @@
 		List<HeardTarget> heard = this.directory.heardSince(this.lastSentMs);
 		this.lastSentMs = nowMs;
 		this.directory.evictSilent(nowMs);
-		this.subscribers.forEach((peer) -> send(peer, null, List.of(), heard));
+		this.subscribers.forEach((peer) -> send(peer, List.of(), heard));
 	}
 
 	private void sendChanges(List<TargetNotice> changed) {
@@ -266,12 +288,11 @@
 	}
 
 	private void sendToSubscribers(List<TargetNotice> changed) {
-		this.subscribers.forEach((peer) -> send(peer, null, changed, List.of()));
+		this.subscribers.forEach((peer) -> send(peer, changed, List.of()));
 	}
 
-	private void send(Peer peer, @Nullable RoutingTable requestedTable, List<TargetNotice> changed,
-			List<HeardTarget> heard) {
-		peer.send(feed(requestedTable, changed, heard, null));
+	private void send(Peer peer, List<TargetNotice> changed, List<HeardTarget> heard) {
+		peer.send(feed(null, changed, heard, null));
 	}
 
 	private Message.SystemFeed feed(@Nullable RoutingTable requestedTable, List<TargetNotice> changed,
--- a/zinniatack-control/src/test/java/org/zinniatack/control/DirectoryFeedsTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/DirectoryFeedsTests.java
@@ -9,6 +9,9 @@
 import org.junit.jupiter.api.Test;
 
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.table.CallerLimits;
+import org.zinniatack.core.table.RoutingTable;
+import org.zinniatack.wire.EncodedNotification;
 import org.zinniatack.wire.ExchangeListener;
 import org.zinniatack.wire.Message;
 import org.zinniatack.wire.Peer;
@@ -19,6 +22,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
+import static org.hamcrest.Matchers.sameInstance;
 
 /**
  * Tests of what control processes tell each other about targets, on a clock that stands
@@ -36,6 +40,8 @@
 
 	private final List<DirectoryFeeds> processes = new ArrayList<>();
 
+	private final List<Runnable> encoding = new ArrayList<>();
+
 	@BeforeEach
 	void startTwoProcesses() {
 		addProcess();
@@ -54,7 +60,7 @@
 	private DirectoryFeeds addProcess(List<DirectoryFeeds> linked) {
 		int position = this.processes.size();
 		DirectoryFeeds added = new DirectoryFeeds(List::of, "10.1.0." + position + ":1", "p" + position,
-				() -> this.clockMs);
+				() -> this.clockMs, this.encoding::add);
 		for (DirectoryFeeds other : linked) {
 			other.onSubscribe(new Subscriber(added), NOTHING_KNOWN);
 			added.onSubscribe(new Subscriber(other), NOTHING_KNOWN);
@@ -144,8 +150,37 @@
 		assertThat(this.processes.get(0).notice("t"), is(nullValue()));
 	}
 
+	/**
+	 * Guards against a leader whose heartbeats wait while a large table is encoded for
+	 * each subscriber.
+	 */
+	@Test
+	void aTableIsEncodedOnceForAllSubscribersAndNotByTheThreadThatReceivesTheirRequests() {
+		DirectoryFeeds process = this.processes.get(0);
+		process.updateTable(new RoutingTable(7, List.of(), Map.of(), List.of(), new CallerLimits(1, 1, 1, 1)));
+		List<Subscriber> receivers = List.of(new Subscriber(process), new Subscriber(process), new Subscriber(process));
+		receivers.forEach((receiver) -> process.onTableRequest(receiver, new Message.TableRequest(0)));
+		assertThat(this.encoding, hasSize(1));
+		assertThat(receivers.get(0).tables(), empty());
+		this.encoding.forEach(Runnable::run);
+		for (Subscriber receiver : receivers) {
+			assertThat(receiver.tables(), hasSize(1));
+			assertThat(receiver.tables().get(0), sameInstance(receivers.get(0).tables().get(0)));
+			assertThat(((Message.SystemFeed) receiver.tables().get(0).message()).table().number(), is(7L));
+		}
+	}
+
 	/** Delivers feeds to another process at once. */
-	private record Subscriber(DirectoryFeeds process) implements Peer {
+	private record Subscriber(DirectoryFeeds process, List<EncodedNotification> tables) implements Peer {
+
+		Subscriber(DirectoryFeeds process) {
+			this(process, new ArrayList<>());
+		}
+
+		@Override
+		public void send(EncodedNotification notification) {
+			this.tables.add(notification);
+		}
 
 		@Override
 		public void send(Message notification) {
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -25,7 +26,7 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-	private static final long NOTIFICATION_ID = 0;
+	static final long NOTIFICATION_ID = 0;
 
 	private final Channel channel;
 
@@ -105,6 +106,11 @@
 		this.channel.writeAndFlush(new Frame(NOTIFICATION_ID, true, notification));
 	}
 
+	@Override
+	public void send(EncodedNotification notification) {
+		this.channel.writeAndFlush(Unpooled.wrappedBuffer(notification.frame()));
+	}
+
 	@Override
 	public void whenClosed(Runnable action) {
 		this.channel.closeFuture().addListener((closed) -> action.run());
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Peer.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Peer.java
@@ -48,6 +48,14 @@
 	 */
 	void send(Message notification);
 
+	/**
+	 * Sends a notification that is encoded already.
+	 * @param notification the notification
+	 */
+	default void send(EncodedNotification notification) {
+		send(notification.message());
+	}
+
 	/**
 	 * Registers an action to run once the connection is closed.
 	 * @param action the action, run at once if the connection is closed already
