--- a/zinniatack-control/src/main/java/org/zinniatack/control/ProportionalSnapshots.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ProportionalSnapshots.java
@@ -8,13 +8,17 @@
  *
  * @param floorBytes the size that a journal may always have, in bytes
  * @param floorEntries the number of entries that a journal may always have
+ * @param spreadBytes what the journal of this process may have beyond the others', in
+ * bytes, so that not all replicas write a snapshot at the same time
  */
-record ProportionalSnapshots(long floorBytes, long floorEntries) implements SnapshotPolicy {
+record ProportionalSnapshots(long floorBytes, long floorEntries, long spreadBytes) implements SnapshotPolicy {
 
 	static final long FLOOR_BYTES = 8 * 1024 * 1024;
 
 	static final long FLOOR_ENTRIES = 4096;
 
+	static final long MAXIMUM_SPREAD_BYTES = 4 * 1024 * 1024;
+
 	private static final long CEILING_BYTES = 24 * 1024 * 1024;
 
 	/** Small entries cost more in memory and at a restart than their bytes. */
@@ -22,7 +26,7 @@
 
 	@Override
 	public boolean isDue(long snapshotBytes, long journalBytes, long entries) {
-		return journalBytes >= Math.max(this.floorBytes, Math.min(CEILING_BYTES, snapshotBytes))
+		return journalBytes - this.spreadBytes >= Math.max(this.floorBytes, Math.min(CEILING_BYTES, snapshotBytes))
 				|| entries >= Math.max(this.floorEntries, snapshotBytes / TYPICAL_ENTRY_BYTES);
 	}
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -125,7 +125,7 @@
 		this.messageSender = messageSender;
 		this.snapshotPolicy = snapshotPolicy;
 		this.processEnd = processEnd;
-		this.snapshots = new SnapshotWriter(store, processEnd);
+		this.snapshots = new SnapshotWriter(store, ticker, processEnd);
 		this.applied = new AppliedState(ticker, stateListener, processEnd);
 		PersistentState persistent = store.load();
 		if (persistent.snapshot().index() > 0) {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotPolicy.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotPolicy.java
@@ -1,5 +1,7 @@
 package org.zinniatack.control;
 
+import java.util.concurrent.ThreadLocalRandom;
+
 /**
  * Decides when a snapshot of the state replaces the journal.
  */
@@ -11,7 +13,8 @@
 	 * @return a policy that keeps the journal in proportion to the snapshot
 	 */
 	static SnapshotPolicy proportional() {
-		return new ProportionalSnapshots(ProportionalSnapshots.FLOOR_BYTES, ProportionalSnapshots.FLOOR_ENTRIES);
+		return new ProportionalSnapshots(ProportionalSnapshots.FLOOR_BYTES, ProportionalSnapshots.FLOOR_ENTRIES,
+				ThreadLocalRandom.current().nextLong(ProportionalSnapshots.MAXIMUM_SPREAD_BYTES));
 	}
 
 	/**
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.Ticker;
 
 import org.zinniatack.core.consensus.Snapshot;
 import org.zinniatack.core.result.ResultCode;
@@ -27,13 +28,18 @@
 
 	private final ReplicaStore store;
 
+	private final Ticker ticker;
+
 	private final ProcessEnd processEnd;
 
+	private volatile boolean stopping;
+
 	private final ExecutorService executor = Executors
 		.newSingleThreadExecutor((task) -> new Thread(task, "snapshot-writer"));
 
-	SnapshotWriter(ReplicaStore store, ProcessEnd processEnd) {
+	SnapshotWriter(ReplicaStore store, Ticker ticker, ProcessEnd processEnd) {
 		this.store = store;
+		this.ticker = ticker;
 		this.processEnd = processEnd;
 	}
 
@@ -44,7 +50,8 @@
 	void write(Snapshot header, ControlState.Image image, Consumer<Snapshot> onWritten, Runnable onFailed) {
 		this.executor.execute(() -> {
 			try {
-				onWritten.accept(this.store.prepareSnapshot(header, (output) -> StateCodec.encode(image, output)));
+				onWritten.accept(this.store.prepareSnapshot(header, (output) -> StateCodec.encode(image,
+						new PacedOutput(output, this.ticker, () -> this.stopping))));
 			}
 			catch (ServiceException ex) {
 				LOGGER.atWarning().log("event=snapshot_failed index=%d detail=\"%s\"", header.index(), ex.getMessage());
@@ -63,6 +70,7 @@
 	}
 
 	void stop() {
+		this.stopping = true;
 		this.executor.shutdown();
 		try {
 			this.executor.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -67,7 +67,7 @@
 
 	private static final long FLOOR_BYTES = 64 * 1024;
 
-	private static final SnapshotPolicy SMALL_FLOOR = new ProportionalSnapshots(FLOOR_BYTES, 4096);
+	private static final SnapshotPolicy SMALL_FLOOR = new ProportionalSnapshots(FLOOR_BYTES, 4096, 0);
 
 	/** Compacts nothing, like earlier versions for some thousand changes. */
 	private static final SnapshotPolicy NEVER = (snapshotBytes, journalBytes, entries) -> false;
@@ -189,7 +189,7 @@
 				new Class<?>[] { ReplicaStore.class }, (proxy, method, arguments) -> {
 					throw error;
 				});
-		SnapshotWriter writer = new SnapshotWriter(failing, this::end);
+		SnapshotWriter writer = new SnapshotWriter(failing, Ticker.systemTicker(), this::end);
 		writer.write(Snapshot.empty(), new ControlState().image(), (written) -> {
 		}, () -> {
 		});
