Look only at running items and at the first of those that wait in each round of jobs

Cause: every 50 ms, and after each item that ended, the leader looked over all runs of all jobs: to count long items, to find stalled and slow ones, to sort all that waited, to find the route of each, and to find items with the same prompt for each candidate. With 40,000 waiting items the event loop did nothing else.

Change: waiting items stand in one lane for each job and pool; a round offers the first items of the lanes whose targets have room. Within a lane the order of fresh items by their hints lasts while the estimates of length change, except that estimates are limited to the longest item seen; only items that cross this limit are moved. Running items are kept by themselves, counted by target and prompt. A takeover opens 1,000 items at a time, and dispatch begins with the first of them. After a new routing table all items are sorted in again, so that for some rounds only those that are sorted in compete.

Callers saw jobs that could not be read, and no progress, after a change of leader with many open jobs.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/ItemLengthEstimator.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/ItemLengthEstimator.java
@@ -51,6 +51,19 @@
 		return Math.min(stats.longest, hintTokens * stats.meanEvents / stats.meanHint);
 	}
 
+	/**
+	 * Returns whether the expected length of an item grows with its hint. Among the items
+	 * of a model for which it does not, all with a hint have the same expected length.
+	 * @param model the model
+	 * @param hintTokens the caller's hint in tokens, 0 for none
+	 * @return true if it grows; never true for a longer hint if not for a shorter one
+	 */
+	public boolean dependsOnHint(String model, long hintTokens) {
+		ModelStats stats = this.statsByModel.get(model);
+		return stats != null && hintTokens > 0 && stats.meanHint != 0
+				&& hintTokens * stats.meanEvents / stats.meanHint < stats.longest;
+	}
+
 	/** Length statistics of one model. */
 	private static final class ModelStats {
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
@@ -53,6 +53,9 @@
 	/** The position of the first item of its group. */
 	final int groupPosition;
 
+	/** The position among all items that the runner has opened. */
+	final long sequence;
+
 	final EventText text;
 
 	Phase phase = Phase.WAITING;
@@ -114,12 +117,18 @@
 	long generatedAtMs;
 
 	ItemRun(JobSubmission job, JobItem item, int position, EventText text, long openedAtMs) {
-		this.openedAtMs = openedAtMs;
+		this(job, item, position, groupPosition(job, item, position), new Start(text, openedAtMs, position));
+	}
+
+	/** Creates a run of an item whose group begins at a known position. */
+	ItemRun(JobSubmission job, JobItem item, int position, int groupPosition, Start start) {
+		this.openedAtMs = start.openedAtMs();
+		this.sequence = start.sequence();
+		this.text = start.text();
 		this.job = job;
 		this.item = item;
 		this.position = position;
-		this.groupPosition = groupPosition(job, item, position);
-		this.text = text;
+		this.groupPosition = groupPosition;
 	}
 
 	/** Records that the item is sent to a target. */
@@ -248,6 +257,16 @@
 
 	}
 
+	/**
+	 * What the run of an item starts with.
+	 *
+	 * @param text the empty output
+	 * @param openedAtMs the monotonic time, in milliseconds
+	 * @param sequence the position among all items that the runner has opened
+	 */
+	record Start(EventText text, long openedAtMs, long sequence) {
+	}
+
 	/** The phase of an item. */
 	enum Phase {
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -1,13 +1,13 @@
 package org.zinniatack.gateway.job;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -29,12 +29,11 @@
 import org.zinniatack.control.ControlService;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.job.ItemLengthEstimator;
-import org.zinniatack.core.job.ItemOrder;
 import org.zinniatack.core.job.ItemPlacement;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobId;
-import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.job.JobSubmission;
 import org.zinniatack.core.job.MovePolicy;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.state.ControlState;
@@ -69,15 +68,15 @@
 	/** Enough events for the moving average of a target's speed to reflect a change. */
 	private static final int MINIMUM_EVENTS_TO_MOVE = 3;
 
-	/** The usual time per event, used only to order waiting items. */
-	private static final double TYPICAL_EVENT_MS = 50;
-
 	/** When the leader fails, an item loses about twice this and the election time. */
 	private static final long STORE_INTERVAL_MS = 500;
 
 	/** The delay of an item that cannot be encoded as a request, for example. */
 	private static final long ERROR_PAUSE_MS = 1_000;
 
+	/** The number of items that are opened before the event loop does other work. */
+	private static final int SLICE_ITEMS = 1_000;
+
 	private final EventLoop loop;
 
 	private final ControlService control;
@@ -104,10 +103,22 @@
 
 	private final Map<JobId, Map<String, ItemRun>> runsByJob = new LinkedHashMap<>();
 
+	private final Deque<OpeningJob> openingJobs = new ArrayDeque<>();
+
+	private final RunningItems running = new RunningItems();
+
 	private final AtomicBoolean refreshing = new AtomicBoolean();
 
 	private RouteIndex routeIndex = new RouteIndex(emptyTable());
 
+	private final WaitingItems waiting = new WaitingItems(this.lengthEstimator, this.routeIndex);
+
+	private boolean openingScheduled;
+
+	private boolean dispatchScheduled;
+
+	private long openedItemCount;
+
 	private long term;
 
 	/** The jobs whose stored state was read since this process became leader. */
@@ -218,16 +229,20 @@
 		}
 		if (view.table() != null && view.table().table().number() != this.routeIndex.table().number()) {
 			this.routeIndex = new RouteIndex(view.table().table());
+			this.waiting.updateRoutes(this.routeIndex);
 		}
 		Set<JobId> open = new HashSet<>();
 		for (OpenJob job : view.jobs()) {
 			open.add(job.submission().id());
-			addItems(job);
+			if (!this.runsByJob.containsKey(job.submission().id())) {
+				open(job);
+			}
 		}
 		this.runsByJob.entrySet().removeIf((entry) -> {
 			boolean ended = !open.contains(entry.getKey());
 			if (ended) {
 				cancelAll(entry.getValue());
+				this.waiting.removeJob(entry.getKey());
 				LOGGER.atInfo()
 					.log("event=job_over job=%s customer=%s items=%d", entry.getKey().name(), entry.getKey().customer(),
 							entry.getValue().size());
@@ -235,42 +250,53 @@
 			return ended;
 		});
 		this.knownJobs = Set.copyOf(this.runsByJob.keySet());
-		dispatch();
+		openNextItems();
+	}
+
+	private void open(OpenJob job) {
+		OpeningJob opening = new OpeningJob(job,
+				(item) -> new ItemRun.Start(new EventText(this.protocol::weightVersion), nowMs(),
+						this.openedItemCount++));
+		this.runsByJob.put(job.submission().id(), opening.runs());
+		this.openingJobs.add(opening);
 	}
 
-	private void addItems(OpenJob job) {
-		Map<String, ItemRun> runs = this.runsByJob.get(job.submission().id());
-		if (runs == null) {
-			runs = new LinkedHashMap<>();
-			this.runsByJob.put(job.submission().id(), runs);
-			int position = 0;
-			for (JobItem item : job.submission().items()) {
-				runs.put(item.id(), new ItemRun(job.submission(), item, position++,
-						new EventText(this.protocol::weightVersion), nowMs()));
+	/** Opens a slice of the items of new jobs, and the others after other work. */
+	private void openNextItems() {
+		int remaining = SLICE_ITEMS;
+		for (OpeningJob job = this.openingJobs.peek(); job != null && remaining > 0; job = this.openingJobs.peek()) {
+			boolean over = this.runsByJob.get(job.job().submission().id()) != job.runs();
+			remaining -= over ? 0 : job.openNext(remaining, this.waiting::add);
+			if (over || job.isComplete()) {
+				this.openingJobs.remove();
 			}
-			job.stored().forEach((id, stored) -> Objects.requireNonNull(runsOf(job).get(id)).restore(stored));
-			LOGGER.atInfo()
-				.log("event=job_opened job=%s customer=%s items=%d finished=%d resumed=%d model=%s oldest_version=%d",
-						job.submission().id().name(), job.submission().id().customer(), runs.size(),
-						job.finishedIds().size(), job.stored().size(), job.submission().model(),
-						job.submission().oldestVersion());
-		}
-		for (String id : job.finishedIds()) {
-			ItemRun run = runs.get(id);
-			if (run != null && run.phase != ItemRun.Phase.FINISHED) {
-				run.canceller.run();
-				run.phase = ItemRun.Phase.FINISHED;
+			if (!over && job.isComplete()) {
+				logOpened(job);
 			}
 		}
+		dispatch();
+		if (!this.openingJobs.isEmpty() && !this.openingScheduled) {
+			this.openingScheduled = true;
+			this.loop.execute(() -> {
+				this.openingScheduled = false;
+				openNextItems();
+			});
+		}
 	}
 
-	private Map<String, ItemRun> runsOf(OpenJob job) {
-		return this.runsByJob.getOrDefault(job.submission().id(), Map.of());
+	private static void logOpened(OpeningJob opening) {
+		OpenJob job = opening.job();
+		LOGGER.atInfo()
+			.log("event=job_opened job=%s customer=%s items=%d finished=%d resumed=%d model=%s oldest_version=%d",
+					job.submission().id().name(), job.submission().id().customer(), opening.runs().size(),
+					job.finishedIds().size(), job.stored().size(), job.submission().model(),
+					job.submission().oldestVersion());
 	}
 
 	private void cancelAll(Map<String, ItemRun> runs) {
 		runs.values().forEach((run) -> {
 			run.phase = ItemRun.Phase.FINISHED;
+			this.running.remove(run, run.target);
 			run.canceller.run();
 		});
 	}
@@ -278,6 +304,9 @@
 	private void cancelAllJobs() {
 		this.runsByJob.values().forEach(this::cancelAll);
 		this.runsByJob.clear();
+		this.openingJobs.clear();
+		this.waiting.clear();
+		this.running.clear();
 		this.knownJobs = Set.of();
 		this.committer.clear();
 		this.term = 0;
@@ -297,7 +326,7 @@
 				return;
 			}
 			retryStalled();
-			countLongItems();
+			this.targets.setLongItemCounts(this.running.countLongerThan(LONG_ITEM_EVENTS));
 			moveSlow();
 			dispatch();
 		}
@@ -309,47 +338,28 @@
 	/** Retries items whose targets make no progress. */
 	private void retryStalled() {
 		long nowMs = nowMs();
-		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
-			for (ItemRun run : List.copyOf(runs.values())) {
-				TargetNotice target = run.target;
-				if (run.phase == ItemRun.Phase.GENERATING && target != null && run.isStalled(nowMs)
-						&& !this.versions.isLoading(target.id(), run.job.model())) {
-					run.canceller.run();
-					this.targets.stats(target.id()).recordUnreachable(nowMs);
-					handleLoss(run, "no event for " + (nowMs - run.lastProgressAtMs) + " ms, sent "
-							+ (nowMs - run.sentAtMs) + " ms ago");
-				}
-			}
-		}
-	}
-
-	private void countLongItems() {
-		Map<String, Integer> longItems = new HashMap<>();
-		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
-			for (ItemRun run : runs.values()) {
-				TargetNotice target = run.target;
-				if (target != null && run.text.eventCount() > LONG_ITEM_EVENTS) {
-					longItems.merge(target.id(), 1, Integer::sum);
-				}
+		for (ItemRun run : this.running.all()) {
+			TargetNotice target = run.target;
+			if (run.phase == ItemRun.Phase.GENERATING && target != null && run.isStalled(nowMs)
+					&& !this.versions.isLoading(target.id(), run.job.model())) {
+				run.canceller.run();
+				this.targets.stats(target.id()).recordUnreachable(nowMs);
+				handleLoss(run, "no event for " + (nowMs - run.lastProgressAtMs) + " ms, sent " + (nowMs - run.sentAtMs)
+						+ " ms ago");
 			}
 		}
-		this.targets.setLongItemCounts(longItems);
 	}
 
 	/**
 	 * Moves items from targets that have become slow to much faster ones with free slots.
 	 */
 	private void moveSlow() {
-		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
-			for (ItemRun run : List.copyOf(runs.values())) {
-				TargetNotice target = run.target;
-				if (run.phase != ItemRun.Phase.GENERATING || target == null) {
-					continue;
-				}
-				if (run.attemptEventCount >= MINIMUM_EVENTS_TO_MOVE
-						&& !this.versions.isLoading(target.id(), run.job.model())) {
-					moveToFasterTarget(run, target);
-				}
+		for (ItemRun run : this.running.all()) {
+			TargetNotice target = run.target;
+			if (run.phase == ItemRun.Phase.GENERATING && target != null
+					&& run.attemptEventCount >= MINIMUM_EVENTS_TO_MOVE
+					&& !this.versions.isLoading(target.id(), run.job.model())) {
+				moveToFasterTarget(run, target);
 			}
 		}
 	}
@@ -385,61 +395,38 @@
 	}
 
 	private void dispatch() {
-		long nowMs = nowMs();
-		List<ItemRun> waiting = new ArrayList<>();
-		for (Map<String, ItemRun> runs : this.runsByJob.values()) {
-			for (ItemRun run : runs.values()) {
-				if (run.phase == ItemRun.Phase.WAITING && run.notBeforeMs <= nowMs) {
-					waiting.add(run);
-				}
-			}
+		if (isLeader() && this.waiting.offer(nowMs(), new RunnerTaker(nowMs()))) {
+			scheduleDispatch();
 		}
-		if (waiting.isEmpty() || !isLeader()) {
-			return;
-		}
-		Map<ItemRun, ItemOrder.WaitingItem> waitingItems = new HashMap<>();
-		waiting.forEach((run) -> waitingItems.put(run, waitingItem(run)));
-		waiting.sort(Comparator.comparing(waitingItems::get, ItemOrder.byLatestStart()));
-		Set<String> unmetRequirements = new HashSet<>();
-		for (ItemRun run : waiting) {
-			if (run.phase != ItemRun.Phase.WAITING) {
-				continue;
-			}
-			try {
-				dispatch(run, unmetRequirements, nowMs);
-			}
-			catch (RuntimeException ex) {
-				LOGGER.atSevere()
-					.log("event=item_not_dispatched job=%s item=%s code=%d detail=\"%s\"", run.job.id().name(),
-							run.item.id(), ResultCode.INTERNAL.number(), ex.getClass().getSimpleName());
-				run.notBeforeMs = nowMs + ERROR_PAUSE_MS;
-			}
+	}
+
+	private void scheduleDispatch() {
+		if (!this.dispatchScheduled) {
+			this.dispatchScheduled = true;
+			this.loop.execute(() -> {
+				this.dispatchScheduled = false;
+				dispatch();
+			});
 		}
 	}
 
-	private void dispatch(ItemRun run, Set<String> unmetRequirements, long nowMs) {
-		Optional<Route> route = this.routeIndex.routeOf(run.job.host(), run.item.path());
-		if (route.isEmpty() || isExpired(run)) {
+	private boolean start(ItemRun run, Optional<Route> route, String pool, long nowMs) {
+		if (route.isEmpty() || isExpired(run.job)) {
 			finish(run, ItemOutcome.givenUp(run), route.isEmpty() ? "no route" : "too old");
-			return;
+			return true;
 		}
-		if (run.restoredComplete && isUsable(run, route.get())) {
-			handleGenerated(run, route.get());
-			return;
-		}
-		String pool = route.get().selectPool((run.item.id().hashCode() & 0xffff) / (double) 0x10000);
-		String requirement = pool + ' ' + run.job.oldestVersion() + ' ' + run.job.model();
-		if (!unmetRequirements.contains(requirement)) {
-			chooseTarget(run, pool, nowMs).ifPresentOrElse((target) -> generate(run, route.get(), target),
-					() -> unmetRequirements.add(requirement));
+		if (run.restoredComplete) {
+			if (isUsable(run, route.get())) {
+				handleGenerated(run, route.get());
+			}
+			else {
+				this.waiting.add(run);
+			}
+			return true;
 		}
-	}
-
-	private ItemOrder.WaitingItem waitingItem(ItemRun run) {
-		long dueAtMs = run.job.submittedAtMs() + run.job.deadlineMs();
-		double remainingEvents = Math.max(0, expectedEvents(run) - run.text.eventCount());
-		return new ItemOrder.WaitingItem(run.job.id().name(), dueAtMs, dueAtMs - remainingEvents * TYPICAL_EVENT_MS,
-				run.groupPosition, run.position);
+		Optional<TargetNotice> target = chooseTarget(run, pool, nowMs);
+		target.ifPresent((chosen) -> generate(run, route.get(), chosen));
+		return target.isPresent();
 	}
 
 	/**
@@ -454,21 +441,31 @@
 		return true;
 	}
 
-	private boolean isExpired(ItemRun run) {
-		return System.currentTimeMillis() > run.job.submittedAtMs() + run.job.itemLifetimeMs()
-				+ JobRetention.CLOCK_MARGIN_MS;
+	private static boolean isExpired(JobSubmission job) {
+		return System.currentTimeMillis() > job.submittedAtMs() + job.itemLifetimeMs() + JobRetention.CLOCK_MARGIN_MS;
 	}
 
 	private Optional<TargetNotice> chooseTarget(ItemRun run, String pool, long nowMs) {
-		List<TargetNotice> loaded = this.targets.ready(pool)
+		List<TargetNotice> loaded = loadedTargets(
+				new WaitingItems.Requirement(pool, run.job.model(), run.job.oldestVersion()));
+		Optional<TargetNotice> usable = placeAt(loaded, run, nowMs, hasSlot(nowMs));
+		return usable.isPresent() ? usable : placeAt(loaded, run, nowMs, isLastResort(nowMs));
+	}
+
+	private List<TargetNotice> loadedTargets(WaitingItems.Requirement requirement) {
+		return this.targets.ready(requirement.pool())
 			.stream()
-			.filter((target) -> !this.versions.isLoading(target.id(), run.job.model())
-					&& this.versions.version(target, run.job.model()).orElse(0) >= run.job.oldestVersion())
+			.filter((target) -> !this.versions.isLoading(target.id(), requirement.model())
+					&& this.versions.version(target, requirement.model()).orElse(0) >= requirement.oldestVersion())
 			.toList();
-		Optional<TargetNotice> usable = placeAt(loaded, run, nowMs,
-				(stats, target) -> stats.isUsable(nowMs) && stats.outstandingCount() < target.slotCount());
-		return usable.isPresent() ? usable
-				: placeAt(loaded, run, nowMs, (stats, target) -> stats.isLastResort(nowMs) && target.slotCount() > 0);
+	}
+
+	private static BiPredicate<TargetStats, TargetNotice> hasSlot(long nowMs) {
+		return (stats, target) -> stats.isUsable(nowMs) && stats.outstandingCount() < target.slotCount();
+	}
+
+	private static BiPredicate<TargetStats, TargetNotice> isLastResort(long nowMs) {
+		return (stats, target) -> stats.isLastResort(nowMs) && target.slotCount() > 0;
 	}
 
 	private Optional<TargetNotice> placeAt(List<TargetNotice> targets, ItemRun run, long nowMs,
@@ -480,26 +477,19 @@
 			if (condition.test(stats, target)) {
 				free.put(target.id(), target);
 				candidates.add(new ItemPlacement.Candidate(target.id(), this.targets.utilization(target, nowMs),
-						stats.eventMs(), runsSamePrompt(run, target)));
+						stats.eventMs(), this.running.runsSamePrompt(run, target)));
 			}
 		}
 		return this.placement.choose(candidates).map((chosen) -> free.get(chosen.id()));
 	}
 
-	private boolean runsSamePrompt(ItemRun run, TargetNotice target) {
-		return !run.item.promptKey().isEmpty() && this.runsByJob.getOrDefault(run.job.id(), Map.of())
-			.values()
-			.stream()
-			.anyMatch((other) -> other.target != null && other.target.id().equals(target.id())
-					&& other.item.promptKey().equals(run.item.promptKey()));
-	}
-
 	private void generate(ItemRun run, Route route, TargetNotice target) {
 		ItemAttempt attempt = new ItemAttempt(this.loop, this.protocol, this.versions, this.targets, this.handler, run,
 				route, target);
 		Runnable cancelSending = this.client.send(target.address(), request(run, target), attempt);
 		run.phase = ItemRun.Phase.GENERATING;
 		run.target = target;
+		this.running.add(run, target);
 		run.beginAttempt(nowMs());
 		this.targets.stats(target.id()).recordSent();
 		run.canceller = () -> {
@@ -548,12 +538,20 @@
 	}
 
 	private void requeue(ItemRun run, long pauseMs) {
+		stopRunning(run);
 		run.phase = ItemRun.Phase.WAITING;
-		run.target = null;
 		run.canceller = () -> {
 		};
 		run.notBeforeMs = nowMs() + pauseMs;
-		this.loop.execute(this::dispatchIfLeader);
+		if (this.runsByJob.getOrDefault(run.job.id(), Map.of()).get(run.item.id()) == run) {
+			this.waiting.add(run);
+		}
+		scheduleDispatch();
+	}
+
+	private void stopRunning(ItemRun run) {
+		this.running.remove(run, run.target);
+		run.target = null;
 	}
 
 	/** Regenerates an item whose result the log refused. */
@@ -564,19 +562,13 @@
 
 	private void storeProgress() {
 		if (isLeader()) {
-			this.runsByJob.forEach((id, runs) -> this.committer.storeProgress(id, runs.values()));
-		}
-	}
-
-	private void dispatchIfLeader() {
-		if (isLeader()) {
-			dispatch();
+			this.running.byJob().forEach(this.committer::storeProgress);
 		}
 	}
 
 	private void handleGenerated(ItemRun run, Route route) {
 		run.generatedAtMs = nowMs();
-		run.target = null;
+		stopRunning(run);
 		if (run.restoredComplete) {
 			run.startedAtMs = run.generatedAtMs;
 		}
@@ -589,13 +581,13 @@
 		}
 		run.phase = ItemRun.Phase.SCORING;
 		this.scorer.score(run);
-		this.loop.execute(this::dispatchIfLeader);
+		scheduleDispatch();
 	}
 
 	private void finish(ItemRun run, ItemOutcome outcome, String reason) {
 		ItemResult result = outcome.result();
 		run.phase = ItemRun.Phase.COMMITTING;
-		run.target = null;
+		stopRunning(run);
 		run.canceller = () -> {
 		};
 		LOGGER.atInfo()
@@ -617,6 +609,44 @@
 	private record StateView(List<OpenJob> jobs, Set<JobId> known, CurrentRoutingTable.@Nullable Image table) {
 	}
 
+	/** Starts waiting items in one round. */
+	private final class RunnerTaker implements WaitingItems.Taker {
+
+		private final long nowMs;
+
+		RunnerTaker(long nowMs) {
+			this.nowMs = nowMs;
+		}
+
+		@Override
+		public boolean isExpired(JobSubmission job) {
+			return JobRunner.isExpired(job);
+		}
+
+		@Override
+		public boolean hasRoom(WaitingItems.Requirement requirement) {
+			BiPredicate<TargetStats, TargetNotice> room = hasSlot(this.nowMs).or(isLastResort(this.nowMs));
+			return loadedTargets(requirement).stream()
+				.anyMatch((target) -> room.test(JobRunner.this.targets.stats(target.id()), target));
+		}
+
+		@Override
+		public boolean take(ItemRun run, Optional<Route> route, String pool) {
+			try {
+				return start(run, route, pool, this.nowMs);
+			}
+			catch (RuntimeException ex) {
+				LOGGER.atSevere()
+					.log("event=item_not_dispatched job=%s item=%s code=%d detail=\"%s\"", run.job.id().name(),
+							run.item.id(), ResultCode.INTERNAL.number(), ex.getClass().getSimpleName());
+				run.notBeforeMs = this.nowMs + ERROR_PAUSE_MS;
+				JobRunner.this.waiting.add(run);
+				return true;
+			}
+		}
+
+	}
+
 	/** Forwards the results of attempts to the runner. */
 	private final class RunnerAttemptHandler implements ItemAttempt.AttemptHandler {
 
