Find an item and a result of a job by its id, without a search

Cause: Job.item and Job.result went through all items or results of the job. A takeover looks for the result of each item that another job finished, so its time grew with the square of a large job, in the thread that applies changes.

Change: the ids are kept with their items and results instead of alone.

Callers saw a new leader that answered nothing about jobs while it read them; pages of results were not affected.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
@@ -1,13 +1,12 @@
 package org.zinniatack.core.job;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * An accepted job, the results of its items and the stored progress of the unfinished
@@ -17,9 +16,9 @@
 
 	private final JobSubmission submission;
 
-	private final Set<String> itemIds = new HashSet<>();
+	private final Map<String, JobItem> itemsById = new HashMap<>();
 
-	private final Set<String> finishedIds = new HashSet<>();
+	private final Map<String, ItemResult> resultsById = new HashMap<>();
 
 	private final List<ItemResult> results = new ArrayList<>();
 
@@ -29,7 +28,7 @@
 
 	Job(JobSubmission submission) {
 		this.submission = submission;
-		submission.items().forEach((item) -> this.itemIds.add(item.id()));
+		submission.items().forEach((item) -> this.itemsById.putIfAbsent(item.id(), item));
 	}
 
 	static Job of(Image image) {
@@ -46,10 +45,12 @@
 	 * @param storedEvents the number of stored events to prepend to the text
 	 */
 	void addResult(ItemResult result, int storedEvents) {
-		if (this.itemIds.contains(result.itemId()) && this.finishedIds.add(result.itemId())) {
+		if (contains(result.itemId()) && !isFinished(result.itemId())) {
 			PartialText stored = this.partialTexts.remove(result.itemId());
-			this.results.add((storedEvents == 0 || stored == null) ? result
-					: result.withPrecedingEvents(stored.events().subList(0, storedEvents)));
+			ItemResult whole = (storedEvents == 0 || stored == null) ? result
+					: result.withPrecedingEvents(stored.events().subList(0, storedEvents));
+			this.results.add(whole);
+			this.resultsById.put(whole.itemId(), whole);
 		}
 	}
 
@@ -59,7 +60,7 @@
 	 */
 	boolean hasStored(String itemId, int storedEvents) {
 		PartialText stored = this.partialTexts.get(itemId);
-		return storedEvents == 0 || !this.itemIds.contains(itemId) || this.finishedIds.contains(itemId)
+		return storedEvents == 0 || !this.itemsById.containsKey(itemId) || this.resultsById.containsKey(itemId)
 				|| (stored != null && stored.events().size() >= storedEvents);
 	}
 
@@ -74,7 +75,7 @@
 	}
 
 	private boolean isUnfinished(ItemProgress progress) {
-		return this.itemIds.contains(progress.itemId()) && !this.finishedIds.contains(progress.itemId());
+		return this.itemsById.containsKey(progress.itemId()) && !this.resultsById.containsKey(progress.itemId());
 	}
 
 	/** Stores progress that continues the stored events or starts over. */
@@ -107,7 +108,7 @@
 	 * @return true if items remain to be run
 	 */
 	public boolean isOpen() {
-		return !this.ended && this.finishedIds.size() < this.itemIds.size();
+		return !this.ended && this.resultsById.size() < this.itemsById.size();
 	}
 
 	/**
@@ -116,7 +117,7 @@
 	 * @return true if it does
 	 */
 	public boolean contains(String itemId) {
-		return this.itemIds.contains(itemId);
+		return this.itemsById.containsKey(itemId);
 	}
 
 	/**
@@ -125,7 +126,7 @@
 	 * @return true if it has one
 	 */
 	public boolean isFinished(String itemId) {
-		return this.finishedIds.contains(itemId);
+		return this.resultsById.containsKey(itemId);
 	}
 
 	/**
@@ -143,7 +144,7 @@
 	 * @return the result, or empty if it has none
 	 */
 	public Optional<ItemResult> result(String itemId) {
-		return this.results.stream().filter((result) -> result.itemId().equals(itemId)).findFirst();
+		return Optional.ofNullable(this.resultsById.get(itemId));
 	}
 
 	/**
@@ -152,7 +153,7 @@
 	 * @return the item, or empty if the job has none with this id
 	 */
 	public Optional<JobItem> item(String itemId) {
-		return this.submission.items().stream().filter((item) -> item.id().equals(itemId)).findFirst();
+		return Optional.ofNullable(this.itemsById.get(itemId));
 	}
 
 	/**
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
@@ -13,6 +14,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Tests of {@link JobLedger}.
@@ -61,6 +63,21 @@
 		assertThat(this.ledger.job(ID).orElseThrow().isOpen(), is(false));
 	}
 
+	// Guards against reads of single items that search the whole job, which a takeover
+	// repeats for each item.
+	@Test
+	void itemsAndResultsOfALargeJobAreFoundInLessThanHalfAnElectionTimeout() {
+		String[] ids = IntStream.range(0, 40_000).mapToObj((item) -> "item-" + item).toArray(String[]::new);
+		this.ledger.submit(submission(ids));
+		this.ledger.addResults(ID, Arrays.stream(ids).map((id) -> result(id, "x")).toList());
+		Job job = this.ledger.job(ID).orElseThrow();
+		long startedNs = System.nanoTime();
+		for (String id : ids) {
+			assertThat(job.item(id).orElseThrow().id() + job.result(id).orElseThrow().itemId(), is(id + id));
+		}
+		assertThat((System.nanoTime() - startedNs) / 1_000_000, lessThan(225L));
+	}
+
 	@Test
 	void aPageHoldsAtLeastOneResultAndNoMoreThanItsLimit() {
 		this.ledger.submit(submission("a", "b", "c"));
