Read the routing table without waiting for the thread that applies changes

Cause: a read of the configuration stood in the queue of the thread that applies changes, behind whatever it did: a read of all jobs by a new leader, an image, the application of large jobs.

Change: the table is published with the index as of which it is the newest. A read at the index of the leader waits until the entries up to it are handed over, and only for those of them that may replace the table; their type is read from the beginning of the encoded command. A divided command counts by its first part. Linearizable as before, since no entry between the last table and the index can change it.

A read during the takeover of 40,000 items by real processes was not measured.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -24,6 +24,7 @@
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.core.table.CurrentRoutingTable;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 import org.zinniatack.wire.StateCodec;
@@ -55,6 +56,8 @@
 
 	private final List<ImageWaiter> imageWaiters = new ArrayList<>();
 
+	private final AppliedTable table = new AppliedTable();
+
 	private final Thread thread = new Thread(this::run, "state");
 
 	private ControlState state = new ControlState();
@@ -172,6 +175,15 @@
 		return result;
 	}
 
+	/**
+	 * Reads the routing table as of an index or later, without waiting for other reads of
+	 * the state and for changes of anything else.
+	 * @param index the index up to which all changes must be included
+	 */
+	CompletableFuture<Optional<CurrentRoutingTable.Image>> readTable(long index) {
+		return this.table.at(index);
+	}
+
 	/**
 	 * Passes a consistent image of the state with its index to a consumer, once it
 	 * includes the entry at an index. Parts of a command that is not complete are not
@@ -219,6 +231,7 @@
 
 	/** Hands over a snapshot, which is ignored if the state has its changes already. */
 	void handOver(Snapshot snapshot, InputStream encoded) {
+		this.table.handOverSnapshot(snapshot.index());
 		this.tasks.add(() -> {
 			if (snapshot.index() > this.appliedIndex) {
 				restore(snapshot, encoded);
@@ -232,6 +245,7 @@
 
 	/** Hands over committed entries, of which those that are applied are ignored. */
 	void handOver(List<LogEntry> committed) {
+		this.table.handOver(committed);
 		this.tasks.add(() -> {
 			for (LogEntry entry : committed) {
 				if (entry.index() > this.appliedIndex) {
@@ -264,6 +278,7 @@
 		}
 		this.commandParts = new CommandParts();
 		this.appliedIndex = snapshot.index();
+		this.table.publish(snapshot.index(), this.state.routingTable());
 		this.retiringMembers = this.state.retiringMembers();
 		LOGGER.atInfo()
 			.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(), snapshot.sizeBytes(),
@@ -281,6 +296,7 @@
 			}
 		}
 		this.appliedIndex = entry.index();
+		this.table.publish(entry.index(), this.state.routingTable());
 		if (pending != null && !expected) {
 			pending.reply()
 				.completeExceptionally(
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -318,6 +318,16 @@
 		return readIndex().thenCompose(running::awaitApplied).thenCompose((applied) -> running.read(reader));
 	}
 
+	/**
+	 * Reads the routing table linearizably. Unlike {@link #readCurrent}, it waits for no
+	 * other read of the state and for no change of anything else.
+	 * @return the table with its document, empty if none was accepted yet; the future
+	 * fails with a {@link ServiceException} if no leader answers
+	 */
+	public CompletableFuture<Optional<CurrentRoutingTable.Image>> readTable() {
+		return readIndex().thenCompose(requireDriver()::readTable);
+	}
+
 	private CompletableFuture<Long> readIndex() {
 		ReplicaDriver running = requireDriver();
 		ReplicaStatus status = running.status();
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +33,7 @@
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.core.table.CurrentRoutingTable;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 import org.zinniatack.store.ReplicaStore;
@@ -234,6 +236,13 @@
 		return this.applied.read(reader);
 	}
 
+	/**
+	 * Reads the routing table as of an index or later, without waiting for other reads.
+	 */
+	CompletableFuture<Optional<CurrentRoutingTable.Image>> readTable(long index) {
+		return this.applied.readTable(index);
+	}
+
 	/** Returns a future that completes once the entry at an index is applied. */
 	CompletableFuture<Void> awaitApplied(long index) {
 		return this.applied.awaitApplied(index);
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
@@ -4,6 +4,8 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -19,6 +21,10 @@
 	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
 		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+	private static final String TYPE_FIELD = "t";
+
+	private static final String TABLE_TYPE = "table";
+
 	private StateCodec() {
 	}
 
@@ -72,6 +78,22 @@
 		return MAPPER.readValue(bytes, Command.class);
 	}
 
+	/**
+	 * Returns whether a command may replace the routing table, without decoding it.
+	 * @param beginning the MessagePack bytes or their beginning
+	 * @return false if the command is certainly of another type
+	 */
+	public static boolean mayReplaceTable(byte[] beginning) {
+		try (JsonParser parser = MAPPER.createParser(beginning)) {
+			boolean typed = parser.nextToken() == JsonToken.START_OBJECT && TYPE_FIELD.equals(parser.nextFieldName());
+			return !typed || TABLE_TYPE.equals(parser.nextTextValue());
+		}
+		catch (IOException ex) {
+			// What cannot be read this far is left to decodeCommand.
+			return true;
+		}
+	}
+
 	/**
 	 * Decodes the replicated state from a stream and closes it.
 	 * @param input the stream of MessagePack bytes
