Send less ahead of a follower while its answers are slow

Change: the window begins with one message, grows by one in a round trip, and falls back to one once an answer takes a quarter of a lease.

Callers saw: 503 for seconds after such a restart, while leaders changed.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Progress.java
@@ -30,11 +30,15 @@
 
 	private long unacknowledgedBytes;
 
-	Progress(long nextIndex) {
+	private final SendWindow window;
+
+	Progress(long nextIndex, SendWindow window) {
 		this.nextIndex = nextIndex;
+		this.window = window;
 	}
 
-	void acknowledge(long sentAtMs) {
+	void acknowledge(long sentAtMs, long nowMs) {
+		this.window.answered(sentAtMs, nowMs);
 		this.acknowledgedSentAtMs = Math.max(this.acknowledgedSentAtMs, sentAtMs);
 	}
 
@@ -104,16 +108,16 @@
 		}
 	}
 
-	/** Returns the total size of the commands sent but not yet acknowledged. */
-	long unacknowledgedBytes() {
-		return this.unacknowledgedBytes;
+	/** Returns whether more entries may be sent before the follower answers. */
+	boolean maySendEntries() {
+		return this.unacknowledgedBytes < this.window.bytes();
 	}
 
 	/** Returns the transfer of a snapshot, which begins anew for another snapshot. */
 	SnapshotTransfer transferOf(Snapshot snapshot, long nowMs) {
 		SnapshotTransfer transfer = this.snapshotTransfer;
 		if (transfer == null || !transfer.isOf(snapshot)) {
-			transfer = new SnapshotTransfer(snapshot, nowMs);
+			transfer = new SnapshotTransfer(snapshot, this.window, nowMs);
 			this.snapshotTransfer = transfer;
 		}
 		return transfer;
@@ -123,7 +127,7 @@
 	 * Records a follower's answer to a part and returns whether to send to it at once.
 	 */
 	boolean acknowledgePart(ConsensusMessage.SnapshotPartResponse response, long nowMs) {
-		acknowledge(response.sentAtMs());
+		acknowledge(response.sentAtMs(), nowMs);
 		SnapshotTransfer transfer = this.snapshotTransfer;
 		return transfer != null && transfer.acknowledge(response, nowMs);
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -453,7 +453,7 @@
 		if (this.role != Role.LEADER) {
 			return;
 		}
-		boolean sendNow = this.replication.onResponse(response);
+		boolean sendNow = this.replication.onResponse(response, nowMs);
 		advanceCommit();
 		if (sendNow) {
 			this.replication.sendTo(response.from(), commitIndex(), false, nowMs, this.messages);
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -14,12 +14,6 @@
 
 	private static final long MAX_MESSAGE_BYTES = RaftReplica.MAX_ENTRY_BYTES;
 
-	/**
-	 * Fills a gigabit link for 8 ms, several round trips between failure domains. At this
-	 * bound a dozen unreachable followers hold an eighth of 96 MB of direct memory.
-	 */
-	private static final long MAX_UNACKNOWLEDGED_BYTES = 1024 * 1024;
-
 	private final ReplicaSettings settings;
 
 	private final MemoryLog log;
@@ -73,12 +67,12 @@
 	}
 
 	/** Records a follower's answer and returns whether to send to it at once. */
-	boolean onResponse(ConsensusMessage.AppendResponse response) {
+	boolean onResponse(ConsensusMessage.AppendResponse response, long nowMs) {
 		Progress progress = this.followers.get(response.from());
 		if (progress == null) {
 			return false;
 		}
-		progress.acknowledge(response.sentAtMs());
+		progress.acknowledge(response.sentAtMs(), nowMs);
 		if (response.success()) {
 			progress.matched(Math.min(response.matchIndex(), this.log.lastIndex()));
 			return true;
@@ -144,7 +138,7 @@
 	 * an unreachable follower accumulates no messages.
 	 */
 	private List<LogEntry> nextEntries(Progress progress) {
-		return (progress.unacknowledgedBytes() < MAX_UNACKNOWLEDGED_BYTES)
+		return progress.maySendEntries()
 				? this.log.slice(progress.nextIndex(), this.settings.maximumBatchEntries(), MAX_MESSAGE_BYTES)
 				: List.of();
 	}
@@ -182,7 +176,8 @@
 		this.followers.keySet().retainAll(membership.all());
 		for (String id : membership.all()) {
 			if (!id.equals(this.settings.id())) {
-				this.followers.computeIfAbsent(id, (absent) -> new Progress(lastIndex + 1));
+				this.followers.computeIfAbsent(id,
+						(absent) -> new Progress(lastIndex + 1, new SendWindow(this.settings.leaseDurationMs() / 4)));
 			}
 		}
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/SnapshotTransfer.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/SnapshotTransfer.java
@@ -6,10 +6,10 @@
  */
 final class SnapshotTransfer {
 
-	private static final long WINDOW_BYTES = 4L * Snapshot.PART_BYTES;
-
 	private final Snapshot snapshot;
 
+	private final SendWindow window;
+
 	private long acknowledgedBytes;
 
 	private long sentBytes;
@@ -18,8 +18,9 @@
 
 	private long progressAtMs;
 
-	SnapshotTransfer(Snapshot snapshot, long nowMs) {
+	SnapshotTransfer(Snapshot snapshot, SendWindow window, long nowMs) {
 		this.snapshot = snapshot;
+		this.window = window;
 		this.progressAtMs = nowMs;
 	}
 
@@ -42,8 +43,8 @@
 
 	/** Returns the size of the part to send now, in bytes, 0 for none. */
 	int nextLength() {
-		long window = this.answered ? WINDOW_BYTES : Snapshot.PART_BYTES;
-		boolean mayBeSent = this.sentBytes - this.acknowledgedBytes < window;
+		long limitBytes = this.answered ? this.window.bytes() : Snapshot.PART_BYTES;
+		boolean mayBeSent = this.sentBytes - this.acknowledgedBytes < limitBytes;
 		return mayBeSent ? (int) Math.min(Snapshot.PART_BYTES, this.snapshot.sizeBytes() - this.sentBytes) : 0;
 	}
 
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ReplicationTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ReplicationTests.java
@@ -62,7 +62,8 @@
 
 	private void answer(String from, boolean success, long matchIndex, long rejectedIndex) {
 		this.replication.onResponse(
-				new ConsensusMessage.AppendResponse(from, "a", TERM, success, matchIndex, rejectedIndex, this.nowMs));
+				new ConsensusMessage.AppendResponse(from, "a", TERM, success, matchIndex, rejectedIndex, this.nowMs),
+				this.nowMs);
 	}
 
 	private long bytesSentWithoutAnswers(String to) {
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -58,6 +58,13 @@
 
 	private boolean lossy = true;
 
+	/** What the link of a machine carries, 0 for any amount. */
+	private long linkBytesPerMs;
+
+	private int commandBytes;
+
+	private final Map<String, Long> linkBusyUntilMs = new HashMap<>();
+
 	SimulatedCluster(long seed, int size, Defect injectedDefect) {
 		this.injectedDefect = injectedDefect;
 		this.random = new SplittableRandom(seed);
@@ -209,12 +216,46 @@
 				&& node.applied() >= (this.accepted.isEmpty() ? 0 : this.accepted.lastKey());
 	}
 
+	/** Limits what each machine sends, and makes snapshots and commands this large. */
+	void carryLargeState(long bytesPerMs, long snapshotBytes, int bytesPerCommand) {
+		this.linkBytesPerMs = bytesPerMs;
+		this.commandBytes = bytesPerCommand;
+		this.nodes.forEach((node) -> node.snapshotBytes(snapshotBytes));
+	}
+
+	/** Leaves a node behind the snapshots of all others. */
+	void leaveBehind(SimulatedNode node, long durationMs) {
+		this.nodes.stream().filter((other) -> other != node).forEach((other) -> cutBothWays(node, other));
+		runUnderFaults(durationMs, Set.of());
+		this.nodes.stream().filter((other) -> other != node).forEach(SimulatedNode::compact);
+	}
+
+	/** Restarts all nodes together, some of them with empty disks and no cuts left. */
+	void restartAllWithout(List<SimulatedNode> disks, long startupMs) {
+		this.nodes.forEach((node) -> node.crash(this.nowMs, this.nowMs + startupMs));
+		disks.forEach((node) -> node.loseDisk(false));
+		this.cuts.clear();
+		this.network.clear();
+		this.linkBusyUntilMs.clear();
+	}
+
+	/** Runs one step with a new command and returns the term of a lease, or -1. */
+	long stepAndFindLease() {
+		propose();
+		step();
+		return this.nodes.stream()
+			.filter((node) -> node.isRunning() && node.replica().holdsLease(node.clockMs(this.nowMs)))
+			.mapToLong((node) -> node.replica().term())
+			.findFirst()
+			.orElse(-1);
+	}
+
 	private void propose() {
 		for (SimulatedNode node : this.nodes) {
 			if (node.isUp(this.nowMs) && node.replica().isLeader()) {
 				String command = "c" + this.nextCommand++;
 				try {
-					long index = node.replica().propose(command.getBytes(StandardCharsets.UTF_8));
+					long index = node.replica().propose(encode(command));
 					this.proposals.add(new Proposal(node.id(), node.replica().term(), index, command));
 				}
 				catch (ServiceException ex) {
@@ -224,6 +265,11 @@
 		}
 	}
 
+	private byte[] encode(String command) {
+		byte[] text = command.getBytes(StandardCharsets.UTF_8);
+		return Arrays.copyOf(text, Math.max(text.length, this.commandBytes));
+	}
+
 	private void step() {
 		this.nowMs += STEP_MS;
 		while (!this.network.isEmpty() && this.network.peek().atMs() <= this.nowMs) {
@@ -376,13 +422,32 @@
 			return;
 		}
 		boolean late = this.lossy && this.random.nextInt(20) == 0;
-		long delayMs = 1 + this.random.nextInt(late ? 400 : 15);
+		long delayMs = 1 + this.random.nextInt(late ? 400 : 15) + linkDelayMs(message);
 		this.network.add(new Delivery(this.nowMs + delayMs, this.sequence++, message));
 		if (this.lossy && this.random.nextInt(50) == 0) {
 			this.network.add(new Delivery(this.nowMs + delayMs + 100, this.sequence++, message));
 		}
 	}
 
+	private long linkDelayMs(ConsensusMessage message) {
+		String from = MemberChange.nameOf(message.from());
+		if (this.linkBytesPerMs == 0) {
+			return 0;
+		}
+		long startMs = Math.max(this.nowMs, this.linkBusyUntilMs.getOrDefault(from, 0L));
+		long sentMs = startMs + sizeBytes(message) / this.linkBytesPerMs;
+		this.linkBusyUntilMs.put(from, sentMs);
+		return sentMs - this.nowMs;
+	}
+
+	private static long sizeBytes(ConsensusMessage message) {
+		if (message instanceof ConsensusMessage.SnapshotPart part) {
+			return part.length();
+		}
+		return (message instanceof ConsensusMessage.AppendRequest request)
+				? request.entries().stream().mapToLong((entry) -> entry.command().length).sum() : 0;
+	}
+
 	private static ConsensusMessage withBytes(ConsensusMessage message) {
 		return (message instanceof ConsensusMessage.SnapshotPart part) ? part.withBytes(new byte[part.length()])
 				: message;
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedNode.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedNode.java
@@ -10,7 +10,7 @@
 final class SimulatedNode {
 
 	/** Several parts, and more than a leader sends before it is answered. */
-	private static final long SNAPSHOT_BYTES = 6L * Snapshot.PART_BYTES + 1;
+	private long snapshotBytes = 6L * Snapshot.PART_BYTES + 1;
 
 	private final String name;
 
@@ -52,6 +52,10 @@
 		this.clockRate = clockRate;
 	}
 
+	void snapshotBytes(long size) {
+		this.snapshotBytes = size;
+	}
+
 	String name() {
 		return this.name;
 	}
@@ -174,7 +178,7 @@
 
 	void compact() {
 		if (this.applied > this.diskSnapshot.index()) {
-			this.diskSnapshot = this.replica.compact(this.applied, SNAPSHOT_BYTES);
+			this.diskSnapshot = this.replica.compact(this.applied, this.snapshotBytes);
 			this.diskEntries.removeIf((entry) -> entry.index() <= this.applied);
 		}
 	}
