Count a learner as caught up a heartbeat interval behind the commit index

Cause: a learner became a voter only in a moment at which it had acknowledged all that was committed. While changes come faster than its answers, there is no such moment, and a voter whose disk was lost is not replaced until the load ends.

Change: the learner must have what was committed up to a heartbeat interval ago. The quorum still counts only what it has acknowledged.

Callers saw: nothing by itself; the system tolerated fewer losses than set.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -65,6 +65,11 @@
 
 	private long leadingSinceMs;
 
+	/** What was committed a moment ago, since the answers of a learner take time. */
+	private long caughtUpIndex = Long.MAX_VALUE;
+
+	private long nextCaughtUpIndexMs;
+
 	private long currentAsOfMs = Progress.NEVER_MS;
 
 	private Replication replication;
@@ -95,6 +100,10 @@
 	}
 
 	private void tickLeader(long nowMs) {
+		if (nowMs >= this.nextCaughtUpIndexMs && this.replication.isNoopCommitted(commitIndex())) {
+			this.nextCaughtUpIndexMs = nowMs + this.settings.heartbeatIntervalMs();
+			this.caughtUpIndex = commitIndex();
+		}
 		if (!hasQuorumContact(nowMs)) {
 			becomeFollower(term(), "", nowMs);
 		}
@@ -124,7 +133,7 @@
 	public List<String> caughtUpLearners() {
 		return (this.role == Role.LEADER) ? membership().learners()
 			.stream()
-			.filter((id) -> this.replication.matchIndex(id) >= commitIndex())
+			.filter((id) -> this.replication.matchIndex(id) >= this.caughtUpIndex)
 			.toList() : List.of();
 	}
 
@@ -377,6 +386,8 @@
 		this.electionDelayMs = this.settings.electionTimeoutMs();
 		this.leaderId = this.settings.id();
 		this.leadingSinceMs = nowMs;
+		this.caughtUpIndex = Long.MAX_VALUE;
+		this.nextCaughtUpIndexMs = nowMs;
 		this.nextHeartbeatMs = nowMs;
 		LogEntry noopEntry = LogEntry.noop(this.log.lastIndex() + 1, term());
 		this.replication = new Replication(this.settings, this.log.entries(), term(), noopEntry.index());
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -104,7 +104,8 @@
 	Optional<String> leader();
 
 	/**
-	 * Returns the learners that hold every entry that the leader has committed.
+	 * Returns the learners that hold every entry that the leader had committed up to a
+	 * heartbeat interval ago.
 	 * @return the ids, empty unless this replica leads
 	 */
 	List<String> caughtUpLearners();
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/LargeStateRestartTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/LargeStateRestartTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -9,6 +10,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
@@ -89,4 +91,26 @@
 		}
 	}
 
+	// Guards against a learner that never counts as caught up while changes come faster
+	// than its answers, so that a lost voter is not replaced.
+	@Test
+	void aDistantLearnerBecomesAVoterWhileChangesKeepComing() {
+		for (long seed = 1; seed <= SEED_COUNT; seed++) {
+			SimulatedCluster cluster = new SimulatedCluster(seed, 5, Defect.NONE);
+			cluster.runWithoutFaults(WARM_UP_MS);
+			SimulatedNode distant = cluster.nodes().get(0);
+			cluster.moveAway(distant, 25);
+			cluster.replaceDisk(distant);
+			long endMs = cluster.nowMs() + 2 * WARM_UP_MS;
+			while (cluster.nowMs() < endMs) {
+				cluster.stepAndFindLease();
+			}
+			boolean voter = cluster.nodes()
+				.stream()
+				.anyMatch((node) -> node.replica().isLeader()
+						&& node.replica().membership().voters().contains(distant.id()));
+			assertThat("seed " + seed, voter, is(true));
+		}
+	}
+
 }
