Keep one copy of equal texts and one map of a job's items, and count what jobs take

Cause: each item held its own copies of the names of headers and of values that all items share, and its id was in three sets. Jobs with bodies of 600 B took 2.4 times their encoded size.

Change: texts of up to 128 characters that are decoded are looked up in a table of bounded size; a job holds one map from an item's id to the item, its result and its stored progress, which also makes the look-up of an item or result one step. The ledger counts what its jobs take and are expected to take.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/ItemResult.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/ItemResult.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.zinniatack.core.size.HeapSize;
+
 /**
  * The final result of an item, immutable once it is stored.
  *
@@ -29,6 +31,17 @@
 		return new ItemResult(itemId, false, "", List.of(), "");
 	}
 
+	/** Returns the result with the id of its item, of which one copy is enough. */
+	ItemResult withItemId(String sameId) {
+		return new ItemResult(sameId, this.completed, this.text, this.versions, this.score);
+	}
+
+	/** Returns the heap that the result takes, in bytes. */
+	long heapBytes() {
+		return 2 * HeapSize.OBJECT_BYTES + HeapSize.of(this.text) + HeapSize.of(this.score)
+				+ HeapSize.OBJECT_BYTES * this.versions.size();
+	}
+
 	/** Returns the result with the given events prepended to its text. */
 	ItemResult withPrecedingEvents(List<String> events) {
 		return new ItemResult(this.itemId, this.completed, String.join("\n", events) + '\n' + this.text, this.versions,
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
@@ -1,13 +1,15 @@
 package org.zinniatack.core.job;
 
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.size.HeapSize;
 
 /**
  * An accepted job, the results of its items and the stored progress of the unfinished
@@ -15,41 +17,70 @@
  */
 public final class Job {
 
-	private final JobSubmission submission;
+	private static final int FIXED_OBJECTS = 16;
 
-	private final Set<String> itemIds = new HashSet<>();
+	private final JobSubmission submission;
 
-	private final Set<String> finishedIds = new HashSet<>();
+	private final Map<String, Slot> slots;
 
 	private final List<ItemResult> results = new ArrayList<>();
 
-	private final Map<String, PartialText> partialTexts = new LinkedHashMap<>();
+	private JobSize size = JobSize.ZERO;
+
+	private long partialBytes;
 
 	private boolean ended;
 
 	Job(JobSubmission submission) {
 		this.submission = submission;
-		submission.items().forEach((item) -> this.itemIds.add(item.id()));
+		this.slots = new HashMap<>(submission.items().size() * 4 / 3 + 1);
+		submission.items().forEach((item) -> {
+			if (this.slots.putIfAbsent(item.id(), new Slot(item)) == null) {
+				addBytes(item.heapBytes() + HeapSize.MAP_ENTRY_BYTES + HeapSize.OBJECT_BYTES,
+						item.estimatedOutputBytes());
+			}
+		});
+		addBytes(HeapSize.OBJECT_BYTES * FIXED_OBJECTS, 0);
 	}
 
 	static Job of(Image image) {
 		Job job = new Job(image.submission());
 		image.results().forEach((result) -> job.addResult(result, 0));
-		job.partialTexts.putAll(image.partialTexts());
+		image.partialTexts().forEach(job::storePartialText);
 		job.ended = image.ended();
 		return job;
 	}
 
+	private void addBytes(long storedBytes, long awaitedBytes) {
+		this.size = this.size.plus(new JobSize(storedBytes, awaitedBytes, 0, 0));
+	}
+
+	/**
+	 * Returns the heap that the job takes and is expected to take.
+	 * @return the size; a job that was ended is expected to take no more
+	 */
+	public JobSize size() {
+		long awaitedBytes = this.ended ? 0 : Math.max(0, this.size.awaitedBytes() - this.partialBytes);
+		return new JobSize(this.size.storedBytes(), awaitedBytes, this.size.outputBytes(), this.size.estimatedBytes());
+	}
+
 	/**
 	 * Adds a result, unless the item already has one or does not belong to this job.
 	 * @param result the result, whose text continues after the stored events
 	 * @param storedEvents the number of stored events to prepend to the text
 	 */
 	void addResult(ItemResult result, int storedEvents) {
-		if (this.itemIds.contains(result.itemId()) && this.finishedIds.add(result.itemId())) {
-			PartialText stored = this.partialTexts.remove(result.itemId());
-			this.results.add((storedEvents == 0 || stored == null) ? result
-					: result.withPrecedingEvents(stored.events().subList(0, storedEvents)));
+		Slot slot = this.slots.get(result.itemId());
+		if (slot != null && slot.result == null) {
+			PartialText stored = slot.partialText;
+			storePartialText(slot, null);
+			ItemResult complete = (storedEvents == 0 || stored == null) ? result
+					: result.withPrecedingEvents(stored.events().subList(0, storedEvents));
+			slot.result = complete.withItemId(slot.item.id());
+			this.results.add(slot.result);
+			long bytes = slot.result.heapBytes();
+			long estimatedBytes = slot.item.estimatedOutputBytes();
+			this.size = this.size.plus(new JobSize(bytes, -estimatedBytes, bytes, estimatedBytes));
 		}
 	}
 
@@ -58,9 +89,8 @@
 	 * because it is finished or not of this job.
 	 */
 	boolean hasStored(String itemId, int storedEvents) {
-		PartialText stored = this.partialTexts.get(itemId);
-		return storedEvents == 0 || !this.itemIds.contains(itemId) || this.finishedIds.contains(itemId)
-				|| (stored != null && stored.events().size() >= storedEvents);
+		Slot slot = this.slots.get(itemId);
+		return storedEvents == 0 || slot == null || slot.result != null || slot.hasStored(storedEvents);
 	}
 
 	/**
@@ -68,30 +98,48 @@
 	 * need not be stored because the item is finished or not of this job.
 	 */
 	boolean continuesStored(ItemProgress progress) {
-		PartialText stored = this.partialTexts.get(progress.itemId());
-		return progress.eventsBefore() == 0 || !isUnfinished(progress)
-				|| (stored != null && stored.events().size() == progress.eventsBefore());
-	}
-
-	private boolean isUnfinished(ItemProgress progress) {
-		return this.itemIds.contains(progress.itemId()) && !this.finishedIds.contains(progress.itemId());
+		Slot slot = this.slots.get(progress.itemId());
+		return progress.eventsBefore() == 0 || slot == null || slot.result != null
+				|| (slot.partialText != null && slot.partialText.events().size() == progress.eventsBefore());
 	}
 
 	/** Stores progress that continues the stored events or starts over. */
 	void storeProgress(ItemProgress progress) {
-		if (isUnfinished(progress)) {
-			PartialText stored = this.partialTexts.get(progress.itemId());
-			this.partialTexts.put(progress.itemId(), (progress.eventsBefore() == 0 || stored == null)
-					? progress.further() : stored.append(progress.further()));
+		Slot slot = this.slots.get(progress.itemId());
+		if (slot != null && slot.result == null) {
+			PartialText stored = slot.partialText;
+			storePartialText(slot, (progress.eventsBefore() == 0 || stored == null) ? progress.further()
+					: stored.append(progress.further()));
+		}
+	}
+
+	private void storePartialText(String itemId, PartialText text) {
+		Slot slot = this.slots.get(itemId);
+		if (slot != null && slot.result == null) {
+			storePartialText(slot, text);
 		}
 	}
 
+	private void storePartialText(Slot slot, @Nullable PartialText text) {
+		long bytes = ((text != null) ? text.heapBytes() : 0)
+				- ((slot.partialText != null) ? slot.partialText.heapBytes() : 0);
+		slot.partialText = text;
+		this.partialBytes += bytes;
+		addBytes(bytes, 0);
+	}
+
 	void end() {
 		this.ended = true;
 	}
 
 	Image image() {
-		return new Image(this.submission, List.copyOf(this.results), this.ended, Map.copyOf(this.partialTexts));
+		Map<String, PartialText> partialTexts = new HashMap<>();
+		this.slots.forEach((itemId, slot) -> {
+			if (slot.partialText != null) {
+				partialTexts.put(itemId, slot.partialText);
+			}
+		});
+		return new Image(this.submission, List.copyOf(this.results), this.ended, partialTexts);
 	}
 
 	/**
@@ -107,7 +155,7 @@
 	 * @return true if items remain to be run
 	 */
 	public boolean isOpen() {
-		return !this.ended && this.finishedIds.size() < this.itemIds.size();
+		return !this.ended && this.results.size() < this.slots.size();
 	}
 
 	/**
@@ -116,7 +164,7 @@
 	 * @return true if it does
 	 */
 	public boolean contains(String itemId) {
-		return this.itemIds.contains(itemId);
+		return this.slots.containsKey(itemId);
 	}
 
 	/**
@@ -125,7 +173,7 @@
 	 * @return true if it has one
 	 */
 	public boolean isFinished(String itemId) {
-		return this.finishedIds.contains(itemId);
+		return result(itemId).isPresent();
 	}
 
 	/**
@@ -134,7 +182,7 @@
 	 * @return its first events, or empty if none are stored
 	 */
 	public Optional<PartialText> partialText(String itemId) {
-		return Optional.ofNullable(this.partialTexts.get(itemId));
+		return slot(itemId).map((slot) -> slot.partialText);
 	}
 
 	/**
@@ -143,7 +191,7 @@
 	 * @return the result, or empty if it has none
 	 */
 	public Optional<ItemResult> result(String itemId) {
-		return this.results.stream().filter((result) -> result.itemId().equals(itemId)).findFirst();
+		return slot(itemId).map((slot) -> slot.result);
 	}
 
 	/**
@@ -152,7 +200,7 @@
 	 * @return the item, or empty if the job has none with this id
 	 */
 	public Optional<JobItem> item(String itemId) {
-		return this.submission.items().stream().filter((item) -> item.id().equals(itemId)).findFirst();
+		return slot(itemId).map((slot) -> slot.item);
 	}
 
 	/**
@@ -191,6 +239,29 @@
 		return this.submission;
 	}
 
+	private Optional<Slot> slot(String itemId) {
+		return Optional.ofNullable(this.slots.get(itemId));
+	}
+
+	/** An item with what is stored of its output. */
+	private static final class Slot {
+
+		private final JobItem item;
+
+		private @Nullable ItemResult result;
+
+		private @Nullable PartialText partialText;
+
+		Slot(JobItem item) {
+			this.item = item;
+		}
+
+		boolean hasStored(int events) {
+			return this.partialText != null && this.partialText.events().size() >= events;
+		}
+
+	}
+
 	/**
 	 * The stored form of a job.
 	 *
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobItem.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobItem.java
@@ -4,6 +4,8 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.core.size.HeapSize;
+
 /**
  * A request of a job, with an optional call that scores its output.
  *
@@ -21,6 +23,15 @@
 public record JobItem(String id, String group, String path, Map<String, String> headers, byte[] body, String promptKey,
 		long expectedTokens, @Nullable Scoring scoring) {
 
+	private static final long BYTES_PER_TOKEN = 6;
+
+	private static final long UNKNOWN_OUTPUT_BYTES = 4 * 1024;
+
+	private static final long MAX_OUTPUT_BYTES = 1024 * 1024;
+
+	/** A result without its text. */
+	private static final long RESULT_BYTES = 256;
+
 	/**
 	 * Copies the arguments.
 	 */
@@ -28,4 +39,20 @@
 		headers = Map.copyOf(headers);
 	}
 
+	/** Returns the heap that the item takes, in bytes. */
+	long heapBytes() {
+		Scoring scored = this.scoring;
+		return 2 * HeapSize.OBJECT_BYTES + HeapSize.of(this.id) + HeapSize.of(this.path) + HeapSize.of(this.body)
+				+ HeapSize.of(this.headers.values()) + HeapSize.of(this.promptKey)
+				+ ((scored != null) ? scored.heapBytes() : 0);
+	}
+
+	/**
+	 * Returns the estimate of the output, in bytes.
+	 */
+	long estimatedOutputBytes() {
+		long expectedBytes = (this.expectedTokens > 0) ? BYTES_PER_TOKEN * this.expectedTokens : UNKNOWN_OUTPUT_BYTES;
+		return RESULT_BYTES + Math.min(MAX_OUTPUT_BYTES, expectedBytes);
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -1,10 +1,13 @@
 package org.zinniatack.core.job;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -16,6 +19,8 @@
 
 	private final Map<JobId, Job> jobs = new LinkedHashMap<>();
 
+	private JobSize size = JobSize.ZERO;
+
 	/**
 	 * Restores a ledger from its stored form.
 	 * @param images the stored jobs, oldest first
@@ -23,16 +28,29 @@
 	 */
 	public static JobLedger of(List<Job.Image> images) {
 		JobLedger ledger = new JobLedger();
-		images.forEach((image) -> ledger.jobs.put(image.submission().id(), Job.of(image)));
+		images.forEach((image) -> ledger.add(Job.of(image)));
 		return ledger;
 	}
 
+	private void add(Job job) {
+		Job replaced = this.jobs.put(job.submission().id(), job);
+		this.size = this.size.plus(job.size()).minus((replaced != null) ? replaced.size() : JobSize.ZERO);
+	}
+
+	private void change(Job job, Consumer<Job> change) {
+		JobSize before = job.size();
+		change.accept(job);
+		this.size = this.size.minus(before).plus(job.size());
+	}
+
 	/**
 	 * Accepts a job. A job with an id that is already known is ignored.
 	 * @param submission the job
 	 */
 	public void submit(JobSubmission submission) {
-		this.jobs.computeIfAbsent(submission.id(), (absent) -> new Job(submission));
+		if (!this.jobs.containsKey(submission.id())) {
+			add(new Job(submission));
+		}
 	}
 
 	/**
@@ -41,7 +59,7 @@
 	 * @param results the results, which take the next positions in this order
 	 */
 	public void addResults(JobId id, List<ItemResult> results) {
-		job(id).ifPresent((job) -> results.forEach((result) -> job.addResult(result, 0)));
+		job(id).ifPresent((job) -> change(job, (known) -> results.forEach((result) -> known.addResult(result, 0))));
 	}
 
 	/**
@@ -63,8 +81,8 @@
 			throw ServiceException.of(ResultCode.REVISION_CONFLICT,
 					"a result continues item events that are not stored");
 		}
-		job.ifPresent((known) -> results
-			.forEach((result) -> known.addResult(result, storedEvents.getOrDefault(result.itemId(), 0))));
+		job.ifPresent((known) -> change(known, (changed) -> results
+			.forEach((result) -> changed.addResult(result, storedEvents.getOrDefault(result.itemId(), 0)))));
 	}
 
 	/**
@@ -81,7 +99,7 @@
 			throw ServiceException.of(ResultCode.REVISION_CONFLICT,
 					"progress does not continue the stored events of its item");
 		}
-		job.ifPresent((known) -> progress.forEach(known::storeProgress));
+		job.ifPresent((known) -> change(known, (changed) -> progress.forEach(changed::storeProgress)));
 	}
 
 	/**
@@ -89,7 +107,7 @@
 	 * @param id the job
 	 */
 	public void end(JobId id) {
-		job(id).ifPresent(Job::end);
+		job(id).ifPresent((job) -> change(job, Job::end));
 	}
 
 	/**
@@ -97,7 +115,38 @@
 	 * @param ids the jobs
 	 */
 	public void removeJobs(Collection<JobId> ids) {
-		ids.forEach(this.jobs::remove);
+		for (JobId id : ids) {
+			Job removed = this.jobs.remove(id);
+			this.size = this.size.minus((removed != null) ? removed.size() : JobSize.ZERO);
+		}
+	}
+
+	/**
+	 * Returns the heap that all jobs take and are expected to take.
+	 * @return the size
+	 */
+	public JobSize size() {
+		return this.size;
+	}
+
+	/**
+	 * Returns when the removal of jobs will have freed some bytes, if no other job ends.
+	 * @param neededBytes the bytes to be freed
+	 * @param retention decides when a job may be removed
+	 * @return the time in milliseconds since the epoch, or empty if all jobs take less
+	 */
+	public OptionalLong freedAtMs(long neededBytes, JobRetentionPolicy retention) {
+		long freedBytes = 0;
+		for (Job job : this.jobs.values()
+			.stream()
+			.sorted(Comparator.comparingLong(retention::removableAtMs))
+			.toList()) {
+			freedBytes += job.size().storedBytes() + this.size.corrected(job.size().awaitedBytes());
+			if (freedBytes >= neededBytes) {
+				return OptionalLong.of(retention.removableAtMs(job));
+			}
+		}
+		return OptionalLong.empty();
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/PartialText.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/PartialText.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Set;
 
+import org.zinniatack.core.size.HeapSize;
+
 /**
  * The beginning of an item's output, from which any target can resume generation.
  *
@@ -35,6 +37,11 @@
 		return new PartialText(allEvents, List.copyOf(allVersions), further.lastEventId);
 	}
 
+	/** Returns the heap that the text takes, in bytes. */
+	long heapBytes() {
+		return 2 * HeapSize.OBJECT_BYTES + HeapSize.of(this.events) + HeapSize.OBJECT_BYTES * this.versions.size();
+	}
+
 	/**
 	 * Returns whether a job with a version bound accepts the text.
 	 * @param oldestVersion the oldest weight version that the job accepts
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Scoring.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Scoring.java
@@ -1,5 +1,7 @@
 package org.zinniatack.core.job;
 
+import org.zinniatack.core.size.HeapSize;
+
 /**
  * The request whose response is the score of an item.
  *
@@ -9,4 +11,9 @@
  * @param body the body
  */
 public record Scoring(String id, String host, String path, byte[] body) {
+
+	/** Returns the heap that the request takes, in bytes. */
+	long heapBytes() {
+		return HeapSize.OBJECT_BYTES + HeapSize.of(this.id) + HeapSize.of(this.path) + HeapSize.of(this.body);
+	}
 }
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/StateCodec.java
@@ -22,7 +22,8 @@
 public final class StateCodec {
 
 	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
-		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.registerModule(new SharedStrings().module());
 
 	private StateCodec() {
 	}
