Refuse jobs that do not fit the state, and tables over a limit, before they are proposed

Cause: every job and table was accepted, also one that the processes could not carry, restore or lead with.

Change: the state counts its jobs and its table in bytes of heap. The leader refuses a job (4011, 503 with Retry-After) that does not fit the budget together with commands that are not applied yet and the output that unfinished items are expected to add; a job or table that can never fit gets 413 (4012) with its size and the limit, a table before it is decoded. Results, progress, ends and removals are never refused. A job that is already known is accepted again; while that is unknown the answer is 4008, which promises nothing. Callers get the Retry-After that the leader stated, where they got 0.5 s always.

Callers saw configurations answered with 503 and jobs that nobody could read, up to processes that ended.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -20,10 +21,12 @@
 
 import org.zinniatack.core.consensus.LogEntry;
 import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.job.JobSize;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.core.state.StateSize;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 import org.zinniatack.wire.StateCodec;
@@ -39,6 +42,8 @@
 
 	private static final long STALL_THRESHOLD_MS = 200;
 
+	private static final int SIZE_LOG_INTERVAL_S = 10;
+
 	private static final long STOP_TIMEOUT_MS = 5_000;
 
 	private final Ticker ticker;
@@ -67,6 +72,11 @@
 
 	private volatile Set<String> retiringMembers = Set.of();
 
+	private volatile StateSize size = this.state.size();
+
+	/** What the commands add that are not applied yet. */
+	private final AtomicReference<JobSize> pendingSize = new AtomicReference<>(JobSize.ZERO);
+
 	/** Only used by the thread itself. */
 	private boolean running = true;
 
@@ -143,9 +153,28 @@
 		return this.pendingCommands.size();
 	}
 
-	/** Completes a reply once the command at an index and term is applied. */
-	void expect(long index, long term, CompletableFuture<Reply> reply) {
-		this.pendingCommands.put(index, new PendingCommand(term, reply));
+	/**
+	 * Returns the heap that the state takes with the commands that are not applied yet.
+	 */
+	StateSize size() {
+		// A command may be counted twice between the two reads, but is never missed.
+		JobSize pending = this.pendingSize.get();
+		StateSize applied = this.size;
+		return new StateSize(applied.jobs().plus(pending), applied.tableBytes());
+	}
+
+	/**
+	 * Completes a reply once the command at an index and term is applied.
+	 * @param added what the command adds to the state
+	 */
+	void expect(long index, long term, JobSize added, CompletableFuture<Reply> reply) {
+		this.pendingSize.accumulateAndGet(added, JobSize::plus);
+		this.pendingCommands.put(index, new PendingCommand(term, added, reply));
+	}
+
+	/** Returns the index of the last command that is not decided yet, 0 for none. */
+	long lastPendingIndex() {
+		return this.pendingCommands.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
 	}
 
 	/** Fails the replies to all commands that are not applied yet. */
@@ -153,6 +182,7 @@
 		for (Long index : List.copyOf(this.pendingCommands.keySet())) {
 			PendingCommand pending = this.pendingCommands.remove(index);
 			if (pending != null) {
+				this.pendingSize.accumulateAndGet(pending.added(), JobSize::minus);
 				pending.reply().completeExceptionally(failure);
 			}
 		}
@@ -265,6 +295,7 @@
 		this.commandParts = new CommandParts();
 		this.appliedIndex = snapshot.index();
 		this.retiringMembers = this.state.retiringMembers();
+		this.size = this.state.size();
 		LOGGER.atInfo()
 			.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(), snapshot.sizeBytes(),
 					nowMs() - startedMs);
@@ -276,11 +307,15 @@
 		Optional<byte[]> command = this.commandParts.add(entry);
 		if (command.isPresent()) {
 			Reply reply = this.state.apply(entry.index(), StateCodec.decodeCommand(command.get()));
+			this.size = this.state.size();
 			if (expected) {
 				pending.reply().complete(reply);
 			}
 		}
 		this.appliedIndex = entry.index();
+		if (pending != null) {
+			this.pendingSize.accumulateAndGet(pending.added(), JobSize::minus);
+		}
 		if (pending != null && !expected) {
 			pending.reply()
 				.completeExceptionally(
@@ -290,6 +325,10 @@
 
 	private void onApplied() {
 		this.retiringMembers = this.state.retiringMembers();
+		LOGGER.atInfo()
+			.atMostEvery(SIZE_LOG_INTERVAL_S, TimeUnit.SECONDS)
+			.log("event=state_size stored_bytes=%d final_bytes=%d table_bytes=%d applied=%d", this.size.storedBytes(),
+					this.size.finalBytes(), this.size.tableBytes(), this.appliedIndex);
 		completeAppliedWaiters();
 		completeImageWaiters();
 		try {
@@ -329,7 +368,7 @@
 	private record ImageWaiter(long index, Consumer<IndexedImage> consumer) {
 	}
 
-	private record PendingCommand(long term, CompletableFuture<Reply> reply) {
+	private record PendingCommand(long term, JobSize added, CompletableFuture<Reply> reply) {
 	}
 
 	private record AppliedWaiter(long index, CompletableFuture<Void> applied) {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -29,6 +29,7 @@
 import org.zinniatack.core.consensus.Membership;
 import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.JobSize;
 import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -37,6 +38,7 @@
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.core.state.StateSize;
 import org.zinniatack.core.table.CurrentRoutingTable;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.ProcessStatus;
@@ -65,6 +67,9 @@
 
 	private static final long NO_LEADER_RETRY_MS = 1_000;
 
+	/** Systems with agents have no jobs. */
+	private static final long NO_JOBS_RETENTION_MS = 0;
+
 	private static final int NETWORK_THREADS = 2;
 
 	private final ControlMembers members;
@@ -94,6 +99,8 @@
 
 	private final long idleSinceMs;
 
+	private final StateBudget budget;
+
 	private volatile @Nullable ReplicaDriver driver;
 
 	private @Nullable LeaderDuties duties;
@@ -113,9 +120,10 @@
 	 */
 	public ControlService(ControlSettings settings) throws ServiceException {
 		this(ControlMembers.named(settings.name(), settings.members()), settings.name(), Path.of(settings.dataFolder()),
-				settings.listenAddress(), settings.clusterSecret(), new DutySettings(settings.failureDomains(),
-						settings.usageWindowMs(), settings.usageGraceMs(), settings.shrinkDelayMs()),
-				createPlatform(settings.platformUrl()), clockMs());
+				settings.listenAddress(), settings.clusterSecret(),
+				new DutySettings(settings.failureDomains(), settings.usageWindowMs(), settings.usageGraceMs(),
+						settings.shrinkDelayMs()),
+				createPlatform(settings.platformUrl()), NO_JOBS_RETENTION_MS, clockMs());
 	}
 
 	/**
@@ -142,13 +150,14 @@
 				settings.voterCount()), settings.name(), Path.of(settings.dataFolder()), settings.listenAddress(),
 				settings.clusterSecret(),
 				new DutySettings(List.of(), settings.usageWindowMs(), settings.usageGraceMs(), 0), platform,
-				idleSinceMs);
+				settings.jobRetentionMs(), idleSinceMs);
 	}
 
 	private ControlService(ControlMembers members, String operatorsName, Path dataFolder, String listenAddress,
-			String clusterSecret, DutySettings dutySettings, Platform platform, long idleSinceMs)
+			String clusterSecret, DutySettings dutySettings, Platform platform, long jobRetentionMs, long idleSinceMs)
 			throws ServiceException {
 		this.idleSinceMs = idleSinceMs;
+		this.budget = StateBudget.ofThisProcess(jobRetentionMs);
 		this.members = members;
 		this.listenAddress = listenAddress;
 		this.dutySettings = dutySettings;
@@ -192,10 +201,13 @@
 			throw ServiceException.of(ResultCode.SHUTTING_DOWN,
 					"interrupted while waiting for the system to be formed");
 		}
+		LOGGER.atInfo()
+			.log("event=state_budget bytes=%d heap_bytes=%d table_bytes=%d table_routes=%d", this.budget.stateBytes(),
+					Runtime.getRuntime().maxMemory(), this.budget.tableBytes(), this.budget.tableRoutes());
 		long replicaStartedMs = clockMs();
 		ReplicaDriver started = new ReplicaDriver(this.store, Ticker.systemTicker(), this.idleSinceMs,
 				this.members.maximumVoters(), this::sendConsensusMessage, this::onStateChanged,
-				SnapshotPolicy.proportional(), this.processEnd);
+				SnapshotPolicy.proportional(), this.budget, this.processEnd);
 		started.start();
 		this.duties = new LeaderDuties(started, this.presence, this.platform, this.dutySettings,
 				System::currentTimeMillis, this.processEnd);
@@ -288,6 +300,33 @@
 			.toList();
 	}
 
+	/**
+	 * Checks the size of an operator's document before it is decoded.
+	 * @param documentBytes the size, in bytes
+	 * @throws ServiceException with {@link ResultCode#CHANGE_TOO_LARGE} if it exceeds the
+	 * limit
+	 */
+	public void requireTableSize(int documentBytes) throws ServiceException {
+		this.budget.requireTable(documentBytes, 0);
+	}
+
+	/**
+	 * Returns the heap that the replicated state may take.
+	 * @return the limit, in bytes
+	 */
+	public long stateBudgetBytes() {
+		return this.budget.stateBytes();
+	}
+
+	/**
+	 * Returns the heap that the replicated state takes and is expected to take.
+	 * @return the size, zero before the state is restored
+	 */
+	public StateSize stateSize() {
+		ReplicaDriver running = this.driver;
+		return (running != null) ? running.stateSize() : new StateSize(JobSize.ZERO, 0);
+	}
+
 	/**
 	 * Commits and applies a command, through the leader if that is another replica.
 	 * @param command the command
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -25,6 +26,7 @@
 import org.zinniatack.core.consensus.Replica;
 import org.zinniatack.core.consensus.ReplicaSettings;
 import org.zinniatack.core.consensus.Snapshot;
+import org.zinniatack.core.job.JobSize;
 import org.zinniatack.core.membership.JoinRequests;
 import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.result.ResultCode;
@@ -32,6 +34,7 @@
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
+import org.zinniatack.core.state.StateSize;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 import org.zinniatack.store.ReplicaStore;
@@ -86,6 +89,8 @@
 
 	private final SnapshotPolicy snapshotPolicy;
 
+	private final StateBudget budget;
+
 	private final SnapshotWriter snapshots;
 
 	private boolean snapshotRunning;
@@ -118,12 +123,13 @@
 
 	ReplicaDriver(ReplicaStore store, Ticker ticker, long idleSinceMs, int maximumVoters,
 			Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener,
-			SnapshotPolicy snapshotPolicy, ProcessEnd processEnd) throws ServiceException {
+			SnapshotPolicy snapshotPolicy, StateBudget budget, ProcessEnd processEnd) throws ServiceException {
 		this.store = store;
 		this.maximumVoters = maximumVoters;
 		this.ticker = ticker;
 		this.messageSender = messageSender;
 		this.snapshotPolicy = snapshotPolicy;
+		this.budget = budget;
 		this.processEnd = processEnd;
 		this.snapshots = new SnapshotWriter(store, processEnd);
 		this.applied = new AppliedState(ticker, stateListener, processEnd);
@@ -198,8 +204,12 @@
 
 	private void encodeAndPropose(Command command, CompletableFuture<Reply> reply) {
 		try {
+			JobSize added = this.budget.demandOf(command);
 			byte[] encoded = StateCodec.encode(command);
-			submit(() -> propose(encoded, reply));
+			submit(() -> proposeIfFitting(command, encoded, added, reply));
+		}
+		catch (ServiceException ex) {
+			reply.completeExceptionally(ex);
 		}
 		catch (IOException | RuntimeException ex) {
 			reply
@@ -210,7 +220,59 @@
 		}
 	}
 
-	private void propose(byte[] command, CompletableFuture<Reply> reply) {
+	private void proposeIfFitting(Command command, byte[] encoded, JobSize added, CompletableFuture<Reply> reply) {
+		if (!this.replica.isLeader() || !(command instanceof Command.SubmitJob submit)
+				|| this.budget.fits(this.applied.size(), added)) {
+			propose(encoded, added, reply);
+			return;
+		}
+		if (!isReadable(nowMs())) {
+			reply.completeExceptionally(ServiceException.retryable(ResultCode.CHANGE_UNDECIDED,
+					"job %s may be among the changes of the leader before".formatted(submit.submission().id().name()),
+					DISK_RETRY_MS));
+			return;
+		}
+		// A job that was accepted before is accepted again.
+		this.applied.awaitApplied(Math.max(this.replica.commitIndex(), this.applied.lastPendingIndex()))
+			.orTimeout(VOTER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+			.thenCompose((applied) -> read((state) -> refusalOf(submit, state, added)))
+			.whenComplete((refusal, failure) -> {
+				if (failure != null) {
+					reply.completeExceptionally(ServiceException.retryable(ResultCode.CHANGE_UNDECIDED,
+							"it is unknown whether job %s was accepted before"
+								.formatted(submit.submission().id().name()),
+							DISK_RETRY_MS));
+				}
+				else if (refusal.isPresent()) {
+					reply.completeExceptionally(refusal.get());
+				}
+				else {
+					submit(() -> propose(encoded, JobSize.ZERO, reply));
+				}
+			});
+	}
+
+	/** Returns why a job is not accepted, empty for one that is already known. */
+	private Optional<ServiceException> refusalOf(Command.SubmitJob submit, ControlState state, JobSize added) {
+		if (state.jobs().job(submit.submission().id()).isPresent()) {
+			return Optional.empty();
+		}
+		ServiceException refusal = this.budget.refusal(state, added, System.currentTimeMillis());
+		LOGGER.atInfo()
+			.log("event=job_refused job=%s items=%d code=%d retry_after_ms=%d detail=\"%s\"",
+					submit.submission().id().name(), submit.submission().items().size(), refusal.code().number(),
+					refusal.retryAfterMs(), refusal.getMessage());
+		return Optional.of(refusal);
+	}
+
+	/**
+	 * Returns the heap that the state takes with the commands that are not applied yet.
+	 */
+	StateSize stateSize() {
+		return this.applied.size();
+	}
+
+	private void propose(byte[] command, JobSize added, CompletableFuture<Reply> reply) {
 		try {
 			if (!this.writable) {
 				throw ServiceException.retryable(ResultCode.DISK_FULL, "the last write to the disk failed",
@@ -222,7 +284,7 @@
 						DISK_RETRY_MS);
 			}
 			long index = this.replica.propose(command);
-			this.applied.expect(index, this.replica.term(), reply);
+			this.applied.expect(index, this.replica.term(), added, reply);
 		}
 		catch (ServiceException ex) {
 			reply.completeExceptionally(ex);
--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -36,6 +36,7 @@
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.job.JobRetentionPolicy;
 import org.zinniatack.core.job.JobSubmission;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -72,11 +73,20 @@
 	/** Compacts nothing, like earlier versions for some thousand changes. */
 	private static final SnapshotPolicy NEVER = (snapshotBytes, journalBytes, entries) -> false;
 
+	private static final long RETENTION_MS = 60_000;
+
+	private static final int KIB = 1024;
+
+	private static final int TABLE_BYTES = 4 * KIB;
+
 	@TempDir
 	private Path folder;
 
 	private final CompletableFuture<Throwable> ended = new CompletableFuture<>();
 
+	private StateBudget budget = new StateBudget(1L << 40, Integer.MAX_VALUE, Integer.MAX_VALUE,
+			new JobRetentionPolicy(RETENTION_MS));
+
 	private @Nullable ReplicaDriver driver;
 
 	@AfterEach
@@ -101,7 +111,7 @@
 	private void start(ReplicaStore store, Consumer<ControlState> stateListener, SnapshotPolicy policy)
 			throws ServiceException {
 		this.driver = new ReplicaDriver(store, Ticker.systemTicker(), -TIMEOUT_MS, 1, (message) -> {
-		}, stateListener, policy, this::end);
+		}, stateListener, policy, this.budget, this::end);
 		this.driver.start();
 	}
 
@@ -135,7 +145,7 @@
 		BlockingQueue<ConsensusMessage> sent = new LinkedBlockingQueue<>();
 		ReplicaStore store = openStore(this.folder);
 		this.driver = new ReplicaDriver(store, Ticker.systemTicker(), -TIMEOUT_MS, 1, sent::add, (state) -> {
-		}, SMALL_FLOOR, this::end);
+		}, SMALL_FLOOR, this.budget, this::end);
 		this.driver.start();
 		CountDownLatch done = new CountDownLatch(1);
 		CompletableFuture<Boolean> task = this.driver.read((state) -> {
@@ -334,4 +344,107 @@
 		awaitState(expected);
 	}
 
+	private void startWithin(long stateBytes) throws Exception {
+		this.budget = new StateBudget(stateBytes, TABLE_BYTES, 10, new JobRetentionPolicy(RETENTION_MS));
+		start(openStore(this.folder), (state) -> {
+		}, SMALL_FLOOR);
+		commit(new Command.AnnounceWeights("m", 1));
+	}
+
+	private static Command.SubmitJob job(String name, int bodyBytes, long expectedTokens) {
+		return new Command.SubmitJob(new JobSubmission(new JobId("c", name), "h.example", "m", 0,
+				System.currentTimeMillis(), 7_500, 40_000,
+				List.of(new JobItem("i", "g", "/p/", Map.of(), new byte[bodyBytes], "", expectedTokens, null))));
+	}
+
+	private ServiceException refusalOf(Command command) throws Exception {
+		try {
+			Reply reply = this.driver.propose(command).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+			throw new AssertionError("the command is accepted: " + reply);
+		}
+		catch (ExecutionException ex) {
+			return (ServiceException) ex.getCause();
+		}
+	}
+
+	private boolean holds(Command.SubmitJob job) throws Exception {
+		return this.driver.read((state) -> state.jobs().job(job.submission().id()).isPresent())
+			.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	// Guards against a job that is accepted though its processes cannot carry it.
+	@Test
+	void aJobThatDoesNotFitIsRefusedAndAcceptedOnceAnotherIsRemoved() throws Exception {
+		startWithin(300 * KIB);
+		Command.SubmitJob first = job("first", 200 * KIB, 10);
+		Command.SubmitJob second = job("second", 200 * KIB, 10);
+		commit(first);
+		commit(new Command.EndJob(first.submission().id()));
+		ServiceException refusal = refusalOf(second);
+		assertThat(refusal.code(), is(ResultCode.STATE_FULL));
+		assertThat(refusal.retryAfterMs() > RETENTION_MS - TIMEOUT_MS, is(true));
+		assertThat(refusal.retryAfterMs() <= RETENTION_MS + JobRetentionPolicy.CLOCK_MARGIN_MS, is(true));
+		assertThat(holds(second), is(false));
+		commit(new Command.RemoveJobs(List.of(first.submission().id())));
+		commit(second);
+		assertThat(holds(second), is(true));
+	}
+
+	// Guards against a refusal that says "not run" of a job that was accepted before.
+	@Test
+	void aJobThatIsKnownIsAcceptedAgainByAFullState() throws Exception {
+		startWithin(300 * KIB);
+		Command.SubmitJob known = job("known", 200 * KIB, 10);
+		commit(known);
+		assertThat(this.driver.propose(known).get(TIMEOUT_MS, TimeUnit.MILLISECONDS), instanceOf(Reply.Accepted.class));
+	}
+
+	// Guards against several jobs that are accepted at once into the room of one.
+	@Test
+	void jobsThatAreNotAppliedYetTakeTheirRoom() throws Exception {
+		startWithin(300 * KIB);
+		CompletableFuture<Reply> first = this.driver.propose(job("first", 200 * KIB, 10));
+		assertThat(refusalOf(job("second", 200 * KIB, 10)).code(), is(ResultCode.STATE_FULL));
+		assertThat(first.get(TIMEOUT_MS, TimeUnit.MILLISECONDS), instanceOf(Reply.Accepted.class));
+	}
+
+	// Guards against results for which no room was left when their job was accepted.
+	@Test
+	void outputIsCountedAheadAndResultsAreNeverRefused() throws Exception {
+		startWithin(300 * KIB);
+		Command.SubmitJob first = job("first", KIB, 40 * KIB);
+		commit(first);
+		assertThat(refusalOf(job("second", 100 * KIB, 10)).code(), is(ResultCode.STATE_FULL));
+		commit(new Command.FinishItems(first.submission().id(),
+				List.of(new ItemResult("i", true, "x".repeat(400 * KIB), List.of(1L), ""))));
+		assertThat(this.driver.stateSize().storedBytes() > 400 * KIB, is(true));
+	}
+
+	// Guards against a configuration that no process can decode, and against one that
+	// jobs leave no room for.
+	@Test
+	void aTableOverItsLimitIsRefusedAndAnotherIsAcceptedByAFullState() throws Exception {
+		startWithin(300 * KIB);
+		commit(job("first", 250 * KIB, 10));
+		ServiceException refusal = refusalOf(table(1, new byte[TABLE_BYTES + 1]));
+		assertThat(refusal.code().httpStatus(), is(413));
+		assertThat(refusal.getMessage(), is("the configuration has 4097 bytes, the limit is 4096"));
+		commit(table(1, new byte[TABLE_BYTES]));
+	}
+
+	// Guards against a start that refuses what was accepted before there was a budget.
+	@Test
+	void aStateOverItsBudgetIsRestoredAndLed() throws Exception {
+		startWithin(300 * KIB);
+		Command.SubmitJob accepted = job("accepted", 200 * KIB, 10);
+		commit(accepted);
+		this.driver.stop();
+		startWithin(100 * KIB);
+		assertThat(holds(accepted), is(true));
+		commit(new Command.FinishItems(accepted.submission().id(), List.of(ItemResult.givenUp("i"))));
+		commit(new Command.EndJob(accepted.submission().id()));
+		assertThat(refusalOf(job("next", KIB, 10)).code(), is(ResultCode.STATE_FULL));
+		assertThat(refusalOf(job("large", 200 * KIB, 10)).code(), is(ResultCode.CHANGE_TOO_LARGE));
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
@@ -43,6 +43,15 @@
 		addBytes(HeapSize.OBJECT_BYTES * FIXED_OBJECTS, 0);
 	}
 
+	/**
+	 * Returns the heap that a job would take and is expected to take.
+	 * @param submission the job
+	 * @return the size
+	 */
+	public static JobSize sizeOf(JobSubmission submission) {
+		return new Job(submission).size();
+	}
+
 	static Job of(Image image) {
 		Job job = new Job(image.submission());
 		image.results().forEach((result) -> job.addResult(result, 0));
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -301,6 +301,14 @@
 				List.copyOf(this.left.byKey().values()));
 	}
 
+	/**
+	 * Returns the heap that the state takes and is expected to take.
+	 * @return the size
+	 */
+	public StateSize size() {
+		return new StateSize(this.jobs.size(), this.table.heapBytes());
+	}
+
 	/**
 	 * Returns the jobs of all customers.
 	 * @return the ledger, which only this state may change
--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/CurrentRoutingTable.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/CurrentRoutingTable.java
@@ -8,6 +8,9 @@
  */
 public final class CurrentRoutingTable {
 
+	/** The heap of a document and of the table that was read from it. */
+	private static final int HEAP_PER_DOCUMENT_BYTE = 3;
+
 	private @Nullable Image current;
 
 	/**
@@ -33,6 +36,15 @@
 		}
 	}
 
+	/**
+	 * Returns the heap that the table takes.
+	 * @return the size, in bytes, 0 if no table was accepted yet
+	 */
+	public long heapBytes() {
+		Image image = this.current;
+		return (image != null) ? (long) HEAP_PER_DOCUMENT_BYTE * image.document().length : 0;
+	}
+
 	/**
 	 * Returns the stored form.
 	 * @return the table and its document, or null if none was accepted yet
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -51,6 +51,23 @@
 		assertThat(resultIdsFrom(0), contains("a"));
 	}
 
+	// Guards against a size that drifts from what is stored, until all jobs are refused.
+	@Test
+	void theSizeIsThatOfTheRestoredStateAndNothingOnceAllJobsAreRemoved() throws ServiceException {
+		this.ledger.submit(submission("a", "b", "c"));
+		this.ledger.storeProgress(ID,
+				List.of(new ItemProgress("a", 0, new PartialText(List.of("1", "2"), List.of(1L), 2)),
+						new ItemProgress("b", 0, new PartialText(List.of("1"), List.of(1L), 1))));
+		this.ledger.addResults(ID, List.of(result("a", "3")), Map.of("a", 2));
+		this.ledger.addResults(ID, List.of(result("a", "repeated"), result("c", "x")));
+		assertThat(JobLedger.of(this.ledger.images()).size(), is(this.ledger.size()));
+		this.ledger.end(ID);
+		assertThat(this.ledger.size().awaitedBytes(), is(0L));
+		assertThat(JobLedger.of(this.ledger.images()).size(), is(this.ledger.size()));
+		this.ledger.removeJobs(List.of(ID, ID));
+		assertThat(this.ledger.size(), is(JobSize.ZERO));
+	}
+
 	@Test
 	void aResultKeepsItsPositionAndIsNeverReplaced() {
 		this.ledger.submit(submission("a", "b", "c"));
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRetention.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRetention.java
@@ -9,7 +9,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.control.ControlService;
-import org.zinniatack.core.job.Job;
+import org.zinniatack.core.job.JobRetentionPolicy;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
@@ -19,23 +19,17 @@
  */
 final class JobRetention implements Service {
 
-	/** Upper bound of the clock difference between control processes. */
-	static final long CLOCK_MARGIN_MS = 6_000;
-
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
 	private static final long INTERVAL_MS = 5_000;
 
-	/** Multiplies the retention time of a job that its caller never ended. */
-	private static final int ABANDONED_FACTOR = 10;
-
 	private final EventLoop loop;
 
 	private final ControlService control;
 
 	private final BooleanSupplier isLeader;
 
-	private final long retentionMs;
+	private final JobRetentionPolicy policy;
 
 	private @Nullable Future<?> removalTask;
 
@@ -51,7 +45,7 @@
 		this.loop = loop;
 		this.control = control;
 		this.isLeader = isLeader;
-		this.retentionMs = retentionMs;
+		this.policy = new JobRetentionPolicy(retentionMs);
 	}
 
 	@Override
@@ -76,7 +70,7 @@
 			.readApplied((state) -> state.jobs()
 				.jobs()
 				.stream()
-				.filter((job) -> isRemovable(job, nowMs))
+				.filter((job) -> nowMs > this.policy.removableAtMs(job))
 				.map((job) -> job.submission().id())
 				.toList())
 			.thenAccept((old) -> {
@@ -87,10 +81,4 @@
 			});
 	}
 
-	private boolean isRemovable(Job job, long nowMs) {
-		long ageMs = nowMs - job.submission().submittedAtMs();
-		long keptMs = job.isEnded() ? this.retentionMs : ABANDONED_FACTOR * this.retentionMs;
-		return ageMs > keptMs + CLOCK_MARGIN_MS;
-	}
-
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -35,6 +35,7 @@
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.job.JobRetentionPolicy;
 import org.zinniatack.core.job.MovePolicy;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.state.ControlState;
@@ -456,7 +457,7 @@
 
 	private boolean isExpired(ItemRun run) {
 		return System.currentTimeMillis() > run.job.submittedAtMs() + run.job.itemLifetimeMs()
-				+ JobRetention.CLOCK_MARGIN_MS;
+				+ JobRetentionPolicy.CLOCK_MARGIN_MS;
 	}
 
 	private Optional<TargetNotice> chooseTarget(ItemRun run, String pool, long nowMs) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -368,6 +368,21 @@
 		return ResultCode.INTERNAL;
 	}
 
+	/**
+	 * Returns when a failed call may be repeated.
+	 * @param failure the failure, whose causes are searched
+	 * @return the time of the first {@link ServiceException}, in milliseconds, or 0 if it
+	 * states none
+	 */
+	public static long retryAfterMsOf(Throwable failure) {
+		for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+			if (cause instanceof ServiceException known) {
+				return known.retryAfterMs();
+			}
+		}
+		return 0;
+	}
+
 	/**
 	 * Returns the ready targets of a pool.
 	 * @param pool the name of the pool
