--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -33,6 +33,7 @@
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.JobRetentionPolicy;
 import org.zinniatack.core.job.JobSubmission;
 import org.zinniatack.core.job.MovePolicy;
 import org.zinniatack.core.result.ResultCode;
@@ -442,7 +443,8 @@
 	}
 
 	private static boolean isExpired(JobSubmission job) {
-		return System.currentTimeMillis() > job.submittedAtMs() + job.itemLifetimeMs() + JobRetention.CLOCK_MARGIN_MS;
+		return System.currentTimeMillis() > job.submittedAtMs() + job.itemLifetimeMs()
+				+ JobRetentionPolicy.CLOCK_MARGIN_MS;
 	}
 
 	private Optional<TargetNotice> chooseTarget(ItemRun run, String pool, long nowMs) {
