Wait at a start for a port, a data folder or a disk that comes free

Cause: a port that the process before still held ended a start with status 1 and 5201, as wrong settings do; a data folder in use (5102) and a disk that refused the first write (5103) did the same. The platform starts the process again, and each of these ends counts as one by itself.

A port in use has a code of its own, 5202; what no wait can mend still ends a start at once with 5201. A founder waits for room when it writes the state it begins with, and a folder whose founders could not be written is closed before the next try. The wait of a founder has no test of its own.

Callers saw fewer entries, and operators fewer control processes, for the time of a further start.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -94,6 +94,9 @@
 
 	private final long idleSinceMs;
 
+	/** The port for the other processes, 0 before it listens. */
+	private int port;
+
 	private volatile @Nullable ReplicaDriver driver;
 
 	private @Nullable LeaderDuties duties;
@@ -155,7 +158,7 @@
 		this.platform = platform;
 		this.store = ReplicaStore.open(dataFolder, members.ownName());
 		// Before anything that takes time, since a kill may come in the first second.
-		rememberFounders();
+		rememberFounders(this.store);
 		this.network = new PeerNetwork(new PeerIdentity("control", members.ownName()), ClusterSecret.of(clusterSecret),
 				this, NETWORK_THREADS);
 		this.directoryFeeds = new DirectoryFeeds(this::controlAddresses, members.ownName(), operatorsName,
@@ -163,10 +166,17 @@
 		this.memberLinks = new MemberLinks(this.network, members, this.directoryFeeds::subscribeTo);
 	}
 
-	private void rememberFounders() throws ServiceException {
+	/** Closes the store if it fails, since the start may be tried again. */
+	private void rememberFounders(ReplicaStore opened) throws ServiceException {
 		Set<String> founders = this.members.foundersToRemember();
-		if (!this.store.isInitialized() && !founders.isEmpty() && !this.store.founders().equals(founders)) {
-			this.store.rememberFounders(founders);
+		try {
+			if (!opened.isInitialized() && !founders.isEmpty() && !opened.founders().equals(founders)) {
+				opened.rememberFounders(founders);
+			}
+		}
+		catch (ServiceException ex) {
+			opened.close();
+			throw ex;
 		}
 	}
 
@@ -178,9 +188,21 @@
 		return TimeUnit.NANOSECONDS.toMillis(Ticker.systemTicker().nanoTime());
 	}
 
+	/**
+	 * Listens for the other processes, unless it does already; a start includes it.
+	 * @return the port
+	 * @throws ServiceException with ADDRESS_IN_USE or SETTINGS_INVALID
+	 */
+	public int listen() throws ServiceException {
+		if (this.port == 0) {
+			this.port = this.network.listen(this.listenAddress);
+		}
+		return this.port;
+	}
+
 	@Override
 	public void start() throws ServiceException {
-		this.network.listen(this.listenAddress);
+		listen();
 		this.memberLinks.update(Membership.empty());
 		try {
 			new FormationDriver(this.store, this.memberLinks.links(), this.members.isFounder(this.store.founders()),
--- a/zinniatack-control/src/main/java/org/zinniatack/control/FormationDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/FormationDriver.java
@@ -14,6 +14,7 @@
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.process.ReconnectingLink;
+import org.zinniatack.process.StartWait;
 import org.zinniatack.store.ReplicaStore;
 import org.zinniatack.wire.Message;
 
@@ -62,11 +63,11 @@
 			switch (decision.action()) {
 				case FORM -> {
 					LOGGER.atInfo().log("event=system_formed members=%s", decision.membership().voters());
-					this.store.initialize(PersistentState.bootstrap(decision.membership()));
+					initialize(PersistentState.bootstrap(decision.membership()));
 				}
 				case JOIN -> {
 					LOGGER.atInfo().log("event=joining_as_learner replica=%s", this.store.replicaId());
-					this.store.initialize(PersistentState.empty());
+					initialize(PersistentState.empty());
 				}
 				case WAIT -> {
 					reportWaiting(peerStates.size());
@@ -76,6 +77,16 @@
 		}
 	}
 
+	/** Waits for room on the disk; the others go on without this process. */
+	private void initialize(PersistentState state) throws ServiceException {
+		StartWait.untilPassed().run(() -> {
+			if (!this.store.isInitialized()) {
+				this.store.initialize(state);
+			}
+			return true;
+		});
+	}
+
 	/**
 	 * Logs what this process waits for. It does not end: a process that holds the state
 	 * may come back.
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -198,6 +198,9 @@
 	/** The settings are invalid. */
 	SETTINGS_INVALID(5201, 500, Outcome.NOT_RUN, "The settings file has a missing, unknown or wrong field."),
 
+	/** Another socket listens on the address. */
+	ADDRESS_IN_USE(5202, 500, Outcome.NOT_RUN, "Another socket listens on the address; the start waits for it."),
+
 	/** An unexpected error. */
 	INTERNAL(5999, 500, Outcome.UNKNOWN, "An unexpected failure; the log has its cause.");
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -32,6 +32,7 @@
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.table.CallerLimits;
+import org.zinniatack.wire.ListenFailure;
 
 /**
  * Accepts HTTP connections and passes the requests of each one to a handler, one at a
@@ -88,7 +89,8 @@
 	 * Starts to accept connections.
 	 * @param address host and port; port 0 selects a free port
 	 * @return the bound port
-	 * @throws ServiceException if the address cannot be bound
+	 * @throws ServiceException with ADDRESS_IN_USE if the port is taken, or
+	 * SETTINGS_INVALID
 	 */
 	public int open(String address) throws ServiceException {
 		int colon = address.lastIndexOf(':');
@@ -113,8 +115,7 @@
 			.bind(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
 			.awaitUninterruptibly();
 		if (!bound.isSuccess()) {
-			throw ServiceException.of(ResultCode.SETTINGS_INVALID,
-					"cannot listen on " + address + ": " + bound.cause().getMessage());
+			throw ListenFailure.of(address, bound.cause());
 		}
 		this.server = bound.channel();
 		this.group.scheduleWithFixedDelay(this::checkForFreeze, FREEZE_CHECK_MS, FREEZE_CHECK_MS,
--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -126,7 +126,8 @@
 			}
 		}
 		catch (IOException ex) {
-			throw diskFailure(ex);
+			throw ServiceException.of(ResultCode.DISK_FULL,
+					"data folder " + folder + " cannot be opened: " + ex.getMessage());
 		}
 	}
 
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/PeerNetwork.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/PeerNetwork.java
@@ -101,7 +101,8 @@
 	 * Starts accepting connections.
 	 * @param address the address as {@code host:port}; port 0 selects a free port
 	 * @return the bound port
-	 * @throws ServiceException if the address cannot be bound
+	 * @throws ServiceException with ADDRESS_IN_USE if the port is taken, or
+	 * SETTINGS_INVALID
 	 */
 	public int listen(String address) throws ServiceException {
 		ChannelFuture bound = new ServerBootstrap().group(this.eventLoops)
@@ -113,8 +114,7 @@
 			.bind(socketAddress(address))
 			.awaitUninterruptibly();
 		if (!bound.isSuccess()) {
-			throw ServiceException.of(ResultCode.SETTINGS_INVALID,
-					"cannot listen on " + address + ": " + bound.cause().getMessage());
+			throw ListenFailure.of(address, bound.cause());
 		}
 		this.channels.add(bound.channel());
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
