Refuse an entry that the state cannot apply, instead of ending each process at each start

Cause: a runtime exception while the state applied a command ended the process with 111. The entry is in every log, so it ended all of them, and again at each start: a command with a missing field, for example a version announced for no model.

Change: the reply of such an entry is a refusal with 5999, with a line (command_failed) that names index and command. What the command had changed before it failed is the same in all replicas, since they run the same steps. An entry that cannot be decoded still ends the process: a later version may know it.

Ruled out: a check of each command before it is proposed; it would have to repeat the conditions of all tables.

AppliedStateTests failed on: the thread of the state had ended, and a read had no answer within 10 s.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -22,6 +22,7 @@
 import org.zinniatack.core.consensus.Snapshot;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
 import org.zinniatack.process.ProcessEnd;
@@ -275,7 +276,7 @@
 		boolean expected = pending != null && pending.term() == entry.term();
 		Optional<byte[]> command = this.commandParts.add(entry);
 		if (command.isPresent()) {
-			Reply reply = this.state.apply(entry.index(), StateCodec.decodeCommand(command.get()));
+			Reply reply = apply(entry.index(), StateCodec.decodeCommand(command.get()));
 			if (expected) {
 				pending.reply().complete(reply);
 			}
@@ -288,6 +289,25 @@
 		}
 	}
 
+	/**
+	 * Refuses a command that the state cannot apply. It is in the log of every replica,
+	 * and what it has changed is the same in each, so an end would be repeated at each
+	 * start of all of them.
+	 */
+	private Reply apply(long index, Command command) {
+		try {
+			return this.state.apply(index, command);
+		}
+		catch (RuntimeException ex) {
+			LOGGER.atSevere()
+				.withCause(ex)
+				.log("event=command_failed code=%d index=%d command=%s", ResultCode.INTERNAL.number(), index,
+						command.getClass().getSimpleName());
+			return new Reply.Refused(ResultCode.INTERNAL,
+					"the state could not apply the command at index " + index + ": " + ex, 0);
+		}
+	}
+
 	private void onApplied() {
 		this.retiringMembers = this.state.retiringMembers();
 		completeAppliedWaiters();
