Guard the two periodic tasks of an entry that an exception would have cancelled

Cause: an event loop drops a periodic task at its first exception without a line. The report of usage and the check for a freeze were not guarded, as the other periodic tasks are.

Change: both run in the guard that logs an exception and goes on, and ends the process at an error. Found by reading; no run has shown such an exception, and the guard itself is tested by GuardedTaskTests.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -32,6 +32,7 @@
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.table.CallerLimits;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.wire.ListenFailure;
 
 /**
@@ -118,8 +119,8 @@
 			throw ListenFailure.of(address, bound.cause());
 		}
 		this.server = bound.channel();
-		this.group.scheduleWithFixedDelay(this::checkForFreeze, FREEZE_CHECK_MS, FREEZE_CHECK_MS,
-				TimeUnit.MILLISECONDS);
+		this.group.scheduleWithFixedDelay(ProcessEnd.halt().guard("freeze", this::checkForFreeze), FREEZE_CHECK_MS,
+				FREEZE_CHECK_MS, TimeUnit.MILLISECONDS);
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -30,6 +30,7 @@
 import org.zinniatack.gateway.target.TargetObserver;
 import org.zinniatack.gateway.target.TargetProtocol;
 import org.zinniatack.gateway.target.TargetSelector;
+import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.ProcessStatus;
 import org.zinniatack.process.Service;
 import org.zinniatack.wire.ClusterSecret;
@@ -138,8 +139,8 @@
 	public void start() {
 		this.startedAtMs = nowMs();
 		this.control.addAddresses(this.settings.clusterAddresses());
-		this.reportingTask = this.loop.scheduleWithFixedDelay(this::reportUsage, this.settings.usageIntervalMs(),
-				this.settings.usageIntervalMs(), TimeUnit.MILLISECONDS);
+		this.reportingTask = this.loop.scheduleWithFixedDelay(ProcessEnd.halt().guard("usage", this::reportUsage),
+				this.settings.usageIntervalMs(), this.settings.usageIntervalMs(), TimeUnit.MILLISECONDS);
 		LOGGER.atInfo()
 			.log("event=gateway_started name=%s seeds=%s", this.settings.name(), this.settings.seedAddresses());
 	}
