State a Retry-After of a full state that follows from the retention of jobs that end

Cause: a job that its caller has not ended yet was taken to stay for ten times the retention; a caller was told 606 s by a test at a retention of 60 s, though nearly all jobs are ended.

--- a/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/ReplicaDriverTests.java
@@ -414,7 +414,9 @@
 		startWithin(300 * KIB);
 		Command.SubmitJob first = job("first", KIB, 40 * KIB);
 		commit(first);
-		assertThat(refusalOf(job("second", 100 * KIB, 10)).code(), is(ResultCode.STATE_FULL));
+		ServiceException refusal = refusalOf(job("second", 100 * KIB, 10));
+		assertThat(refusal.code(), is(ResultCode.STATE_FULL));
+		assertThat(refusal.retryAfterMs() <= RETENTION_MS + JobRetentionPolicy.CLOCK_MARGIN_MS, is(true));
 		commit(new Command.FinishItems(first.submission().id(),
 				List.of(new ItemResult("i", true, "x".repeat(400 * KIB), List.of(1L), ""))));
 		assertThat(this.driver.stateSize().storedBytes() > 400 * KIB, is(true));
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -130,7 +130,8 @@
 	}
 
 	/**
-	 * Returns when the removal of jobs will have freed some bytes, if no other job ends.
+	 * Returns when the removal of jobs may have freed some bytes, if their callers end
+	 * them.
 	 * @param neededBytes the bytes to be freed
 	 * @param retention decides when a job may be removed
 	 * @return the time in milliseconds since the epoch, or empty if all jobs take less
@@ -139,11 +140,11 @@
 		long freedBytes = 0;
 		for (Job job : this.jobs.values()
 			.stream()
-			.sorted(Comparator.comparingLong(retention::removableAtMs))
+			.sorted(Comparator.comparingLong(retention::removableOnceEndedAtMs))
 			.toList()) {
 			freedBytes += job.size().storedBytes() + this.size.corrected(job.size().awaitedBytes());
 			if (freedBytes >= neededBytes) {
-				return OptionalLong.of(retention.removableAtMs(job));
+				return OptionalLong.of(retention.removableOnceEndedAtMs(job));
 			}
 		}
 		return OptionalLong.empty();
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobRetentionPolicy.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobRetentionPolicy.java
@@ -14,6 +14,15 @@
 	/** Multiplies the retention time of a job that its caller never ended. */
 	private static final int ABANDONED_FACTOR = 10;
 
+	/**
+	 * Returns the time after which a job may be removed if its caller ends it.
+	 * @param job the job
+	 * @return the time, in milliseconds since the epoch
+	 */
+	public long removableOnceEndedAtMs(Job job) {
+		return job.submission().submittedAtMs() + this.retentionMs + CLOCK_MARGIN_MS;
+	}
+
 	/**
 	 * Returns the time after which a job may be removed.
 	 * @param job the job
