Decode and encode large frames on other threads than the event loops

Cause: a frame of several MB, such as a job or a table that a front proposes, was encoded and decoded on one of two event loops that also carry heartbeats and votes of other connections. The connection itself was closed when a frame took longer than the silence that is allowed, since only whole frames counted.

Change: frames of 64 KiB or more are decoded, and jobs, tables, pages, bodies and batches encoded, by two threads of the network, in the order of their connection; reading from it stops meanwhile. Heartbeats of a connection go ahead of a frame that is being encoded, and silence is measured in bytes.

Not done: a table that many fronts ask for is still encoded for each of them.

Callers saw changes of leader while large jobs or configurations came in.

--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
@@ -157,12 +157,13 @@
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
 		if (event instanceof IdleStateEvent idle) {
-			if (idle.state() == IdleState.READER_IDLE) {
-				context.close();
-			}
-			else {
+			if (idle.state() == IdleState.WRITER_IDLE) {
 				send(new Message.Heartbeat());
 			}
+			else if (this.channel.config().isAutoRead()) {
+				// Otherwise nothing is read while a large frame is decoded.
+				context.close();
+			}
 		}
 	}
 
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Handshake.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Handshake.java
@@ -146,8 +146,10 @@
 		context.pipeline()
 			.replace(LengthFieldBasedFrameDecoder.class, "frames",
 					new LengthFieldBasedFrameDecoder(this.maximumFrameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+		// First, so that a frame that arrives slowly is no silence.
 		context.pipeline()
-			.addLast(new IdleStateHandler(READ_IDLE_TIMEOUT_MS, HEARTBEAT_INTERVAL_MS, 0, TimeUnit.MILLISECONDS), peer);
+			.addFirst(new IdleStateHandler(READ_IDLE_TIMEOUT_MS, HEARTBEAT_INTERVAL_MS, 0, TimeUnit.MILLISECONDS))
+			.addLast(peer);
 		context.pipeline().remove(this);
 		this.handler.onOpen(peer);
 		this.onOpened.accept(peer);
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -73,6 +73,17 @@
 		@JsonSubTypes.Type(value = Message.ItemBody.class, name = "ib") })
 public sealed interface Message {
 
+	/**
+	 * Returns whether the message may take long to encode, such as a job or a table.
+	 * @return false if it is small or holds only bytes that are encoded already
+	 */
+	default boolean mayBeLarge() {
+		return this instanceof JobPage || this instanceof ItemBody || this instanceof Batch
+				|| (this instanceof SystemFeed feed && feed.table() != null)
+				|| (this instanceof Propose propose && (propose.command() instanceof Command.SubmitJob
+						|| propose.command() instanceof Command.ReplaceTable));
+	}
+
 	/**
 	 * Begins the handshake, sent by the process that opened the connection.
 	 *
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/PeerNetwork.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/PeerNetwork.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -21,6 +23,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.DefaultThreadFactory;
 
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -42,6 +45,8 @@
 
 	private static final long SHUTDOWN_TIMEOUT_MS = 2_000;
 
+	private static final int LARGE_FRAME_THREADS = 2;
+
 	private final PeerIdentity ownIdentity;
 
 	private final ClusterSecret secret;
@@ -52,6 +57,9 @@
 
 	private final ChannelGroup channels;
 
+	private final ExecutorService largeFrames = Executors.newFixedThreadPool(LARGE_FRAME_THREADS,
+			new DefaultThreadFactory("large-frames", true));
+
 	/**
 	 * Creates the event loops. No socket is opened yet.
 	 * @param ownIdentity the identity of this process
@@ -137,6 +145,7 @@
 	 */
 	public void stop() {
 		this.channels.close().awaitUninterruptibly();
+		this.largeFrames.shutdown();
 		this.eventLoops.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
 	}
 
@@ -149,7 +158,7 @@
 					.addLast(
 							new LengthFieldBasedFrameDecoder(MAXIMUM_HANDSHAKE_FRAME_BYTES, 0, LENGTH_BYTES, 0,
 									LENGTH_BYTES),
-							new LengthFieldPrepender(LENGTH_BYTES), new FrameCodec(),
+							new LengthFieldPrepender(LENGTH_BYTES), new FrameCodec(PeerNetwork.this.largeFrames),
 							new Handshake(PeerNetwork.this.secret, PeerNetwork.this.ownIdentity,
 									PeerNetwork.this.handler, opener, MAXIMUM_FRAME_BYTES, onOpened));
 			}
