Repeat the lookup of a read while a leader is elected or connected to

Cause: a control process refused a read at the first failed lookup: no leader known, no connection to it yet, or a leader without a lease. A leader that had gone silent held a read for five seconds.

Change: the lookup is repeated for up to 1.5 s, with at most 700 ms for an answer, and again with the leader that is known then. Failures that do not pass by themselves end it at once. Once lookups have failed for that long, as on a process that is cut off, later ones are refused at once.

Measured: three processes, the leader stopped, one read at each of the others at once. After: answered. A read at a process that knows the index but has not applied it still waits without a bound.

Callers saw: 503 to reads of the configuration and of jobs at processes that could have answered a moment later.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -88,6 +88,8 @@
 
 	private final ProcessEnd processEnd = ProcessEnd.halt();
 
+	private final ReadIndexes readIndexes = new ReadIndexes(this::lookUpReadIndex, ControlService::clockMs, this.timer);
+
 	private final JobReads jobReads = new JobReads(this, this.timer);
 
 	private final ReplicaStore store;
@@ -307,7 +309,7 @@
 
 	/**
 	 * Reads the replicated state linearizably: the result includes every change that was
-	 * accepted before the call.
+	 * accepted before the call. Waits for a moment while a leader is elected.
 	 * @param <T> the type of the result
 	 * @param reader the function that reads the state, called on the replica's thread
 	 * @return the result; the future fails with a {@link ServiceException} if no leader
@@ -315,17 +317,23 @@
 	 */
 	public <T> CompletableFuture<T> readCurrent(Function<ControlState, T> reader) {
 		ReplicaDriver running = requireDriver();
-		return readIndex().thenCompose(running::awaitApplied).thenCompose((applied) -> running.read(reader));
+		return this.readIndexes.find()
+			.thenCompose(running::awaitApplied)
+			.thenCompose((applied) -> running.read(reader));
 	}
 
-	private CompletableFuture<Long> readIndex() {
+	private CompletableFuture<Long> lookUpReadIndex(long timeoutMs) {
+		if (this.stopping) {
+			return CompletableFuture
+				.failedFuture(ServiceException.of(ResultCode.SHUTTING_DOWN, "the control process is stopping"));
+		}
 		ReplicaDriver running = requireDriver();
 		ReplicaStatus status = running.status();
 		if (status.holdsLease(running.nowMs())) {
 			return CompletableFuture.completedFuture(status.commitIndex());
 		}
 		return leaderLink()
-			.map((peer) -> peer.call(new Message.ReadIndex(), CALL_TIMEOUT_MS)
+			.map((peer) -> peer.call(new Message.ReadIndex(), timeoutMs)
 				.thenApply((response) -> ((Message.ReadIndexAt) response).index()))
 			.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
 	}
--- a/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
@@ -158,6 +158,27 @@
 		}
 	}
 
+	private String leaderHost() throws Exception {
+		awaitCondition(() -> this.running.get(SEEDS.get(0)).isReady());
+		ReplicaStatus status = (ReplicaStatus) this.running.get(SEEDS.get(0)).dump().get("replica");
+		return status.leaderId().substring(0, status.leaderId().indexOf(':'));
+	}
+
+	// Guards against a 503 to each read that comes while a new leader is elected and
+	// connected to.
+	@Test
+	void aReadRightAfterTheEndOfALeaderIsAnsweredByItsSuccessor() throws Exception {
+		formSystem();
+		String leader = leaderHost();
+		List<String> others = SEEDS.stream().filter((seed) -> !seed.equals(leader)).toList();
+		stop(leader);
+		for (String other : others) {
+			assertThat(this.running.get(other)
+				.readCurrent((state) -> state.routingTable().table().number())
+				.get(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(1L));
+		}
+	}
+
 	@Test
 	void anEmptyProcessAtAnotherAddressTakesALostOnesPlace() throws Exception {
 		formSystem();
