--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -97,6 +97,8 @@
 
 	private final ProcessEnd processEnd = ProcessEnd.halt();
 
+	private final ReadIndexes readIndexes = new ReadIndexes(this::lookUpReadIndex, ControlService::clockMs, this.timer);
+
 	private final JobReads jobReads = new JobReads(this, this.timer);
 
 	private final ReplicaStore store;
@@ -373,7 +375,7 @@
 
 	/**
 	 * Reads the replicated state linearizably: the result includes every change that was
-	 * accepted before the call.
+	 * accepted before the call. Waits for a moment while a leader is elected.
 	 * @param <T> the type of the result
 	 * @param reader the function that reads the state, called on the replica's thread
 	 * @return the result; the future fails with a {@link ServiceException} if no leader
@@ -381,7 +383,9 @@
 	 */
 	public <T> CompletableFuture<T> readCurrent(Function<ControlState, T> reader) {
 		ReplicaDriver running = requireDriver();
-		return readIndex().thenCompose(running::awaitApplied).thenCompose((applied) -> running.read(reader));
+		return this.readIndexes.find()
+			.thenCompose(running::awaitApplied)
+			.thenCompose((applied) -> running.read(reader));
 	}
 
 	/**
@@ -391,17 +395,21 @@
 	 * fails with a {@link ServiceException} if no leader answers
 	 */
 	public CompletableFuture<Optional<CurrentRoutingTable.Image>> readTable() {
-		return readIndex().thenCompose(requireDriver()::readTable);
+		return this.readIndexes.find().thenCompose(requireDriver()::readTable);
 	}
 
-	private CompletableFuture<Long> readIndex() {
+	private CompletableFuture<Long> lookUpReadIndex(long timeoutMs) {
+		if (this.stopping) {
+			return CompletableFuture
+				.failedFuture(ServiceException.of(ResultCode.SHUTTING_DOWN, "the control process is stopping"));
+		}
 		ReplicaDriver running = requireDriver();
 		ReplicaStatus status = running.status();
 		if (status.holdsLease(running.nowMs())) {
 			return CompletableFuture.completedFuture(status.commitIndex());
 		}
 		return leaderLink()
-			.map((peer) -> peer.call(new Message.ReadIndex(), CALL_TIMEOUT_MS)
+			.map((peer) -> peer.call(new Message.ReadIndex(), timeoutMs)
 				.thenApply((response) -> ((Message.ReadIndexAt) response).index()))
 			.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
 	}
@@ -680,6 +688,7 @@
 		}
 		else if (message instanceof Message.JoinRequest join) {
 			running.onJoinRequest(join.replicaId());
+			forwardToLeader(peer, join);
 		}
 		else if (message instanceof Message.EntryReport report) {
 			EntryFeeds started = this.feeds;
@@ -689,6 +698,16 @@
 		}
 	}
 
+	/**
+	 * Forwards a request that came from its sender, who knows only the seeds at first.
+	 */
+	private void forwardToLeader(Peer sender, Message.JoinRequest request) {
+		boolean direct = MemberChange.nameOf(request.replicaId()).equals(sender.identity().nodeId());
+		if (direct && !requireDriver().status().isLeader()) {
+			leaderLink().ifPresent((leader) -> leader.send(request));
+		}
+	}
+
 	@Override
 	public void onClosed(Peer peer) {
 		this.directoryFeeds.onClosed(peer);
