Forward a request to join to the leader

Cause: a process with an empty disk knows only its seeds, and sends them its request to join. A seed that does not lead kept the request to itself. While the leader was none of the seeds, the process stayed out of the membership, and refused calls with "no leader is known".

Change: a process that gets such a request from its sender and does not lead passes it on to the leader.

Measured: three seeds, one replaced by a process at another address that then leads, and the replaced one started again with an empty disk: before, no member after 20 s; after, a member.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -612,6 +612,7 @@
 		}
 		else if (message instanceof Message.JoinRequest join) {
 			running.onJoinRequest(join.replicaId());
+			forwardToLeader(peer, join);
 		}
 		else if (message instanceof Message.EntryReport report) {
 			EntryFeeds started = this.feeds;
@@ -621,6 +622,16 @@
 		}
 	}
 
+	/**
+	 * Forwards a request that came from its sender, who knows only the seeds at first.
+	 */
+	private void forwardToLeader(Peer sender, Message.JoinRequest request) {
+		boolean direct = MemberChange.nameOf(request.replicaId()).equals(sender.identity().nodeId());
+		if (direct && !requireDriver().status().isLeader()) {
+			leaderLink().ifPresent((leader) -> leader.send(request));
+		}
+	}
+
 	@Override
 	public void onClosed(Peer peer) {
 		this.directoryFeeds.onClosed(peer);
--- a/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
@@ -190,6 +190,34 @@
 		assertThat(tableNumber(SEEDS.get(0)), is(8L));
 	}
 
+	private String leaderHost(String viewer) {
+		ReplicaStatus status = (ReplicaStatus) this.running.get(viewer).dump().get("replica");
+		return status.leaderId().split(":")[0];
+	}
+
+	// Guards against a process with an empty disk that no leader learns of, since its
+	// seeds do not include the leader.
+	@Test
+	void anEmptyProcessJoinsWhileNoneOfItsSeedsLeads() throws Exception {
+		formSystem();
+		stop(SEEDS.get(2));
+		deleteFolder(SEEDS.get(2));
+		start(REPLACEMENT, false);
+		awaitCondition(() -> voterHosts(REPLACEMENT).equals(List.of(SEEDS.get(0), SEEDS.get(1), REPLACEMENT)));
+		awaitCondition(() -> {
+			String leader = leaderHost(REPLACEMENT);
+			if (SEEDS.contains(leader)) {
+				stop(leader);
+				start(leader, false);
+			}
+			return leader.equals(REPLACEMENT);
+		});
+		start(SEEDS.get(2), false);
+		awaitCondition(
+				() -> this.running.get(REPLACEMENT).dump().get("replica").toString().contains(SEEDS.get(2) + ":"));
+		assertThat(leaderHost(REPLACEMENT), is(REPLACEMENT));
+	}
+
 	@Test
 	void aSeedThatLostItsDiskFoundsNoSecondSystem() throws Exception {
 		formSystem();
