Send encoded tables through the codec, and mend what a review of the fix found

The merge of two changes, tables that are encoded once and frames that are encoded beside the event loops, sent no table to any entry: the codec cast what it was given to a frame.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedTable.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedTable.java
@@ -66,6 +66,7 @@
 		if (index > this.handedOverIndex) {
 			this.handedOverIndex = index;
 			this.changeIndex = index;
+			this.inParts = false;
 		}
 	}
 
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ProportionalSnapshots.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ProportionalSnapshots.java
@@ -19,7 +19,7 @@
 
 	static final long MAXIMUM_SPREAD_BYTES = 4 * 1024 * 1024;
 
-	private static final long CEILING_BYTES = 24 * 1024 * 1024;
+	static final long CEILING_BYTES = 24 * 1024 * 1024;
 
 	/** Small entries cost more in memory and at a restart than their bytes. */
 	private static final long TYPICAL_ENTRY_BYTES = 256;
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReadIndexes.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReadIndexes.java
@@ -67,8 +67,7 @@
 
 	private CompletableFuture<Long> findUntil(long untilMs) {
 		long startedMs = this.clockMs.getAsLong();
-		CompletableFuture<Long> attempt = this.lookup
-			.apply(Math.max(RETRY_MS, Math.min(ATTEMPT_MS, untilMs - startedMs)));
+		CompletableFuture<Long> attempt = this.lookup.apply(ATTEMPT_MS);
 		return attempt.handle((index, failure) -> {
 			long nowMs = this.clockMs.getAsLong();
 			record(failure != null, startedMs, nowMs);
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -60,6 +60,9 @@
 
 	private static final long SNAPSHOT_RETRY_MS = 5_000;
 
+	/** The journals that a snapshot replaces, and as much again while it is written. */
+	private static final long HURRY_JOURNAL_BYTES = 2 * ProportionalSnapshots.CEILING_BYTES;
+
 	private static final long STALL_THRESHOLD_MS = 200;
 
 	private static final long STOP_TIMEOUT_MS = 5_000;
@@ -411,6 +414,7 @@
 			}
 			// A read that follows an acknowledgement must find its index in the status.
 			updateStatus();
+			this.snapshots.hurry(this.store.journalBytes() >= HURRY_JOURNAL_BYTES);
 			handOver(effects, asOfMs);
 			if (readable && this.readableTerm != this.replica.term()) {
 				this.readableTerm = this.replica.term();
@@ -529,7 +533,7 @@
 	}
 
 	private void writeSnapshot(AppliedState.IndexedImage image, int startedBy) {
-		if (startedBy != this.restartCount || image.index() <= this.snapshotIndex) {
+		if (startedBy != this.restartCount || image.index() <= this.replica.compactedIndex()) {
 			delaySnapshot();
 			return;
 		}
@@ -539,7 +543,7 @@
 
 	/** A replica that was restarted may not have applied what the snapshot covers. */
 	private void finishSnapshot(Snapshot written, int startedBy) {
-		boolean outdated = startedBy != this.restartCount || written.index() <= this.snapshotIndex
+		boolean outdated = startedBy != this.restartCount || written.index() <= this.replica.compactedIndex()
 				|| written.index() > this.replica.commitIndex();
 		if (outdated) {
 			delaySnapshot();
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SnapshotWriter.java
@@ -32,7 +32,7 @@
 
 	private final ProcessEnd processEnd;
 
-	private volatile boolean stopping;
+	private volatile boolean hurried;
 
 	private final ExecutorService executor = Executors
 		.newSingleThreadExecutor((task) -> new Thread(task, "snapshot-writer"));
@@ -51,7 +51,7 @@
 		this.executor.execute(() -> {
 			try {
 				onWritten.accept(this.store.prepareSnapshot(header, (output) -> StateCodec.encode(image,
-						new PacedOutput(output, this.ticker, () -> this.stopping))));
+						new PacedOutput(output, this.ticker, () -> this.hurried))));
 			}
 			catch (ServiceException ex) {
 				LOGGER.atWarning().log("event=snapshot_failed index=%d detail=\"%s\"", header.index(), ex.getMessage());
@@ -69,8 +69,13 @@
 		});
 	}
 
+	/** Sets whether a snapshot is written without pauses, since the journal grows. */
+	void hurry(boolean isHurried) {
+		this.hurried = isHurried;
+	}
+
 	void stop() {
-		this.stopping = true;
+		this.hurried = true;
 		this.executor.shutdown();
 		try {
 			this.executor.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
--- a/zinniatack-control/src/main/java/org/zinniatack/control/StateBudget.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/StateBudget.java
@@ -24,6 +24,9 @@
 
 	static final int TABLE_BYTES = 4 * 1024 * 1024;
 
+	/** A job of this size is written to a disk within a third of the lease. */
+	static final long JOB_BYTES = 12 * 1024 * 1024;
+
 	static final int TABLE_ROUTES = 15_000;
 
 	private static final long MIB = 1024 * 1024;
@@ -70,11 +73,16 @@
 			return JobSize.ZERO;
 		}
 		JobSize demand = Job.sizeOf(submit.submission());
-		if (demand.finalBytes() > jobBytes()) {
+		requireAtMost(submit, demand.finalBytes(), jobBytes());
+		requireAtMost(submit, demand.storedBytes(), Math.min(JOB_BYTES, jobBytes()));
+		return demand;
+	}
+
+	private static void requireAtMost(Command.SubmitJob submit, long bytes, long limitBytes) throws ServiceException {
+		if (bytes > limitBytes) {
 			throw ServiceException.of(ResultCode.CHANGE_TOO_LARGE, "job %s takes %d bytes, the limit is %d"
-				.formatted(submit.submission().id().name(), demand.finalBytes(), jobBytes()));
+				.formatted(submit.submission().id().name(), bytes, limitBytes));
 		}
-		return demand;
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -159,6 +159,11 @@
 		return this.log.compact(index, sizeBytes);
 	}
 
+	@Override
+	public long compactedIndex() {
+		return this.log.entries().snapshot().index();
+	}
+
 	@Override
 	public Snapshot snapshotAt(long index) {
 		return this.log.snapshotAt(index, 0);
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -59,6 +59,12 @@
 	 */
 	Snapshot compact(long index, long sizeBytes);
 
+	/**
+	 * Returns the index up to which a snapshot has replaced the log.
+	 * @return the index, 0 for none
+	 */
+	long compactedIndex();
+
 	/**
 	 * Returns a snapshot of unknown size as of an applied index without compacting the
 	 * log.
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/ChannelPeer.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -108,7 +107,7 @@
 
 	@Override
 	public void send(EncodedNotification notification) {
-		this.channel.writeAndFlush(Unpooled.wrappedBuffer(notification.frame()));
+		this.channel.writeAndFlush(notification);
 	}
 
 	@Override
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/FrameCodec.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/FrameCodec.java
@@ -22,6 +22,8 @@
 import io.netty.util.ReferenceCountUtil;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
+import org.zinniatack.core.consensus.Snapshot;
+
 /**
  * Encodes frames as MessagePack and decodes them. Large ones are left to another
  * executor, so that other connections of the event loop do not wait for them. The frames
@@ -29,8 +31,11 @@
  */
 final class FrameCodec extends ChannelDuplexHandler {
 
-	/** The size from which a frame is decoded elsewhere, in bytes. */
-	static final int LARGE_FRAME_BYTES = 64 * 1024;
+	/**
+	 * The size from which a frame is decoded elsewhere, in bytes. No message between
+	 * replicas reaches it, so that none waits behind jobs and tables.
+	 */
+	static final int LARGE_FRAME_BYTES = 2 * Snapshot.PART_BYTES;
 
 	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
 		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
@@ -124,21 +129,23 @@
 
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-		Frame frame = (Frame) message;
-		if (frame.message() instanceof Message.Heartbeat) {
+		if (message instanceof Frame frame && frame.message() instanceof Message.Heartbeat) {
 			// It carries nothing but that the process lives, which a large frame must not
 			// hide.
 			Encoded.of(frame).write(context, promise);
 			return;
 		}
-		this.unsent.add(new PendingFrame(frame, promise));
+		this.unsent.add(new PendingFrame(message, promise));
 		encodeNext(context);
 	}
 
 	private void encodeNext(ChannelHandlerContext context) {
 		while (!this.encoding && !this.unsent.isEmpty()) {
 			PendingFrame next = this.unsent.remove();
-			if (!next.frame().message().mayBeLarge()) {
+			if (next.content() instanceof EncodedNotification notification) {
+				new Encoded(notification.frame()).write(context, next.promise());
+			}
+			else if (!next.frame().message().mayBeLarge()) {
 				Encoded.of(next.frame()).write(context, next.promise());
 			}
 			else {
@@ -173,7 +180,13 @@
 		}
 	}
 
-	private record PendingFrame(Frame frame, ChannelPromise promise) {
+	/** A frame or an encoded notification to send. */
+	private record PendingFrame(Object content, ChannelPromise promise) {
+
+		Frame frame() {
+			return (Frame) this.content;
+		}
+
 	}
 
 	/** A decoded frame or the failure to decode it. */
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/FrameCodecTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/FrameCodecTests.java
@@ -103,6 +103,17 @@
 		assertThat(sentIds(), contains(3L, 5L));
 	}
 
+	// Guards against tables that reach no entry, since the codec takes frames only.
+	@Test
+	void anEncodedNotificationIsSentInItsOrder() throws Exception {
+		this.channel.writeOneOutbound(large(3));
+		this.channel.writeOneOutbound(EncodedNotification.of(new Message.ReadIndex()));
+		this.channel.writeOneOutbound(small(5));
+		runTask();
+		this.channel.flushOutbound();
+		assertThat(sentIds(), contains(3L, ChannelPeer.NOTIFICATION_ID, 5L));
+	}
+
 	@Test
 	void aConnectionThatIsLostMeanwhileEndsAtOnceAndFailsWhatIsNotSent() throws Exception {
 		receive(large(3));
