--- a/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
+++ b/zinniatack-store/src/main/java/org/zinniatack/store/FolderStore.java
@@ -80,6 +80,9 @@
 
 	private long lastTerm;
 
+	/** A journal that may exist though it was not started, or null if there is none. */
+	private @Nullable Path unfinishedJournal;
+
 	/** The number of the journal that began with the newest snapshot. */
 	private long rolledNumber;
 
@@ -214,6 +217,7 @@
 	}
 
 	private PersistentState recover() throws IOException, ServiceException {
+		removeUnfinishedJournal();
 		JournalReplay replay = new JournalReplay(this.hardState, readSnapshot());
 		this.journalBytes.clear();
 		for (long number : journalNumbers()) {
@@ -375,6 +379,7 @@
 				startJournal(base, List.of());
 				deleteJournalsBefore(this.journalNumber);
 			}
+			removeUnfinishedJournal();
 			cutFailedWrite();
 			ByteBuffer record = Records.encode(batch.encode());
 			int length = record.remaining();
@@ -544,14 +549,38 @@
 		this.journalBytes.headMap(number).clear();
 	}
 
+	/**
+	 * Removes a journal that could not be started. A start would read it behind entries
+	 * that were appended to the one before, so nothing is appended until it is gone.
+	 */
+	private void removeUnfinishedJournal() throws IOException {
+		Path unfinished = this.unfinishedJournal;
+		if (unfinished != null) {
+			Files.deleteIfExists(unfinished);
+			syncFolder(this.folder);
+			this.unfinishedJournal = null;
+		}
+	}
+
 	/** Starts a journal after a snapshot, with one record for each of its entries. */
 	private void startJournal(Snapshot snapshot, List<LogEntry> laterEntries) throws IOException {
 		List<RecordWriter.Payload> batches = new ArrayList<>();
 		batches.add(new Batch(this.hardState, snapshot.index(), snapshot.term(), 0, List.of())::encodeTo);
 		laterEntries.forEach((entry) -> batches.add(new Batch(null, -1, 0, 0, List.of(entry))::encodeTo));
-		Path next = this.folder.resolve(JOURNAL_PREFIX + (this.journalNumber + 1));
-		long lengthBytes = writeAtomically(next, batches);
-		Journal opened = this.journalFactory.open(next);
+		removeUnfinishedJournal();
+		Path next = journalPath(this.journalNumber + 1);
+		long lengthBytes;
+		Journal opened;
+		try {
+			this.unfinishedJournal = next;
+			lengthBytes = writeAtomically(next, batches);
+			opened = this.journalFactory.open(next);
+		}
+		catch (IOException ex) {
+			removeUnfinishedJournal();
+			throw ex;
+		}
+		this.unfinishedJournal = null;
 		this.journal.close();
 		this.journal = opened;
 		this.journalNumber++;
--- a/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
+++ b/zinniatack-store/src/test/java/org/zinniatack/store/ReplicaStoreTests.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
@@ -313,6 +314,34 @@
 		assertThat(indexes(reload()), is(List.of(4L, 5L, 6L)));
 	}
 
+	// Guards against an acknowledged entry that a later start truncates, since a journal
+	// that could not be opened was read behind it.
+	@Test
+	void aJournalThatCouldNotBeStartedTakesNoLaterEntryAway() throws Exception {
+		AtomicBoolean failing = new AtomicBoolean();
+		try (FolderStore store = FolderStore.open(this.folder, "a", (file) -> {
+			if (failing.get() && !file.toString().endsWith(".tmp")) {
+				throw new IOException("too many open files");
+			}
+			return JournalFile.open(file);
+		})) {
+			store.initialize(PersistentState.bootstrap(Membership.ofVoters(List.of(store.replicaId()))));
+			store.persist(appendEffects(1, 2));
+			failing.set(true);
+			try {
+				store.startJournal();
+				throw new AssertionError("the journal was started");
+			}
+			catch (ServiceException ex) {
+				assertThat(ex.code(), is(ResultCode.DISK_FULL));
+			}
+			store.persist(appendEffects(1, 3));
+			failing.set(false);
+			store.persist(appendEffects(1, 4));
+		}
+		assertThat(indexes(reload()), is(List.of(1L, 2L, 3L, 4L)));
+	}
+
 	@Test
 	void aCrashAfterANewJournalBeganLosesNothing() throws Exception {
 		try (ReplicaStore store = initializedStore()) {
