--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -377,7 +377,7 @@
 	 * Reads the replicated state linearizably: the result includes every change that was
 	 * accepted before the call. Waits for a moment while a leader is elected.
 	 * @param <T> the type of the result
-	 * @param reader the function that reads the state, called on the replica's thread
+	 * @param reader the function that reads the state, called on the state's thread
 	 * @return the result; the future fails with a {@link ServiceException} if no leader
 	 * answers
 	 */
@@ -633,7 +633,7 @@
 
 	/**
 	 * Adds a listener that is called after each change of the replicated state.
-	 * @param listener the listener, called on the replica's thread
+	 * @param listener the listener, called on the state's thread
 	 */
 	public void addStateListener(Consumer<ControlState> listener) {
 		this.stateListeners.add(listener);
@@ -642,7 +642,7 @@
 	/**
 	 * Reads the state that this replica has applied, which may be behind the leader's.
 	 * @param <T> the type of the result
-	 * @param reader the function that reads the state, called on the replica's thread
+	 * @param reader the function that reads the state, called on the state's thread
 	 * @return the result
 	 */
 	public <T> CompletableFuture<T> readApplied(Function<ControlState, T> reader) {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/EntryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/EntryFeeds.java
@@ -28,7 +28,7 @@
 		this.exchange = exchange;
 	}
 
-	/** Sends feeds to the entries that miss a change. Runs on the replica's thread. */
+	/** Sends feeds to the entries that miss a change. Runs on the state's thread. */
 	void onStateChanged(ControlState state) {
 		for (EntryConnection connection : this.connections.values()) {
 			boolean isOutdated = connection.sentRevision < state.records().revision()
@@ -76,7 +76,7 @@
 	}
 
 	/**
-	 * The versions that an entry has. Only the replica's thread uses its mutable fields.
+	 * The versions that an entry has. Only the state's thread uses its mutable fields.
 	 */
 	private static final class EntryConnection {
 
