--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -135,9 +135,6 @@
 	/** The request id was used for another change. */
 	REQUEST_ID_REUSED(4010, 409, Outcome.NOT_RUN, "The request id was used before for another change."),
 
-	/** The customer has no step with this name. */
-	STEP_UNKNOWN(4101, 404, Outcome.NOT_RUN, "The customer has no step with this name."),
-
 	/** The replicated state is full. */
 	STATE_FULL(4011, 503, Outcome.NOT_RUN,
 			"The replicated state has no room for the change and all that it is expected to add; "
@@ -146,6 +143,9 @@
 	/** The change is too large for the replicated state. */
 	CHANGE_TOO_LARGE(4012, 413, Outcome.NOT_RUN, "The change by itself exceeds the limit of the replicated state."),
 
+	/** The customer has no step with this name. */
+	STEP_UNKNOWN(4101, 404, Outcome.NOT_RUN, "The customer has no step with this name."),
+
 	/** The batch is not complete yet. */
 	STEP_INCOMPLETE(4102, 409, Outcome.RAN, "The batch of the step is not whole yet."),
 
