--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -78,7 +78,7 @@
 
 	private volatile StateSize size = this.state.size();
 
-	/** What the commands add that are not applied yet. */
+	/** The size that commands waiting to be applied add to the state. */
 	private final AtomicReference<JobSize> pendingSize = new AtomicReference<>(JobSize.ZERO);
 
 	/** Only used by the thread itself. */
@@ -385,7 +385,7 @@
 		});
 	}
 
-	/** Something that the thread does. */
+	/** A task of the state's thread. */
 	private interface Task {
 
 		void run() throws IOException, ServiceException;
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -44,7 +44,8 @@
 /**
  * Runs a replica on a single thread. Each round executes the queued tasks, persists their
  * changes with one sync, sends messages and hands committed entries over to the thread
- * that applies them. Nothing that grows with the state runs on the replica's thread.
+ * that applies them. Only reading the folder again after a disk failure grows with the
+ * state.
  */
 final class ReplicaDriver implements Service {
 
@@ -101,7 +102,7 @@
 
 	private long snapshotRetryAtMs = Long.MIN_VALUE;
 
-	/** How often the replica was started from the state on disk. */
+	/** Counts the starts of the replica from the state on disk. */
 	private int restartCount;
 
 	private Replica replica;
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -65,7 +65,9 @@
 
 	private long leadingSinceMs;
 
-	/** What was committed a moment ago, since the answers of a learner take time. */
+	/**
+	 * The commit index of a heartbeat interval ago, which a learner must have reached.
+	 */
 	private long caughtUpIndex = Long.MAX_VALUE;
 
 	private long nextCaughtUpIndexMs;
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/SendWindow.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/SendWindow.java
@@ -1,8 +1,8 @@
 package org.zinniatack.core.consensus;
 
 /**
- * How much a leader sends to a follower before it is answered. Heartbeats wait behind
- * what fills the link, so the window falls to its smallest size while answers are slow.
+ * The bytes that a leader may send to a follower unanswered. Heartbeats wait behind what
+ * fills the link, so the window falls to its smallest size while answers are slow.
  */
 final class SendWindow {
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/SnapshotReceipt.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/SnapshotReceipt.java
@@ -6,7 +6,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What a follower has received of a snapshot. Two leaders may encode the same state
+ * The received parts of a snapshot at a follower. Two leaders may encode the same state
  * differently, so parts are joined only if they come from one leader.
  */
 final class SnapshotReceipt {
