--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -425,10 +425,9 @@
 			return CompletableFuture
 				.failedFuture(ServiceException.of(ResultCode.SHUTTING_DOWN, "the control process is stopping"));
 		}
-		ReplicaDriver running = requireDriver();
-		ReplicaStatus status = running.status();
-		if (status.holdsLease(running.nowMs())) {
-			return CompletableFuture.completedFuture(status.commitIndex());
+		Optional<ReplicaStatus> leading = requireDriver().leading();
+		if (leading.isPresent()) {
+			return CompletableFuture.completedFuture(leading.get().commitIndex());
 		}
 		return leaderLink()
 			.map((peer) -> peer.call(new Message.ReadIndex(), timeoutMs)
@@ -674,8 +673,7 @@
 		if (running == null || this.stopping) {
 			return OptionalLong.empty();
 		}
-		ReplicaStatus status = running.status();
-		return status.holdsLease(running.nowMs()) ? OptionalLong.of(status.term()) : OptionalLong.empty();
+		return running.leading().stream().mapToLong(ReplicaStatus::term).findFirst();
 	}
 
 	/**
@@ -843,10 +841,10 @@
 			return reply.thenApply(Message.Proposed::new);
 		}
 		if (message instanceof Message.ReadIndex) {
-			ReplicaStatus status = running.status();
-			return status.holdsLease(running.nowMs())
-					? CompletableFuture.completedFuture(new Message.ReadIndexAt(status.commitIndex()))
-					: CompletableFuture.failedFuture(noLeader());
+			return running.leading()
+				.map((status) -> CompletableFuture
+					.<Message>completedFuture(new Message.ReadIndexAt(status.commitIndex())))
+				.orElseGet(() -> CompletableFuture.failedFuture(noLeader()));
 		}
 		if (message instanceof Message.ColdPermitRequest request) {
 			return grantColdPermits(request);
--- a/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
@@ -109,18 +109,19 @@
 
 	private void runDuties() {
 		try {
-			ReplicaStatus status = this.driver.status();
-			if (!status.holdsLease(this.driver.nowMs())) {
+			Optional<ReplicaStatus> leading = this.driver.leading();
+			if (leading.isEmpty()) {
 				return;
 			}
-			if (status.term() != this.dutiesTerm) {
-				this.dutiesTerm = status.term();
+			long term = leading.get().term();
+			if (term != this.dutiesTerm) {
+				this.dutiesTerm = term;
 				this.rollouts.clear();
 				this.scalingPolicies.clear();
 				this.sentOrders.clear();
 			}
 			Collection<Message.TargetState> targets = this.presence.targets(this.driver.nowMs()).values();
-			updateDirectives(targets, status.term());
+			updateDirectives(targets, term);
 			orderTargets();
 			closeUsageWindow();
 			reportUsage();
@@ -243,11 +244,11 @@
 	}
 
 	private long requireLease() throws ServiceException {
-		ReplicaStatus status = this.driver.status();
-		if (!status.holdsLease(this.driver.nowMs()) || status.term() != this.dutiesTerm) {
-			throw ServiceException.of(ResultCode.NOT_LEADER, "the leader lease has expired or the term has changed");
-		}
-		return status.term();
+		return this.driver.leading()
+			.map(ReplicaStatus::term)
+			.filter((term) -> term == this.dutiesTerm)
+			.orElseThrow(() -> ServiceException.of(ResultCode.NOT_LEADER,
+					"the leader lease has expired or the term has changed"));
 	}
 
 	private Configuration configuration() throws ServiceException {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
@@ -73,10 +74,14 @@
 
 	private final ReplicaStore store;
 
+	private final ReplicaSettings settings;
+
 	private final DiskMeter disk;
 
 	private final Ticker ticker;
 
+	private final SuspensionDetector suspensions;
+
 	private final VoterLimits voterLimits;
 
 	private final Consumer<ConsensusMessage> messageSender;
@@ -135,7 +140,20 @@
 	ReplicaDriver(ReplicaStore store, PersistentState persistent, Ticker ticker, long idleSinceMs,
 			VoterLimits voterLimits, Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener,
 			SnapshotPolicy snapshotPolicy, StateBudget budget, ProcessEnd processEnd) throws ServiceException {
+		this(store, persistent, ticker, System::currentTimeMillis, idleSinceMs, voterLimits, messageSender,
+				stateListener, snapshotPolicy, budget, processEnd);
+	}
+
+	/**
+	 * Creates a driver with a wall clock of its own.
+	 * @param wallMs the wall clock, in milliseconds since the epoch
+	 */
+	ReplicaDriver(ReplicaStore store, PersistentState persistent, Ticker ticker, LongSupplier wallMs, long idleSinceMs,
+			VoterLimits voterLimits, Consumer<ConsensusMessage> messageSender, Consumer<ControlState> stateListener,
+			SnapshotPolicy snapshotPolicy, StateBudget budget, ProcessEnd processEnd) throws ServiceException {
 		this.store = store;
+		this.settings = ReplicaSettings.defaults(store.replicaId());
+		this.suspensions = new SuspensionDetector(ticker, wallMs, this.settings.unnoticedSuspensionMs());
 		this.disk = new DiskMeter(store);
 		this.voterLimits = voterLimits;
 		this.ticker = ticker;
@@ -157,8 +175,7 @@
 	 * @param idleSinceMs a time since which no replica has acted on it
 	 */
 	private Replica startReplica(PersistentState persistent, long idleSinceMs) {
-		Replica started = Replica.start(ReplicaSettings.defaults(this.store.replicaId()), persistent,
-				RandomGenerator.getDefault(), idleSinceMs, nowMs());
+		Replica started = Replica.start(this.settings, persistent, RandomGenerator.getDefault(), idleSinceMs, nowMs());
 		replacedBy(persistent.snapshot());
 		this.restartCount++;
 		return started;
@@ -198,6 +215,15 @@
 		return this.status;
 	}
 
+	/**
+	 * Returns the present status if this replica holds the leader lease, so that no other
+	 * can lead.
+	 */
+	Optional<ReplicaStatus> leading() {
+		ReplicaStatus current = this.status;
+		return current.holdsLease(nowMs()) ? Optional.of(current) : Optional.empty();
+	}
+
 	/**
 	 * Appends a command to the log and returns its reply once it is applied. The future
 	 * fails with NOT_LEADER if this replica does not lead.
@@ -342,6 +368,7 @@
 					this.tasks.drainTo(roundTasks, MAX_TASKS_PER_ROUND);
 				}
 				this.roundStartedMs = nowMs();
+				this.suspensions.count();
 				this.disk.begin();
 				int taskCount = roundTasks.size();
 				roundTasks.forEach(Runnable::run);
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaSettings.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/ReplicaSettings.java
@@ -45,4 +45,14 @@
 				DEFAULT_LEASE_DURATION_MS, DEFAULT_MAXIMUM_BATCH_ENTRIES);
 	}
 
+	/**
+	 * Returns how long a VM may be suspended, with its monotonic clock, while no other
+	 * replica can be elected before a lease ends. The other half of the time between both
+	 * is for clocks that drift.
+	 * @return the time in milliseconds
+	 */
+	public long unnoticedSuspensionMs() {
+		return (this.electionTimeoutMs - this.leaseDurationMs) / 2;
+	}
+
 }
