Give up the leader's lease after a suspension that its clock did not count

Cause: the lease ends by the monotonic clock, and a VM may be suspended with that clock. Its process wakes with up to 380 ms of a lease that the others have long ended, and answers reads that wait in its sockets, gives orders and reports as if it led.

Votes are withheld by the monotonic clock as before, so a wall clock that is set forward costs a change of leader and no promise.

Evidence: SuspendedLeaderTests failed each time before (the suspended leader counted as leading in term 1 after another had accepted a change) and passes now; its log shows the suspension of 551 ms and the transfer.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -129,6 +129,9 @@
 
 	private boolean writable = true;
 
+	/** The suspensions after which this replica has given up its leadership. */
+	private int suspensionCount;
+
 	private volatile boolean running = true;
 
 	private volatile ReplicaStatus status;
@@ -221,7 +224,7 @@
 	 */
 	Optional<ReplicaStatus> leading() {
 		ReplicaStatus current = this.status;
-		return current.holdsLease(nowMs()) ? Optional.of(current) : Optional.empty();
+		return current.holdsLease(nowMs(), this.suspensions.count()) ? Optional.of(current) : Optional.empty();
 	}
 
 	/**
@@ -368,7 +371,7 @@
 					this.tasks.drainTo(roundTasks, MAX_TASKS_PER_ROUND);
 				}
 				this.roundStartedMs = nowMs();
-				this.suspensions.count();
+				yieldLeadershipAfterSuspension();
 				this.disk.begin();
 				int taskCount = roundTasks.size();
 				roundTasks.forEach(Runnable::run);
@@ -392,6 +395,20 @@
 		}
 	}
 
+	/**
+	 * Gives up the leadership after a suspension, since another replica may lead. If none
+	 * does, the transfer takes less time than an election.
+	 */
+	private void yieldLeadershipAfterSuspension() {
+		int count = this.suspensions.count();
+		if (count != this.suspensionCount) {
+			this.suspensionCount = count;
+			if (this.replica.transferLeadership(nowMs())) {
+				LOGGER.atInfo().log("event=leadership_transferred term=%d reason=vm_suspended", this.replica.term());
+			}
+		}
+	}
+
 	private void logIfStalled(int taskCount) {
 		long durationMs = nowMs() - this.roundStartedMs;
 		if (durationMs > STALL_THRESHOLD_MS) {
@@ -522,7 +539,8 @@
 		long nowMs = nowMs();
 		return new ReplicaStatus(this.store.replicaId(), this.replica.term(), this.replica.leader().orElse(""),
 				this.replica.leaseEndMs(nowMs), isReadable(nowMs), this.applied.currentAsOfMs(),
-				this.replica.commitIndex(), this.applied.appliedIndex(), this.replica.membership(), this.writable);
+				this.replica.commitIndex(), this.applied.appliedIndex(), this.replica.membership(), this.writable,
+				this.suspensionCount);
 	}
 
 	private boolean isReadable(long nowMs) {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaStatus.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaStatus.java
@@ -19,17 +19,22 @@
  * @param appliedIndex the index of the last applied entry
  * @param membership the newest membership in the log
  * @param writable false while writes to the disk fail
+ * @param suspensionCount the number of suspensions of the VM that the replica has taken
+ * into account
  */
 public record ReplicaStatus(String replicaId, long term, String leaderId, long leaseEndMs, boolean open,
-		long currentAsOfMs, long commitIndex, long appliedIndex, Membership membership, boolean writable) {
+		long currentAsOfMs, long commitIndex, long appliedIndex, Membership membership, boolean writable,
+		int suspensionCount) {
 
 	/**
 	 * Returns whether this replica holds the leader lease, so that no other can lead.
 	 * @param nowMs the monotonic time, in milliseconds
-	 * @return true if its lease is valid at this time
+	 * @param currentSuspensionCount the number of suspensions of the VM at this time
+	 * @return true if its lease is valid at this time and no suspension makes that
+	 * uncertain
 	 */
-	public boolean holdsLease(long nowMs) {
-		return this.open && nowMs < this.leaseEndMs;
+	public boolean holdsLease(long nowMs, int currentSuspensionCount) {
+		return this.open && nowMs < this.leaseEndMs && currentSuspensionCount == this.suspensionCount;
 	}
 
 	/**
--- a/zinniatack-control/src/test/java/org/zinniatack/control/SuspendedLeaderTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SuspendedLeaderTests.java
@@ -13,7 +13,6 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -109,7 +108,6 @@
 	// Guards against an older configuration that is read from a leader that was replaced
 	// while its VM was suspended: its own clock says that its lease is still valid.
 	@Test
-	@Tag("known-red")
 	void aLeaderThatWasSuspendedWithItsMonotonicClockAnswersNoReadOnceAnotherHasAcceptedAChange() throws Exception {
 		String suspended = awaitLeaderOtherThan("");
 		accept(suspended, 1);
