--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -118,8 +118,9 @@
 		if (this.directory.merge(withDeparture(notice), nowMs())) {
 			TargetNotice merged = this.directory.notice(notice.id()).orElse(notice);
 			LOGGER.atInfo()
-				.log("event=target_changed target=%s state=%s pool=%s address=%s sequence=%d versions=%s", merged.id(),
-						merged.state(), merged.pool(), merged.address(), merged.sequence(), merged.weightVersions());
+				.log("event=target_changed target=%s state=%s pool=%s address=%s sequence=%d versions=%s software=%s",
+						merged.id(), merged.state(), merged.pool(), merged.address(), merged.sequence(),
+						merged.weightVersions(), merged.softwareVersion());
 			sendToSubscribers(List.of(merged));
 		}
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
@@ -175,7 +175,8 @@
 
 	private static boolean haveSameRelevantFields(TargetNotice one, TargetNotice other) {
 		return one.bornMs() == other.bornMs() && one.state() == other.state() && one.pool().equals(other.pool())
-				&& one.address().equals(other.address()) && one.weightVersions().equals(other.weightVersions());
+				&& one.address().equals(other.address()) && one.weightVersions().equals(other.weightVersions())
+				&& one.softwareVersion().equals(other.softwareVersion());
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetNotice.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetNotice.java
@@ -1,6 +1,7 @@
 package org.zinniatack.core.directory;
 
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * The state that a target announces about itself.
@@ -16,15 +17,37 @@
  * @param weightVersions the loaded weight version of each model
  * @param coldRemainingMs how much longer the target is cold when it is heard from, in
  * milliseconds, 0 if it is not
+ * @param softwareVersion the version of the target's software, empty if it states none;
+ * only a target of the same version can continue an output
  */
 public record TargetNotice(String id, long bornMs, long sequence, String pool, String address, String failureDomain,
-		State state, int slotCount, Map<String, Long> weightVersions, long coldRemainingMs) {
+		State state, int slotCount, Map<String, Long> weightVersions, long coldRemainingMs, String softwareVersion) {
 
 	/**
-	 * Copies the map of weight versions.
+	 * Copies the map of weight versions. A notice of an earlier process names no software
+	 * version.
 	 */
 	public TargetNotice {
 		weightVersions = Map.copyOf(weightVersions);
+		softwareVersion = Objects.requireNonNullElse(softwareVersion, "");
+	}
+
+	/**
+	 * Returns a notice of a target that states no software version.
+	 * @param id the id of the target
+	 * @param bornMs the start time of the target, in milliseconds since the epoch
+	 * @param sequence the number of the announcement
+	 * @param pool the pool that the target serves
+	 * @param address the host and port of the target
+	 * @param failureDomain the failure domain of its VM
+	 * @param state whether the target accepts requests
+	 * @param slotCount the number of requests that it runs concurrently
+	 * @param weightVersions the loaded weight version of each model
+	 * @param coldRemainingMs how much longer the target is cold, in milliseconds
+	 */
+	public TargetNotice(String id, long bornMs, long sequence, String pool, String address, String failureDomain,
+			State state, int slotCount, Map<String, Long> weightVersions, long coldRemainingMs) {
+		this(id, bornMs, sequence, pool, address, failureDomain, state, slotCount, weightVersions, coldRemainingMs, "");
 	}
 
 	/**
@@ -60,7 +83,7 @@
 	 */
 	public TargetNotice withState(State newState) {
 		return new TargetNotice(this.id, this.bornMs, this.sequence, this.pool, this.address, this.failureDomain,
-				newState, this.slotCount, this.weightVersions, this.coldRemainingMs);
+				newState, this.slotCount, this.weightVersions, this.coldRemainingMs, this.softwareVersion);
 	}
 
 	/**
@@ -70,7 +93,17 @@
 	 */
 	public TargetNotice withColdRemaining(long remainingMs) {
 		return new TargetNotice(this.id, this.bornMs, this.sequence, this.pool, this.address, this.failureDomain,
-				this.state, this.slotCount, this.weightVersions, remainingMs);
+				this.state, this.slotCount, this.weightVersions, remainingMs, this.softwareVersion);
+	}
+
+	/**
+	 * Returns this notice with another software version.
+	 * @param version the version
+	 * @return the notice, otherwise the same
+	 */
+	public TargetNotice withSoftwareVersion(String version) {
+		return new TargetNotice(this.id, this.bornMs, this.sequence, this.pool, this.address, this.failureDomain,
+				this.state, this.slotCount, this.weightVersions, this.coldRemainingMs, version);
 	}
 
 	/**
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -596,9 +596,9 @@
 		CallStream.Part forwardStream(TargetNotice target, HttpResponse head) {
 			if (this.stream.isBegun()) {
 				LOGGER.atInfo()
-					.log("event=stream_resumed request=%s target=%s after_event=%d first_target=%s sent=%d",
-							this.call.requestId(), target.id(), this.stream.resumeAfterEvent(), this.answeringTargetId,
-							this.sentCount);
+					.log("event=stream_resumed request=%s target=%s software=%s after_event=%d first_target=%s sent=%d",
+							this.call.requestId(), target.id(), target.softwareVersion(),
+							this.stream.resumeAfterEvent(), this.answeringTargetId, this.sentCount);
 				return this.stream.resume();
 			}
 			recordAnswer(target.id(), head);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -603,8 +603,9 @@
 	private void handleLoss(ItemRun run, String detail) {
 		TargetNotice target = run.target;
 		LOGGER.atInfo()
-			.log("event=item_lost job=%s item=%s target=%s events=%d losses=%d detail=\"%s\"", run.job.id().name(),
-					run.item.id(), (target != null) ? target.id() : "", run.text.eventCount(), run.lossCount, detail);
+			.log("event=item_lost job=%s item=%s target=%s software=%s events=%d losses=%d detail=\"%s\"",
+					run.job.id().name(), run.item.id(), (target != null) ? target.id() : "",
+					(target != null) ? target.softwareVersion() : "", run.text.eventCount(), run.lossCount, detail);
 		int eventCount = run.text.eventCount();
 		long pauseMs = run.recordLoss();
 		if (run.text.eventCount() < eventCount) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -297,9 +297,9 @@
 		for (TargetNotice notice : feed.targets()) {
 			if (this.directory.mergeRelayed(notice, feed.silenceMs(notice.id()), nowMs())) {
 				LOGGER.atInfo()
-					.log("event=target_learned target=%s state=%s pool=%s address=%s sequence=%d control=%s",
+					.log("event=target_learned target=%s state=%s pool=%s address=%s sequence=%d software=%s control=%s",
 							notice.id(), notice.state(), notice.pool(), notice.address(), notice.sequence(),
-							peer.identity().nodeId());
+							notice.softwareVersion(), peer.identity().nodeId());
 				this.crashGuard.targetStarted(notice);
 				if (notice.state() == TargetNotice.State.GONE) {
 					this.client.closeIdleConnections(notice.address());
