Continue the output of an item at targets of its software version only

Cause: JobRunner chose the next target of an item that was lost, moved, stored or carried from an earlier step by load, speed and weights alone; no text knew which software its events came from.

Change: EventText knows the software version of its events, PartialText stores it in the replicated state, so that a new leader and a later step know it too, and an item that has begun waits in a lane of its version. A text that was stored without a version continues only at targets that state none. If no target of the version is left while another serves, the item begins again, a new leader after the 2 s in which it hears of all targets. If the version is only full while another has room, the item waits for as long as its events took: to begin again then costs at most twice what would have been best. A target that announced another version since the request was sent makes the text begin again.

WaitingItemsTests holds both bounds in virtual time. Not covered: a target that restarts in place with other software and is cut before its first heartbeat.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/PartialText.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/PartialText.java
@@ -3,25 +3,40 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 
 import org.zinniatack.core.size.HeapSize;
 
 /**
- * The beginning of an item's output, from which any target can resume generation.
+ * The beginning of an item's output, from which a target of the same software version can
+ * resume generation.
  *
  * @param events the data of each event
  * @param versions the weight versions that generated the events, in order of use
  * @param lastEventId the id of the last event
+ * @param softwareVersion the software version of the targets that generated the events,
+ * empty if they stated none
  */
-public record PartialText(List<String> events, List<Long> versions, long lastEventId) {
+public record PartialText(List<String> events, List<Long> versions, long lastEventId, String softwareVersion) {
 
 	/**
-	 * Copies the arguments.
+	 * Copies the arguments. Texts that earlier versions stored name no software version.
 	 */
 	public PartialText {
 		events = List.copyOf(events);
 		versions = List.copyOf(versions);
+		softwareVersion = Objects.requireNonNullElse(softwareVersion, "");
+	}
+
+	/**
+	 * Returns a text of targets that stated no software version.
+	 * @param events the data of each event
+	 * @param versions the weight versions that generated the events, in order of use
+	 * @param lastEventId the id of the last event
+	 */
+	public PartialText(List<String> events, List<Long> versions, long lastEventId) {
+		this(events, versions, lastEventId, "");
 	}
 
 	/**
@@ -34,7 +49,7 @@
 		allEvents.addAll(further.events);
 		Set<Long> allVersions = new LinkedHashSet<>(this.versions);
 		allVersions.addAll(further.versions);
-		return new PartialText(allEvents, List.copyOf(allVersions), further.lastEventId);
+		return new PartialText(allEvents, List.copyOf(allVersions), further.lastEventId, further.softwareVersion);
 	}
 
 	/** Returns the heap that the text takes, in bytes. */
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/EventText.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/EventText.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
+import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.core.job.PartialText;
 import org.zinniatack.gateway.event.EventSplitter;
@@ -47,6 +48,15 @@
 
 	private long currentVersion;
 
+	/** The software version of the targets of all complete events. */
+	private String softwareVersion = "";
+
+	/** The software version of the target of the current stream. */
+	private String streamSoftwareVersion = "";
+
+	/** True if the complete events are of more than one stream. */
+	private boolean joined;
+
 	private boolean outOfOrder;
 
 	private boolean tooLong;
@@ -76,8 +86,13 @@
 		this.versionOfLine = versionOfLine;
 	}
 
-	/** Starts the next stream, which begins with the given weight version. */
-	void beginStream(long version) {
+	/**
+	 * Starts the next stream.
+	 * @param version the weight version that it begins with
+	 * @param targetSoftwareVersion the software version of its target
+	 */
+	void beginStream(long version, String targetSoftwareVersion) {
+		this.streamSoftwareVersion = targetSoftwareVersion;
 		this.splitter.reset();
 		this.streaming = true;
 		this.malformed = false;
@@ -125,6 +140,8 @@
 	}
 
 	private void addData(String data) {
+		this.joined |= this.streamEventCount == 0 && !this.completeEvents.isEmpty();
+		this.softwareVersion = this.streamSoftwareVersion;
 		this.completeEvents.add(data);
 		this.textBytes += data.length() + EVENT_OVERHEAD_BYTES;
 		this.streamEventCount++;
@@ -173,12 +190,13 @@
 		this.completeEvents.addAll(stored.events());
 		this.versions.addAll(stored.versions());
 		this.lastEventId = stored.lastEventId();
+		this.softwareVersion = stored.softwareVersion();
 	}
 
 	/** Returns the events from a position, with all versions so far. */
 	PartialText eventsFrom(int position) {
 		return new PartialText(this.completeEvents.subList(position, this.completeEvents.size()), versions(),
-				this.lastEventId);
+				this.lastEventId, this.softwareVersion);
 	}
 
 	/** Discards all events. */
@@ -186,6 +204,8 @@
 		this.completeEvents.clear();
 		this.versions.clear();
 		this.lastEventId = 0;
+		this.softwareVersion = "";
+		this.joined = false;
 		this.textBytes = 0;
 		this.outOfOrder = false;
 		this.tooLong = false;
@@ -214,6 +234,19 @@
 		return this.completeEvents.size();
 	}
 
+	/**
+	 * Returns the software version that a target must have to continue the events, or
+	 * null if there are none, so that any target can begin.
+	 */
+	@Nullable String requiredSoftwareVersion() {
+		return this.completeEvents.isEmpty() ? null : this.softwareVersion;
+	}
+
+	/** Returns whether the complete events are of more than one stream. */
+	boolean isJoined() {
+		return this.joined;
+	}
+
 	long lastEventId() {
 		return this.lastEventId;
 	}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemAttempt.java
@@ -133,7 +133,7 @@
 			this.handler.handleLoss(this.run, "weight version differs from that of the earlier events");
 			return;
 		}
-		this.run.text.beginStream(version.getAsLong());
+		this.run.text.beginStream(version.getAsLong(), this.target.softwareVersion());
 	}
 
 	/** Only the body of one status is an output, whether or not others are sealed. */
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/ItemRun.java
@@ -94,6 +94,12 @@
 	/** The number of consecutive losses without a usable event. */
 	private int fruitlessLossCount;
 
+	/** The time for which targets have generated the events, in milliseconds. */
+	private long generatingMs;
+
+	/** The time since which the item waits to go on. */
+	private long waitingSinceMs;
+
 	/** The number of moves to a faster target. */
 	int moveCount;
 
@@ -123,6 +129,7 @@
 	/** Creates a run of an item whose group begins at a known position. */
 	ItemRun(JobSubmission job, JobItem item, int position, int groupPosition, Start start) {
 		this.openedAtMs = start.openedAtMs();
+		this.waitingSinceMs = start.openedAtMs();
 		this.sequence = start.sequence();
 		this.text = start.text();
 		this.job = job;
@@ -154,6 +161,27 @@
 		return mayNeedTime() ? LOSS_PAUSE_MS : 0;
 	}
 
+	/** Records that the item waits for a target from now on. */
+	void beginWaiting(long nowMs) {
+		if (this.phase == Phase.GENERATING) {
+			this.generatingMs += nowMs - this.sentAtMs;
+		}
+		this.waitingSinceMs = nowMs;
+	}
+
+	/**
+	 * Returns whether the item has waited for as long as its events took. Waiting longer
+	 * could cost more than twice what starting again at once would have cost.
+	 */
+	boolean hasWaitedAsLongAsGenerated(long nowMs) {
+		return nowMs - this.waitingSinceMs > this.generatingMs;
+	}
+
+	/** Returns whether the item was opened at least some time ago. */
+	boolean isOpenFor(long durationMs, long nowMs) {
+		return nowMs - this.openedAtMs >= durationMs;
+	}
+
 	private boolean mayNeedTime() {
 		return this.fruitlessLossCount > FRUITLESS_LOSSES_WITHOUT_PAUSE;
 	}
@@ -172,6 +200,7 @@
 	/** Continues from a stored output. */
 	void restore(OpenJob.StoredOutput stored) {
 		this.text.restore(stored.text());
+		this.generatingMs = Math.round(this.text.eventCount() * WaitingLane.TYPICAL_EVENT_MS);
 		this.restoredComplete = stored.complete();
 		this.storedEventCount = stored.ofThisJob() ? this.text.eventCount() : 0;
 	}
@@ -179,6 +208,7 @@
 	/** Discards the output so far because it cannot be used. */
 	void restart() {
 		this.text.reset();
+		this.generatingMs = 0;
 		this.attemptEventCount = 0;
 		this.restoredComplete = false;
 		this.pendingProgress = null;
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -524,8 +524,8 @@
 	}
 
 	private Optional<TargetNotice> chooseTarget(ItemRun run, String pool, long nowMs) {
-		List<TargetNotice> loaded = loadedTargets(
-				new WaitingItems.Requirement(pool, run.job.model(), run.job.oldestVersion()));
+		List<TargetNotice> loaded = loadedTargets(new WaitingItems.Requirement(pool, run.job.model(),
+				run.job.oldestVersion(), run.text.requiredSoftwareVersion()));
 		Optional<TargetNotice> usable = placeAt(loaded, run, nowMs, hasSlot(nowMs));
 		return usable.isPresent() ? usable : placeAt(loaded, run, nowMs, isLastResort(nowMs));
 	}
@@ -533,7 +533,8 @@
 	private List<TargetNotice> loadedTargets(WaitingItems.Requirement requirement) {
 		return this.targets.ready(requirement.pool())
 			.stream()
-			.filter((target) -> !this.versions.isLoading(target.id(), requirement.model())
+			.filter((target) -> requirement.isMetBySoftwareOf(target)
+					&& !this.versions.isLoading(target.id(), requirement.model())
 					&& this.versions.version(target, requirement.model()).orElse(0) >= requirement.oldestVersion())
 			.toList();
 	}
@@ -609,13 +610,36 @@
 		int eventCount = run.text.eventCount();
 		long pauseMs = run.recordLoss();
 		if (run.text.eventCount() < eventCount) {
-			LOGGER.atInfo()
-				.log("event=item_restarted job=%s item=%s events=%d reason=\"no stream goes on\"", run.job.id().name(),
-						run.item.id(), eventCount);
+			logRestart(run, eventCount, "no stream goes on");
+		}
+		else if (eventCount > 0 && target != null && hasOtherSoftware(target)) {
+			restart(run, "the target restarted with other software");
 		}
 		requeue(run, pauseMs);
 	}
 
+	private static void restart(ItemRun run, String reason) {
+		logRestart(run, run.text.eventCount(), reason);
+		run.restart();
+	}
+
+	private static void logRestart(ItemRun run, int eventCount, String reason) {
+		LOGGER.atInfo()
+			.log("event=item_restarted job=%s item=%s events=%d reason=\"%s\"", run.job.id().name(), run.item.id(),
+					eventCount, reason);
+	}
+
+	/**
+	 * Returns whether a target has announced another software version since a request was
+	 * sent to it, so that the request may have run under either.
+	 */
+	private boolean hasOtherSoftware(TargetNotice asSentTo) {
+		return this.targets.ready(asSentTo.pool())
+			.stream()
+			.anyMatch((target) -> target.id().equals(asSentTo.id())
+					&& !target.softwareVersion().equals(asSentTo.softwareVersion()));
+	}
+
 	private void handleNotSent(ItemRun run, String detail) {
 		TargetNotice target = run.target;
 		LOGGER.atInfo()
@@ -626,6 +650,7 @@
 
 	private void requeue(ItemRun run, long pauseMs) {
 		stopRunning(run);
+		run.beginWaiting(nowMs());
 		run.phase = ItemRun.Phase.WAITING;
 		run.canceller = () -> {
 		};
@@ -654,6 +679,12 @@
 	}
 
 	private void handleGenerated(ItemRun run, Route route) {
+		TargetNotice target = run.target;
+		if (run.text.isJoined() && target != null && hasOtherSoftware(target)) {
+			restart(run, "the target restarted with other software");
+			requeue(run, 0);
+			return;
+		}
 		run.generatedAtMs = nowMs();
 		stopRunning(run);
 		if (run.restoredComplete) {
@@ -722,6 +753,16 @@
 			return hasRoom;
 		}
 
+		@Override
+		public boolean isServed(WaitingItems.Requirement requirement) {
+			return JobRunner.this.targets.ready(requirement.pool()).stream().anyMatch(requirement::isMetBySoftwareOf);
+		}
+
+		@Override
+		public void restart(ItemRun run, boolean served) {
+			JobRunner.restart(run, (served ? "no room at" : "no target of") + " its software version");
+		}
+
 		private boolean isLimited(TargetNotice target) {
 			int outstandingCount = JobRunner.this.targets.stats(target.id()).outstandingCount();
 			return outstandingCount < target.slotCount()
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/WaitingItems.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/WaitingItems.java
@@ -12,7 +12,11 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Predicate;
 
+import org.jspecify.annotations.Nullable;
+
+import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.job.ItemLengthEstimator;
 import org.zinniatack.core.job.ItemOrder;
 import org.zinniatack.core.job.JobId;
@@ -22,8 +26,8 @@
 
 /**
  * The items that wait for a target, in the order of {@link ItemOrder#byLatestStart()}.
- * They stand in one lane for each job and pool, so that a round looks only at the first
- * items of lanes whose targets have room.
+ * They stand in one lane for each job, pool and software version that they need, so that
+ * a round looks only at the first items of lanes whose targets have room.
  */
 final class WaitingItems {
 
@@ -36,6 +40,9 @@
 	/** Limits the time of a round in which many items can be sent or given up. */
 	static final int MAXIMUM_TAKEN_PER_ROUND = 250;
 
+	/** After a start, a process knows the targets within this time. */
+	static final long TARGETS_HEARD_MS = 2_000;
+
 	private static final Comparator<Head> HEAD_ORDER = Comparator.comparing(Head::item, ItemOrder.byLatestStart());
 
 	private final ItemLengthEstimator lengths;
@@ -91,6 +98,7 @@
 	 */
 	boolean offer(long nowMs, Taker taker) {
 		sort(nowMs);
+		restartStranded(nowMs, taker);
 		List<WaitingLane> open = openLanes(taker);
 		int moved = update(open);
 		PriorityQueue<Head> heads = new PriorityQueue<>(HEAD_ORDER);
@@ -118,6 +126,40 @@
 		return !this.unsorted.isEmpty() || moved == MAXIMUM_MOVED_PER_ROUND || taken == MAXIMUM_TAKEN_PER_ROUND;
 	}
 
+	/**
+	 * Restarts the items that only targets of another software version can generate: none
+	 * of their own is left, or it has had no room for as long as their events took.
+	 */
+	private void restartStranded(long nowMs, Taker taker) {
+		for (WaitingLane lane : this.lanes.values()) {
+			Requirement requirement = lane.requirement();
+			if (requirement.softwareVersion() != null) {
+				Requirement other = requirement.ofAnySoftwareVersion();
+				boolean served = taker.isServed(requirement);
+				if (!served && taker.isServed(other)) {
+					restart(lane, (run) -> run.isOpenFor(TARGETS_HEARD_MS, nowMs), taker, served);
+				}
+				else if (served && !taker.hasRoom(requirement) && taker.hasRoom(other)) {
+					restart(lane, (run) -> run.hasWaitedAsLongAsGenerated(nowMs), taker, served);
+				}
+			}
+		}
+	}
+
+	private void restart(WaitingLane lane, Predicate<ItemRun> stranded, Taker taker, boolean served) {
+		List<ItemRun> runs = new ArrayList<>();
+		lane.forEach((run) -> {
+			if (stranded.test(run)) {
+				runs.add(run);
+			}
+		});
+		for (ItemRun run : runs) {
+			lane.remove(run);
+			taker.restart(run, served);
+			this.unsorted.add(run);
+		}
+	}
+
 	private static int update(List<WaitingLane> open) {
 		int moved = 0;
 		for (WaitingLane lane : open) {
@@ -160,9 +202,14 @@
 		Optional<Route> route = this.routes.routeOf(run.job.host(), run.item.path());
 		String pool = route.map((found) -> found.selectPool((run.item.id().hashCode() & 0xffff) / (double) 0x10000))
 			.orElse("");
-		LaneKey key = new LaneKey(run.job.id(), route.map(Route::pathPrefix).orElse(""), pool, run.restoredComplete);
-		return this.lanes.computeIfAbsent(key, (absent) -> new WaitingLane(run.job, route, pool,
-				route.isPresent() && !run.restoredComplete, this.lengths));
+		boolean needsTarget = route.isPresent() && !run.restoredComplete;
+		String softwareVersion = needsTarget ? run.text.requiredSoftwareVersion() : null;
+		LaneKey key = new LaneKey(run.job.id(), route.map(Route::pathPrefix).orElse(""), pool, softwareVersion,
+				run.restoredComplete);
+		return this.lanes.computeIfAbsent(key,
+				(absent) -> new WaitingLane(run.job, route,
+						new Requirement(pool, run.job.model(), run.job.oldestVersion(), softwareVersion), needsTarget,
+						this.lengths));
 	}
 
 	/** Takes items that can be started. */
@@ -174,6 +221,19 @@
 		/** Returns whether a target has room for items with a requirement. */
 		boolean hasRoom(Requirement requirement);
 
+		/**
+		 * Returns whether there is a target of the pool and the software version of a
+		 * requirement, with or without room.
+		 */
+		boolean isServed(Requirement requirement);
+
+		/**
+		 * Discards the output of an item that cannot be continued.
+		 * @param run the item
+		 * @param served true if only room is missing
+		 */
+		void restart(ItemRun run, boolean served);
+
 		/**
 		 * Takes an item out of the waiting phase.
 		 * @param run the item
@@ -191,8 +251,18 @@
 	 * @param pool the pool of the target
 	 * @param model the model
 	 * @param oldestVersion the oldest weight version of the model
+	 * @param softwareVersion the software version of the target, or null if any will do
 	 */
-	record Requirement(String pool, String model, long oldestVersion) {
+	record Requirement(String pool, String model, long oldestVersion, @Nullable String softwareVersion) {
+
+		Requirement ofAnySoftwareVersion() {
+			return new Requirement(this.pool, this.model, this.oldestVersion, null);
+		}
+
+		boolean isMetBySoftwareOf(TargetNotice target) {
+			return this.softwareVersion == null || this.softwareVersion.equals(target.softwareVersion());
+		}
+
 	}
 
 	/**
@@ -205,7 +275,8 @@
 	record Head(WaitingLane lane, ItemRun run, ItemOrder.WaitingItem item) {
 	}
 
-	private record LaneKey(JobId job, String pathPrefix, String pool, boolean restoredComplete) {
+	private record LaneKey(JobId job, String pathPrefix, String pool, @Nullable String softwareVersion,
+			boolean restoredComplete) {
 	}
 
 	private record PausedItem(ItemRun run, long untilMs) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/WaitingLane.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/WaitingLane.java
@@ -16,14 +16,15 @@
 import org.zinniatack.core.table.Route;
 
 /**
- * The waiting items of one job and pool. Estimates of length change with each finished
- * item, but the order of the items by their hints does not, except that estimates are
- * limited to the longest item seen. So only the items that cross this limit are moved.
+ * The waiting items of one job with the same requirement. Estimates of length change with
+ * each finished item, but the order of the items by their hints does not, except that
+ * estimates are limited to the longest item seen. So only the items that cross this limit
+ * are moved.
  */
 final class WaitingLane {
 
-	/** The usual time per event, used only to order waiting items. */
-	private static final double TYPICAL_EVENT_MS = 50;
+	/** The usual time per event, where that of an item is not known. */
+	static final double TYPICAL_EVENT_MS = 50;
 
 	private static final Comparator<ItemRun> BY_POSITION = Comparator.comparingInt((ItemRun run) -> run.groupPosition)
 		.thenComparingInt((run) -> run.position);
@@ -57,11 +58,11 @@
 	/** The same items, shortest first. */
 	private final NavigableSet<ItemRun> limitedByHint = new TreeSet<>(BY_HINT.thenComparing(BY_POSITION));
 
-	WaitingLane(JobSubmission job, Optional<Route> route, String pool, boolean needsTarget,
+	WaitingLane(JobSubmission job, Optional<Route> route, WaitingItems.Requirement requirement, boolean needsTarget,
 			ItemLengthEstimator lengths) {
 		this.job = job;
 		this.route = route;
-		this.requirement = new WaitingItems.Requirement(pool, job.model(), job.oldestVersion());
+		this.requirement = requirement;
 		this.needsTarget = needsTarget;
 		this.lengths = lengths;
 	}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
@@ -60,7 +60,7 @@
 	}
 
 	private static void read(ItemRun run, int first, int last) {
-		run.text.beginStream(3);
+		run.text.beginStream(3, "");
 		for (int event = first; event <= last; event++) {
 			run.text.read(Unpooled.copiedBuffer("id: " + event + "\ndata: e" + event + "\n\n", StandardCharsets.UTF_8));
 		}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/WaitingItemsTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/WaitingItemsTests.java
@@ -2,6 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -10,7 +11,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 
+import io.netty.buffer.Unpooled;
 import org.junit.jupiter.api.Test;
 
 import org.zinniatack.core.job.ItemLengthEstimator;
@@ -174,6 +177,44 @@
 		assertThat(slots.countsByPool, is(Map.of("other", 1)));
 	}
 
+	// Guards against an output that is begun again although its software version will
+	// have room, and against one that waits for a software version that has left.
+	@Test
+	void anItemThatHasBegunWaitsForItsSoftwareVersionAsLongAsItsEventsTookAndNotForOneThatHasLeft() {
+		Slots served = new Slots(1, Set.of("v2"), Set.of("v1", "v2"));
+		ItemRun begun = addBegunItem(1, "v1", 400);
+		this.waiting.offer(1_400, served);
+		assertThat(begun.text.eventCount(), is(2));
+		this.waiting.offer(1_401, served);
+		assertThat(begun.text.eventCount(), is(0));
+		assertThat(served.taken, is(List.of()));
+		this.waiting.offer(1_402, served);
+		assertThat(served.taken, is(List.of(begun)));
+
+		ItemRun left = addBegunItem(2, "v1", 400);
+		Slots none = new Slots(1, Set.of(), Set.of());
+		this.waiting.offer(WaitingItems.TARGETS_HEARD_MS, none);
+		assertThat(left.text.eventCount(), is(2));
+		Slots gone = new Slots(1, Set.of("v2"), Set.of("v2"));
+		this.waiting.offer(WaitingItems.TARGETS_HEARD_MS - 1, gone);
+		assertThat(left.text.eventCount(), is(2));
+		this.waiting.offer(WaitingItems.TARGETS_HEARD_MS, gone);
+		assertThat(left.text.eventCount(), is(0));
+	}
+
+	/** Adds an item with two events that a target has generated until 1,000 ms. */
+	private ItemRun addBegunItem(int jobNumber, String softwareVersion, long generatedMs) {
+		addJob(jobNumber, 1);
+		ItemRun run = this.runs.get(this.runs.size() - 1);
+		run.beginAttempt(1_000 - generatedMs);
+		run.phase = ItemRun.Phase.GENERATING;
+		run.text.beginStream(1, softwareVersion);
+		run.text.read(Unpooled.copiedBuffer("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", StandardCharsets.US_ASCII));
+		run.beginWaiting(1_000);
+		run.phase = ItemRun.Phase.WAITING;
+		return run;
+	}
+
 	/** Takes items until all slots are occupied. */
 	private static final class Slots implements WaitingItems.Taker {
 
@@ -183,8 +224,19 @@
 
 		private final Map<String, Integer> countsByPool = new HashMap<>();
 
+		/** The software versions of the targets with slots, and of all targets. */
+		private final Set<String> withRoom;
+
+		private final Set<String> known;
+
 		Slots(int count) {
+			this(count, Set.of(""), Set.of(""));
+		}
+
+		Slots(int count, Set<String> withRoom, Set<String> known) {
 			this.count = count;
+			this.withRoom = withRoom;
+			this.known = known;
 		}
 
 		@Override
@@ -194,12 +246,24 @@
 
 		@Override
 		public boolean hasRoom(WaitingItems.Requirement requirement) {
-			return this.taken.size() < this.count;
+			String version = requirement.softwareVersion();
+			return this.taken.size() < this.count && (version == null || this.withRoom.contains(version));
+		}
+
+		@Override
+		public boolean isServed(WaitingItems.Requirement requirement) {
+			String version = requirement.softwareVersion();
+			return (version != null) ? this.known.contains(version) : !this.known.isEmpty();
+		}
+
+		@Override
+		public void restart(ItemRun run, boolean served) {
+			run.restart();
 		}
 
 		@Override
 		public boolean take(ItemRun run, Optional<Route> route, String pool) {
-			if (!hasRoom(new WaitingItems.Requirement(pool, run.job.model(), 0))) {
+			if (!hasRoom(new WaitingItems.Requirement(pool, run.job.model(), 0, run.text.requiredSoftwareVersion()))) {
 				return false;
 			}
 			run.phase = ItemRun.Phase.GENERATING;
