Resume a stream within its answer at targets of its software version only

Cause: PendingCall chose the next target of a stream among all that it had not tried, by load.

Change: once the caller has an event, AttemptedTargets excludes targets of other software versions; without one left the answer is broken, and the caller may take the stream up. A stream of which no event has come may go on anywhere. If the target that was cut has announced another version since, the answer is broken too, since either version may have made its events. The question whether a target has done so moves from JobRunner to TargetSelector, for items and calls.

Evidence: CutAnswerTests#aStreamIsResumedAtTargetsOfItsSoftwareVersionOnly failed before (the second target, of the other version, got the stream) and passes.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/AttemptedTargets.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/AttemptedTargets.java
@@ -21,6 +21,18 @@
 
 	private final Set<String> notRunIds = new HashSet<>();
 
+	/** The software version that a target must have, or null if any will do. */
+	private @Nullable String softwareVersion;
+
+	/** Allows only targets of a software version from now on. */
+	void requireSoftwareVersion(String required) {
+		this.softwareVersion = required;
+	}
+
+	private boolean hasOtherSoftware(TargetNotice target) {
+		return this.softwareVersion != null && !this.softwareVersion.equals(target.softwareVersion());
+	}
+
 	void add(String targetId) {
 		this.triedIds.add(targetId);
 		this.notRunIds.remove(targetId);
@@ -33,7 +45,9 @@
 
 	/** Chooses a target that the call was not sent to, even one that refuses calls. */
 	Optional<TargetNotice> chooseUntried(TargetSelector targets, String pool, long nowMs) {
-		return targets.choose(pool, this.triedIds, nowMs);
+		Set<String> excludedIds = new HashSet<>(this.triedIds);
+		targets.ready(pool).stream().filter(this::hasOtherSoftware).map(TargetNotice::id).forEach(excludedIds::add);
+		return targets.choose(pool, excludedIds, nowMs);
 	}
 
 	/**
@@ -61,6 +75,9 @@
 			if (this.notRunIds.contains(id) && (freed || stats.isUsable(nowMs))) {
 				excludedIds.remove(id);
 			}
+			if (hasOtherSoftware(target)) {
+				excludedIds.add(id);
+			}
 			if (!freed && (stats.isRefusing(nowMs) || (excludeUnsure && !stats.reportsRoom(target, nowMs)))) {
 				excludedIds.add(id);
 			}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -516,11 +516,19 @@
 		void onStreamCut(Attempt attempt) {
 			this.runningAttempts.remove(attempt);
 			this.mayHaveRun = true;
-			if (!this.finished && !(mayRunAgain() && this.stream.isResumable() && sendNext())) {
+			if (this.stream.hasEvents()) {
+				this.attemptedTargets.requireSoftwareVersion(attempt.target.softwareVersion());
+			}
+			if (!this.finished && !(mayRunAgain() && isResumableAfter(attempt) && sendNext())) {
 				finishUnanswered();
 			}
 		}
 
+		private boolean isResumableAfter(Attempt attempt) {
+			return this.stream.isResumable() && !(this.stream.hasEvents()
+					&& CallDispatcher.this.targets.hasAnnouncedOtherSoftware(attempt.target));
+		}
+
 		void onFailed(Attempt attempt, FullResponse response) {
 			this.runningAttempts.remove(attempt);
 			this.mayHaveRun = true;
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallStream.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallStream.java
@@ -58,6 +58,11 @@
 		return new Part(OptionalLong.empty());
 	}
 
+	/** Returns whether the caller has an event. */
+	boolean hasEvents() {
+		return this.unnumbered || this.lastEventId.isPresent();
+	}
+
 	/** Returns whether another target can continue after the events passed on. */
 	boolean isResumable() {
 		return !this.unnumbered && (this.lastEventId.isEmpty() || this.lastEventId.getAsLong() > 0);
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRunner.java
@@ -612,7 +612,7 @@
 		if (run.text.eventCount() < eventCount) {
 			logRestart(run, eventCount, "no stream goes on");
 		}
-		else if (eventCount > 0 && target != null && hasOtherSoftware(target)) {
+		else if (eventCount > 0 && target != null && this.targets.hasAnnouncedOtherSoftware(target)) {
 			restart(run, "the target restarted with other software");
 		}
 		requeue(run, pauseMs);
@@ -629,17 +629,6 @@
 					eventCount, reason);
 	}
 
-	/**
-	 * Returns whether a target has announced another software version since a request was
-	 * sent to it, so that the request may have run under either.
-	 */
-	private boolean hasOtherSoftware(TargetNotice asSentTo) {
-		return this.targets.ready(asSentTo.pool())
-			.stream()
-			.anyMatch((target) -> target.id().equals(asSentTo.id())
-					&& !target.softwareVersion().equals(asSentTo.softwareVersion()));
-	}
-
 	private void handleNotSent(ItemRun run, String detail) {
 		TargetNotice target = run.target;
 		LOGGER.atInfo()
@@ -680,7 +669,7 @@
 
 	private void handleGenerated(ItemRun run, Route route) {
 		TargetNotice target = run.target;
-		if (run.text.isJoined() && target != null && hasOtherSoftware(target)) {
+		if (run.text.isJoined() && target != null && this.targets.hasAnnouncedOtherSoftware(target)) {
 			restart(run, "the target restarted with other software");
 			requeue(run, 0);
 			return;
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetSelector.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/target/TargetSelector.java
@@ -186,6 +186,18 @@
 		return this.readyByPool.apply(pool);
 	}
 
+	/**
+	 * Returns whether a target has announced another software version since a request was
+	 * sent to it, so that the request may have run under either.
+	 * @param asSentTo the notice of the target at the time of the request
+	 * @return true if its version is another now
+	 */
+	public boolean hasAnnouncedOtherSoftware(TargetNotice asSentTo) {
+		return ready(asSentTo.pool()).stream()
+			.anyMatch((target) -> target.id().equals(asSentTo.id())
+					&& !target.softwareVersion().equals(asSentTo.softwareVersion()));
+	}
+
 	/**
 	 * Chooses the least utilized target and prefers those of the own failure domain and
 	 * those that answer sooner, as far as they state how long work takes. Targets at
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/call/CutAnswerTests.java
@@ -210,6 +210,42 @@
 		}
 	}
 
+	// Guards against a stream that is joined from two software versions in one answer.
+	@Test
+	void aStreamIsResumedAtTargetsOfItsSoftwareVersionOnly() throws Exception {
+		String rest = ScriptedTarget.answer("r", "seal: s\r\n", StreamTarget.events(3, 4));
+		try (ScriptedTarget first = target("t1", CUT_STREAM);
+				ScriptedTarget other = target("t2", rest);
+				ScriptedTarget same = target("t3", rest)) {
+			setSoftwareVersions("v1", "v2", "v1");
+			assertThat(run(RouteKind.STREAM, true, 2), is(new Outcome("200 s", WHOLE, "whole")));
+			assertThat(other.requests().size(), is(0));
+		}
+		clearTargets();
+		try (ScriptedTarget first = target("t1", CUT_STREAM); ScriptedTarget other = target("t2", rest)) {
+			setSoftwareVersions("v1", "v2");
+			assertThat(run(RouteKind.STREAM, true, 2), is(new Outcome("200 s", StreamTarget.events(1, 2), "broken")));
+			assertThat(other.requests().size(), is(0));
+		}
+	}
+
+	// Guards against a caller who loses a stream of which no event has come yet.
+	@Test
+	void aStreamWithoutAnEventGoesOnAtAnySoftwareVersion() throws Exception {
+		String cutBeforeEvents = "HTTP/1.1 200 OK\r\nid: r\r\nseal: s\r\n\r\n" + ScriptedTarget.THEN_HANG_UP;
+		try (ScriptedTarget first = target("t1", cutBeforeEvents);
+				ScriptedTarget second = target("t2", ScriptedTarget.answer("r", "seal: s\r\n", WHOLE))) {
+			setSoftwareVersions("v1", "v2");
+			assertThat(run(RouteKind.STREAM, true, 2), is(new Outcome("200 s", WHOLE, "whole")));
+		}
+	}
+
+	private void setSoftwareVersions(String... versions) {
+		for (int i = 0; i < versions.length; i++) {
+			this.readyTargets.set(i, this.readyTargets.get(i).withSoftwareVersion(versions[i]));
+		}
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "1", "2", "4" })
 	void aStreamThatIsResumedAtAnotherEventIsBroken(int firstId) throws Exception {
