Let a caller take a stream up at the software version that began it only

Cause: an entry passed Last-Event-Id on and believed it. An entry that was killed has forgotten where the attempt began, the targets do not check, and the list of the targets of now says nothing of a version that has just left.

Change: - With the first event of a resumable stream the entry records the pool and the software version of its target and, every 20 ms, tells three control processes, which outlive it; it tells a process anew after a reconnection. Both keep the record for a minute, 100,000 of them at most. - A take-up asks this entry, then all control processes, and goes only to targets of the recorded pool and version, waiting included. If none is there it is refused at once as not run, with the new code 2010. - Where nobody remembers the attempt, it goes on only if the pool had a single version for as long as streams can be taken up. That must survive the loss of all processes, so the leader records each version in the replicated state, when it appears and every 20 s while it serves. It stands in the command that already carries news of targets, which earlier versions read as one without effect. - Two customers that use one id have two records.

Cost: a record is a key of 8 bytes with the names of pool and version; nothing is sent for other routes, and two short commands a minute and pool go to the log.

Evidence: StreamTakeUpTests failed 3 of 3 before and pass: 24 of 24 take-ups go on at their version at other entries; 20 of 20 whose version has left are refused and have not run, 4 of 4 of the other go on; with two versions and all processes replaced 24 of 24 are refused, with one version 24 of 24 go on (lookups of 1 to 8 ms, one of 29). StreamMemoryTests hold the times and bounds in virtual time.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -43,6 +43,7 @@
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.state.StateSize;
+import org.zinniatack.core.stream.SoftwareHistory;
 import org.zinniatack.core.table.CurrentRoutingTable;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.ProcessStatus;
@@ -96,6 +97,11 @@
 
 	private final ColdTargets coldTargets;
 
+	private final StreamRecords streamRecords = new StreamRecords(ControlService::clockMs);
+
+	/** The software versions in the applied state. */
+	private volatile SoftwareHistory softwareHistory = new SoftwareHistory(List.of());
+
 	private final Presence presence = new Presence(UUID.randomUUID().toString());
 
 	private final ScheduledExecutorService timer = Executors
@@ -521,6 +527,7 @@
 	private void maintainMembership() {
 		try {
 			this.coldTargets.checkLease();
+			recordSoftware();
 			ReplicaStatus status = requireDriver().status();
 			this.memberLinks.update(status.membership());
 			if (!isOnlyVoterOfOwnName(status) || status.leaderId().isEmpty()) {
@@ -535,6 +542,22 @@
 		}
 	}
 
+	/** Records the software versions of the targets as leader. */
+	private void recordSoftware() {
+		if (leaseTerm().isPresent()) {
+			SoftwareHistory known = this.softwareHistory;
+			this.directoryFeeds.softwareSightings(System.currentTimeMillis())
+				.stream()
+				.filter(known::isDue)
+				.forEach((sighting) -> propose(Command.DrainTarget.ofSoftware(sighting)).exceptionally((failure) -> {
+					LOGGER.atInfo()
+						.log("event=software_not_recorded pool=%s software=%s detail=\"%s\"", sighting.pool(),
+								sighting.softwareVersion(), failure.getMessage());
+					return null;
+				}));
+		}
+	}
+
 	private boolean isOnlyVoterOfOwnName(ReplicaStatus status) {
 		return status.membership()
 			.voters()
@@ -740,6 +763,7 @@
 	}
 
 	private void onStateChanged(ControlState state) {
+		this.softwareHistory = state.softwareHistory();
 		// First, since an entry that has just started calls nobody without a table.
 		this.directoryFeeds.updateLeft(state.leftTargets());
 		this.directoryFeeds.updateEvacuations(new Evacuations(state.appliedIndex(), state.evacuatedDomains()));
@@ -770,6 +794,10 @@
 			this.directoryFeeds.onFeed(feed);
 			return;
 		}
+		if (message instanceof Message.StreamsBegun begun) {
+			this.streamRecords.record(begun.streams());
+			return;
+		}
 		ReplicaDriver running = this.driver;
 		if (running == null) {
 			return;
@@ -855,6 +883,13 @@
 		if (message instanceof Message.ReadJob read) {
 			return this.jobReads.page(read).thenApply(Message.class::cast);
 		}
+		if (message instanceof Message.FindStream find) {
+			return CompletableFuture.completedFuture(this.streamRecords.find(find));
+		}
+		if (message instanceof Message.ReadSoftware read) {
+			return readCurrent(ControlState::softwareHistory)
+				.thenApply((history) -> new Message.SoftwareVersions(List.copyOf(history.versions(read.pool()))));
+		}
 		if (message instanceof Message.ReadItem read) {
 			return this.jobReads.itemBody(read).thenApply(Message.ItemBody::new);
 		}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -21,6 +21,7 @@
 import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.stream.SoftwareSighting;
 import org.zinniatack.core.table.Pool;
 import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.wire.EncodedNotification;
@@ -206,6 +207,14 @@
 		return this.directory.ready(pool, nowMs());
 	}
 
+	/**
+	 * Returns the software versions of the targets that run now.
+	 * @param wallMs the time, in milliseconds since the epoch
+	 */
+	synchronized Set<SoftwareSighting> softwareSightings(long wallMs) {
+		return this.directory.softwareSightings(nowMs(), wallMs);
+	}
+
 	/** Returns the address of the control process with an operators' name. */
 	synchronized Optional<String> addressOf(String name) {
 		return this.namesByAddress.entrySet()
--- a/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/directory/TargetDirectory.java
@@ -7,6 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.zinniatack.core.stream.SoftwareSighting;
 
 /**
  * Keeps the newest notice of each target. Notices may arrive late, repeatedly or out of
@@ -322,6 +326,36 @@
 		return ready;
 	}
 
+	/**
+	 * Returns the software versions of the targets of a pool, also of those that have
+	 * left and are not forgotten yet.
+	 * @param pool the pool
+	 * @return the versions
+	 */
+	public Set<String> softwareVersions(String pool) {
+		return this.entries.values()
+			.stream()
+			.map((entry) -> entry.notice)
+			.filter((notice) -> notice.pool().equals(pool))
+			.map(TargetNotice::softwareVersion)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	/**
+	 * Returns the software versions of the targets that run now.
+	 * @param nowMs the monotonic time, in milliseconds
+	 * @param wallMs the time, in milliseconds since the epoch
+	 * @return a sighting for each version in each pool
+	 */
+	public Set<SoftwareSighting> softwareSightings(long nowMs, long wallMs) {
+		return this.entries.values()
+			.stream()
+			.filter((entry) -> entry.notice.state() != TargetNotice.State.GONE
+					&& nowMs - entry.heardAtMs <= this.silenceLimitMs)
+			.map((entry) -> new SoftwareSighting(entry.notice.pool(), entry.notice.softwareVersion(), wallMs))
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	private boolean isReady(Entry entry, long nowMs) {
 		return entry.notice.state() == TargetNotice.State.READY && nowMs - entry.heardAtMs <= this.silenceLimitMs;
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -78,6 +78,10 @@
 	/** The spending ceiling is reached. */
 	SPENDING_CEILING_REACHED(2009, 429, Outcome.NOT_RUN, "The customer has reached the spending ceiling."),
 
+	/** No target may continue the stream. */
+	STREAM_NOT_CONTINUABLE(2010, 503, Outcome.NOT_RUN,
+			"No target of the software version that began the stream is available, or it is not known which began it."),
+
 	/** The request may have run. */
 	OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "The target was lost and it is unknown whether the request ran."),
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -15,6 +15,7 @@
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobSubmission;
 import org.zinniatack.core.sample.Sample;
+import org.zinniatack.core.stream.SoftwareSighting;
 import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.core.usage.UsageFigure;
 import org.zinniatack.core.usage.UsagePart;
@@ -282,15 +283,18 @@
 	}
 
 	/**
-	 * Starts or stops draining a target, or records that it left by itself.
+	 * Starts or stops draining a target, or records that it left by itself or which
+	 * software targets have.
 	 *
 	 * @param targetId the id of the target
 	 * @param leaving true if the target must accept no new work, false if it may serve
 	 * again
 	 * @param left the start of the target that has left, null for an operator's order and
 	 * in commands of earlier versions
+	 * @param software a sighting of a software version, null in other commands
 	 */
-	record DrainTarget(String targetId, boolean leaving, @Nullable LeftTarget left) implements Command {
+	record DrainTarget(String targetId, boolean leaving, @Nullable LeftTarget left,
+			@Nullable SoftwareSighting software) implements Command {
 
 		/**
 		 * Creates an operator's order.
@@ -299,7 +303,7 @@
 		 * serve again
 		 */
 		public DrainTarget(String targetId, boolean leaving) {
-			this(targetId, leaving, null);
+			this(targetId, leaving, null, null);
 		}
 
 		/**
@@ -309,7 +313,17 @@
 		 * @return the command
 		 */
 		public static DrainTarget ofLeft(LeftTarget left) {
-			return new DrainTarget(left.id(), false, left);
+			return new DrainTarget(left.id(), false, left, null);
+		}
+
+		/**
+		 * Creates the record of a software version. Earlier versions take it for the end
+		 * of an operator's order for a target that does not exist.
+		 * @param software the sighting
+		 * @return the command
+		 */
+		public static DrainTarget ofSoftware(SoftwareSighting software) {
+			return new DrainTarget("", false, null, software);
 		}
 
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -19,6 +19,8 @@
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.sample.Step;
 import org.zinniatack.core.sample.StepLedger;
+import org.zinniatack.core.stream.SoftwareHistory;
+import org.zinniatack.core.stream.SoftwareSighting;
 import org.zinniatack.core.table.CurrentRoutingTable;
 import org.zinniatack.core.usage.UsageLedger;
 
@@ -52,6 +54,8 @@
 
 	private EvacuationOrders evacuations = EvacuationOrders.of(List.of());
 
+	private SoftwareHistory software = new SoftwareHistory(List.of());
+
 	private final Set<String> retiring = new LinkedHashSet<>();
 
 	private final Map<String, TargetOrder> orders = new TreeMap<>();
@@ -79,6 +83,7 @@
 		state.retiring.addAll(image.retiring());
 		state.left = LeftTargets.of(image.left());
 		state.evacuations = EvacuationOrders.of(image.evacuations());
+		state.software = new SoftwareHistory(image.software());
 		image.orders().forEach((order) -> state.orders.put(order.pool(), order));
 		state.weights.putAll(image.weights());
 		state.draining.addAll(image.draining());
@@ -175,6 +180,11 @@
 	}
 
 	private void drain(Command.DrainTarget command) {
+		SoftwareSighting sighting = command.software();
+		if (sighting != null) {
+			this.software = this.software.with(sighting);
+			return;
+		}
 		LeftTarget leftTarget = command.left();
 		if (leftTarget != null) {
 			this.left = this.left.with(leftTarget);
@@ -303,6 +313,14 @@
 		return this.evacuations.evacuatedDomains();
 	}
 
+	/**
+	 * Returns the software versions that the targets had lately.
+	 * @return the history, the same object until it changes
+	 */
+	public SoftwareHistory softwareHistory() {
+		return this.software;
+	}
+
 	/**
 	 * Returns the stored form of the state.
 	 * @return the stored form
@@ -312,7 +330,7 @@
 				this.intents.images(), this.steps.images(), this.usage.image(), this.crashes.image(),
 				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining),
 				this.table.image(), this.jobs.images(), List.copyOf(this.retiring),
-				List.copyOf(this.left.byKey().values()), this.evacuations.images());
+				List.copyOf(this.left.byKey().values()), this.evacuations.images(), this.software.sightings());
 	}
 
 	/**
@@ -416,22 +434,25 @@
 	 * retired
 	 * @param left the targets that left lately, oldest first
 	 * @param evacuations the last evacuation order of each failure domain
+	 * @param software the software versions that the targets had lately
 	 */
 	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
 			List<RequestHistory.AnsweredRequest> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
 			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights,
 			List<String> draining, CurrentRoutingTable.@Nullable Image table, List<Job.Image> jobs,
-			List<String> retiring, List<LeftTarget> left, List<EvacuationOrder> evacuations) {
+			List<String> retiring, List<LeftTarget> left, List<EvacuationOrder> evacuations,
+			List<SoftwareSighting> software) {
 
 		/**
-		 * Accepts an image without jobs, retiring members, targets that left or
-		 * evacuations, as earlier versions stored it.
+		 * Accepts an image without jobs, retiring members, targets that left, evacuations
+		 * or software versions, as earlier versions stored it.
 		 */
 		public Image {
 			jobs = Objects.requireNonNullElse(jobs, List.of());
 			retiring = Objects.requireNonNullElse(retiring, List.of());
 			left = Objects.requireNonNullElse(left, List.of());
 			evacuations = Objects.requireNonNullElse(evacuations, List.of());
+			software = Objects.requireNonNullElse(software, List.of());
 		}
 
 	}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/Call.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/Call.java
@@ -8,6 +8,7 @@
 import org.zinniatack.core.key.Sha256Digest;
 import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.core.table.Route;
+import org.zinniatack.core.table.RouteKind;
 
 /**
  * A caller's request to be dispatched to a target.
@@ -22,9 +23,11 @@
  * @param deadlineMs how long the caller waits for a response, in milliseconds
  * @param key the digest of the caller's API key, or null without one
  * @param rank its rank among calls that wait for a target, 0 for the most urgent
+ * @param takeUp the stream that the caller takes up, or null if the call begins anew
  */
 public record Call(String requestId, Route route, @Nullable String customer, HttpMethod method, String uri,
-		HttpHeaders headers, byte[] body, long deadlineMs, @Nullable Sha256Digest key, int rank) {
+		HttpHeaders headers, byte[] body, long deadlineMs, @Nullable Sha256Digest key, int rank,
+		@Nullable TakeUp takeUp) {
 
 	/**
 	 * Creates a call with the rank of its route.
@@ -40,7 +43,7 @@
 	 */
 	public Call(String requestId, Route route, @Nullable String customer, HttpMethod method, String uri,
 			HttpHeaders headers, byte[] body, long deadlineMs, @Nullable Sha256Digest key) {
-		this(requestId, route, customer, method, uri, headers, body, deadlineMs, key, route.priority());
+		this(requestId, route, customer, method, uri, headers, body, deadlineMs, key, route.priority(), null);
 	}
 
 	/**
@@ -59,6 +62,11 @@
 		this(requestId, route, customer, method, uri, headers, body, deadlineMs, null);
 	}
 
+	/** Returns whether the call goes on with a stream that its caller has in part. */
+	boolean takesUpStream() {
+		return this.takeUp != null && this.route.kind() == RouteKind.STREAM && this.route.resumable();
+	}
+
 	/**
 	 * Returns what makes another request the same as this one.
 	 * @return the identity
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -25,6 +25,7 @@
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.state.RequestIdentity;
 import org.zinniatack.core.state.SuspectedRequests.Standing;
+import org.zinniatack.core.stream.StreamOrigin;
 import org.zinniatack.core.table.RouteKind;
 import org.zinniatack.gateway.http.RequestFailure;
 import org.zinniatack.gateway.http.ResponseListener;
@@ -75,6 +76,9 @@
 	/** A response up to this size is buffered even if the limit on all is reached. */
 	private static final int ALWAYS_BUFFERED_BYTES = 64 * 1024;
 
+	/** A control process that takes longer to tell where a stream began is of no use. */
+	private static final long LONGEST_LOOKUP_MS = 800;
+
 	/** Reserved for the way of the response back to the caller. */
 	private static final long RETURN_MARGIN_MS = 20;
 
@@ -92,8 +96,13 @@
 
 	private final WaitingCalls waitingCalls;
 
+	private final StreamRegistry streams;
+
 	private final Set<PendingCall> pendingCalls = new LinkedHashSet<>();
 
+	/** The calls of which it is being found out where their streams began. */
+	private final Set<PendingTakeUp> pendingTakeUps = new LinkedHashSet<>();
+
 	private long bufferedBytes;
 
 	/**
@@ -121,7 +130,7 @@
 	}
 
 	/**
-	 * Creates a dispatcher.
+	 * Creates a dispatcher that resumes no stream for its caller.
 	 * @param loop the event loop
 	 * @param client the connections to targets
 	 * @param protocol the HTTP protocol of the targets
@@ -131,6 +140,22 @@
 	 */
 	public CallDispatcher(EventLoop loop, TargetClient client, TargetProtocol protocol, TargetSelector targets,
 			CrashGuard crashGuard, QueueingPolicy queueing) {
+		this(loop, client, protocol, targets, crashGuard, queueing, StreamRegistry.NONE);
+	}
+
+	/**
+	 * Creates a dispatcher.
+	 * @param loop the event loop
+	 * @param client the connections to targets
+	 * @param protocol the HTTP protocol of the targets
+	 * @param targets selects the target of each attempt
+	 * @param crashGuard knows which calls may crash targets
+	 * @param queueing decides which calls wait for a target with room
+	 * @param streams knows where streams began
+	 */
+	public CallDispatcher(EventLoop loop, TargetClient client, TargetProtocol protocol, TargetSelector targets,
+			CrashGuard crashGuard, QueueingPolicy queueing, StreamRegistry streams) {
+		this.streams = streams;
 		this.loop = loop;
 		this.client = client;
 		this.protocol = protocol;
@@ -147,7 +172,16 @@
 	 * @return an action that cancels the call, after which the sink is not called again
 	 */
 	public Runnable dispatch(Call call, CallSink sink) {
-		PendingCall pending = new PendingCall(call, sink);
+		if (call.takesUpStream()) {
+			PendingTakeUp takeUp = new PendingTakeUp(call, sink);
+			this.pendingTakeUps.add(takeUp);
+			takeUp.start();
+			return takeUp::cancel;
+		}
+		return start(new PendingCall(call, sink, nowMs(), null));
+	}
+
+	private Runnable start(PendingCall pending) {
 		this.pendingCalls.add(pending);
 		pending.start();
 		return pending::cancel;
@@ -158,6 +192,7 @@
 	 * that have begun are broken.
 	 */
 	public void endAll() {
+		List.copyOf(this.pendingTakeUps).forEach((takeUp) -> takeUp.refuse(ResultCode.SHUTTING_DOWN));
 		List.copyOf(this.pendingCalls).forEach(PendingCall::endAtStop);
 	}
 
@@ -193,6 +228,85 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.loop.ticker().nanoTime());
 	}
 
+	/** A call that waits until it is known where the stream began that it takes up. */
+	private final class PendingTakeUp {
+
+		private final Call call;
+
+		private final CallSink sink;
+
+		private final long startedAtMs = nowMs();
+
+		private boolean over;
+
+		private Runnable canceller = () -> {
+		};
+
+		PendingTakeUp(Call call, CallSink sink) {
+			this.call = call;
+			this.sink = sink;
+		}
+
+		void start() {
+			CallDispatcher.this.loop.schedule(() -> refuse(ResultCode.STREAM_NOT_CONTINUABLE),
+					Math.max(0, Math.min(LONGEST_LOOKUP_MS, this.call.deadlineMs() - RETURN_MARGIN_MS)),
+					TimeUnit.MILLISECONDS);
+			CallDispatcher.this.streams.find(this.call)
+				.exceptionally((failure) -> Optional.empty())
+				.thenAccept((origin) -> CallDispatcher.this.loop.execute(() -> onFound(origin)));
+		}
+
+		private void onFound(Optional<StreamOrigin> origin) {
+			if (this.over) {
+				return;
+			}
+			TakeUp takeUp = Objects.requireNonNull(this.call.takeUp());
+			boolean continuable = origin.isPresent() && serves(origin.get().pool())
+					&& CallDispatcher.this.targets.ready(origin.get().pool())
+						.stream()
+						.anyMatch((target) -> target.softwareVersion().equals(origin.get().softwareVersion()));
+			LOGGER.atInfo()
+				.log("event=stream_taken_up request=%s attempt=%s after_event=%s origin=%s continuable=%b lookup_ms=%d",
+						this.call.requestId(), takeUp.attemptId(), takeUp.lastEventId(),
+						origin.map(Object::toString).orElse("unknown"), continuable, nowMs() - this.startedAtMs);
+			if (!continuable) {
+				refuse(ResultCode.STREAM_NOT_CONTINUABLE);
+				return;
+			}
+			end();
+			this.canceller = CallDispatcher.this
+				.start(new PendingCall(this.call, this.sink, this.startedAtMs, origin.get()));
+		}
+
+		private boolean serves(String pool) {
+			return this.call.route()
+				.shares()
+				.stream()
+				.anyMatch((share) -> share.weight() > 0 && share.pool().equals(pool));
+		}
+
+		void refuse(ResultCode code) {
+			if (!this.over) {
+				end();
+				LOGGER.atInfo()
+					.log("event=call_refused request=%s route=%s customer=%s code=%d", this.call.requestId(),
+							this.call.route().name(), this.call.customer(), code.number());
+				this.sink.refuse(code, REFUSAL_PAUSE_MS);
+			}
+		}
+
+		private void end() {
+			this.over = true;
+			CallDispatcher.this.pendingTakeUps.remove(this);
+		}
+
+		void cancel() {
+			end();
+			this.canceller.run();
+		}
+
+	}
+
 	/** The state of one call and its attempts. */
 	private final class PendingCall implements WaitingCalls.WaitingCall {
 
@@ -210,7 +324,7 @@
 
 		private final CallStream stream;
 
-		private final long startedAtMs = nowMs();
+		private final long startedAtMs;
 
 		/** The deadline given to targets. */
 		private final long targetDeadlineMs;
@@ -235,6 +349,8 @@
 
 		private boolean executionReported;
 
+		private boolean begunRecorded;
+
 		/** The target whose response the caller gets, or empty without a response. */
 		private String answeringTargetId = "";
 
@@ -247,10 +363,18 @@
 
 		private @Nullable Future<?> hedge;
 
-		PendingCall(Call call, CallSink sink) {
+		/**
+		 * Creates a call.
+		 * @param origin where the stream began that the call takes up, or null
+		 */
+		PendingCall(Call call, CallSink sink, long startedAtMs, @Nullable StreamOrigin origin) {
 			this.call = call;
+			this.startedAtMs = startedAtMs;
 			double hashPoint = (call.requestId().hashCode() & 0xffff) / (double) 0x10000;
-			this.pool = call.route().selectPool(hashPoint);
+			this.pool = (origin != null) ? origin.pool() : call.route().selectPool(hashPoint);
+			if (origin != null) {
+				this.attemptedTargets.requireSoftwareVersion(origin.softwareVersion());
+			}
 			this.mayWait = CallDispatcher.this.queueing.mayWait(call.route(), this.pool);
 			this.identity = call.identity();
 			this.sink = sink;
@@ -613,6 +737,17 @@
 			return this.stream.begin(head);
 		}
 
+		/** Records where the stream began, once an event was passed on. */
+		void recordBegun(TargetNotice target) {
+			if (!this.begunRecorded && this.stream.hasEvents()) {
+				this.begunRecorded = true;
+				if (this.call.route().resumable() && !this.call.takesUpStream()) {
+					CallDispatcher.this.streams.recordBegun(this.call,
+							new StreamOrigin(target.pool(), target.softwareVersion()));
+				}
+			}
+		}
+
 		private void recordAnswer(String targetId, HttpResponse head) {
 			this.answeringTargetId = targetId;
 			this.answerStatus = head.status().code();
@@ -846,7 +981,9 @@
 		}
 
 		private void readStream(CallStream.Part part, ByteBuf content) {
-			switch (part.read(content)) {
+			CallStream.Reading reading = part.read(content);
+			this.pendingCall.recordBegun(this.target);
+			switch (reading) {
 				case PASSED_ON -> {
 				}
 				case UNREAD -> this.pendingCall.breakStream();
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/ControlLinks.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/ControlLinks.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -14,6 +15,7 @@
 import org.zinniatack.core.result.Outcome;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
+import org.zinniatack.core.routing.Hashing;
 import org.zinniatack.process.ReconnectingLink;
 import org.zinniatack.wire.Message;
 import org.zinniatack.wire.Peer;
@@ -99,6 +101,28 @@
 				ServiceException.retryable(ResultCode.NOT_LEADER, "no control process is connected", timeoutMs));
 	}
 
+	/**
+	 * Calls all connected control processes.
+	 * @return their replies
+	 */
+	List<CompletableFuture<Message>> callAll(Message message, long timeoutMs) {
+		return this.linksByAddress.values()
+			.stream()
+			.flatMap((link) -> link.peer().stream())
+			.map((peer) -> peer.call(message, timeoutMs))
+			.toList();
+	}
+
+	/**
+	 * Returns some of the connected control processes, the same ones for a key as long as
+	 * they are connected.
+	 */
+	List<Peer> select(String key, int count) {
+		Map<String, Peer> connected = new HashMap<>();
+		this.linksByAddress.forEach((address, link) -> link.peer().ifPresent((peer) -> connected.put(address, peer)));
+		return Hashing.rendezvous(key, connected.keySet(), count).stream().map(connected::get).toList();
+	}
+
 	private CompletableFuture<Message> callNext(Message message, long timeoutMs, List<ReconnectingLink> candidates,
 			int position, ServiceException previousFailure) {
 		if (position >= candidates.size()) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -85,6 +85,8 @@
 
 	private final SharedCrashGuard crashGuard;
 
+	private final SharedStreamRegistry streams;
+
 	private final CallDispatcher dispatcher;
 
 	private final EarlyRequests earlyRequests;
@@ -130,8 +132,9 @@
 						this::offerWaitingCalls));
 		this.crashGuard = new SharedCrashGuard(loop, this::propose, this::isLeaving,
 				(target) -> !this.directory.isEvacuated(target), this::nowMs, System::currentTimeMillis);
+		this.streams = new SharedStreamRegistry(settings.name(), loop, this.control, this.directory::softwareVersions);
 		this.dispatcher = new CallDispatcher(loop, this.client, protocol, this.targets, this.crashGuard,
-				QueueingPolicy.forShortTimeouts(this::isPaced));
+				QueueingPolicy.forShortTimeouts(this::isPaced), this.streams);
 	}
 
 	/** Returns whether a limit on outstanding requests applies to targets of a pool. */
@@ -261,7 +264,10 @@
 
 	private void subscribe(Peer peer) {
 		LOGGER.atInfo().log("event=control_connected control=%s table=%d", peer.identity().nodeId(), tableNumber());
-		this.loop.execute(() -> peer.send(subscription()));
+		this.loop.execute(() -> {
+			peer.send(subscription());
+			this.streams.onConnected(peer);
+		});
 		peer.whenClosed(() -> {
 			LOGGER.atInfo().log("event=control_lost control=%s", peer.identity().nodeId());
 			this.loop.execute(() -> this.tableRequests.removePeer(peer));
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -22,6 +22,8 @@
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.state.Suspicion;
+import org.zinniatack.core.stream.BegunStream;
+import org.zinniatack.core.stream.StreamOrigin;
 import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.core.usage.UsageFigure;
 import org.zinniatack.core.usage.UsagePart;
@@ -73,7 +75,12 @@
 		@JsonSubTypes.Type(value = Message.ReadJob.class, name = "rj"),
 		@JsonSubTypes.Type(value = Message.JobPage.class, name = "jp"),
 		@JsonSubTypes.Type(value = Message.ReadItem.class, name = "rb"),
-		@JsonSubTypes.Type(value = Message.ItemBody.class, name = "ib") })
+		@JsonSubTypes.Type(value = Message.ItemBody.class, name = "ib"),
+		@JsonSubTypes.Type(value = Message.StreamsBegun.class, name = "sg"),
+		@JsonSubTypes.Type(value = Message.FindStream.class, name = "sq"),
+		@JsonSubTypes.Type(value = Message.StreamFound.class, name = "so"),
+		@JsonSubTypes.Type(value = Message.ReadSoftware.class, name = "rs"),
+		@JsonSubTypes.Type(value = Message.SoftwareVersions.class, name = "sv") })
 public sealed interface Message {
 
 	/**
@@ -613,4 +620,45 @@
 	record ItemBody(byte @Nullable [] body) implements Message {
 	}
 
+	/**
+	 * Tells a control process where streams began, which outlives the entry.
+	 *
+	 * @param streams the streams
+	 */
+	record StreamsBegun(List<BegunStream> streams) implements Message {
+	}
+
+	/**
+	 * Asks a control process where a stream began.
+	 *
+	 * @param key the key of the attempt that brought its first event
+	 */
+	record FindStream(long key) implements Message {
+	}
+
+	/**
+	 * Answers a {@link FindStream}.
+	 *
+	 * @param origin where the stream began, null if the process does not know
+	 */
+	record StreamFound(@Nullable StreamOrigin origin) implements Message {
+	}
+
+	/**
+	 * Asks for the software versions that the targets of a pool had lately.
+	 *
+	 * @param pool the pool
+	 */
+	record ReadSoftware(String pool) implements Message {
+	}
+
+	/**
+	 * Answers a {@link ReadSoftware}.
+	 *
+	 * @param versions the versions at which a stream can have begun that a caller may
+	 * still take up
+	 */
+	record SoftwareVersions(List<String> versions) implements Message {
+	}
+
 }
