Take an answer whose status HTTP does not know for a broken one

Cause: TargetClient refused a status below 200 and nothing above 599.

Change: the status of an answer must be from 200 to 599, in the one place through which calls, items, scorers, reports and orders and the agents' path get their answers. Any other ends the connection, and the request may have run.

Evidence: TargetClientTests failed for 600, 999 and 1000 of 13 statuses and BrokenTargetTests, the agents' path with runs, checks and orders, for 600; both pass. Statuses 200, 299, 404, 500 and 599 are passed on as before.

--- a/zinniatack-agent/src/test/java/org/zinniatack/agent/BrokenTargetTests.java
+++ b/zinniatack-agent/src/test/java/org/zinniatack/agent/BrokenTargetTests.java
@@ -183,6 +183,17 @@
 		}
 	}
 
+	// Guards against an agent that passes a status on that no answer of HTTP has.
+	@Test
+	void anAnswerWithoutAFinalStatusOfHttpFails() throws Exception {
+		for (String status : List.of("000", "101", "600", "1000")) {
+			this.response = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\n{}";
+			assertThat(status, run(target(false)), startsWith("failed"));
+			assertThat(status, outcome(target(true).state()), startsWith("failed"));
+			assertThat(status, outcome(target(true).loadWeights(1, 1)), startsWith("failed"));
+		}
+	}
+
 	@Test
 	void theHeadOfAnAnswerWithoutEndIsCut() throws Exception {
 		for (String endless : ENDLESS_HEADS) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -48,6 +48,10 @@
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+	private static final int FIRST_FINAL_STATUS = 200;
+
+	private static final int LAST_STATUS = 599;
+
 	private static final HttpDecoderConfig DECODER_CONFIG = new HttpDecoderConfig().setMaxInitialLineLength(8 * 1024)
 		.setMaxHeaderSize(32 * 1024)
 		.setMaxChunkSize(8 * 1024);
@@ -413,8 +417,9 @@
 				return;
 			}
 			if (object instanceof HttpResponse response) {
-				if (response.status().code() < 200) {
-					failCurrent("the target sent an interim response with status " + response.status().code());
+				if (response.status().code() < FIRST_FINAL_STATUS || response.status().code() > LAST_STATUS) {
+					failCurrent("the status of the response is %d, not from %d to %d"
+						.formatted(response.status().code(), FIRST_FINAL_STATUS, LAST_STATUS));
 					return;
 				}
 				if (!isAnswer(pending, response)) {
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
@@ -17,6 +17,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -104,6 +106,27 @@
 		}
 	}
 
+	// Guards against a caller who gets a status that no answer of HTTP has.
+	@ParameterizedTest
+	@ValueSource(strings = { "000", "00", "0", "099", "100", "101", "199", "600", "999", "1000", "-200", "abc", "" })
+	void anAnswerWithoutAFinalStatusOfHttpIsBroken(String status) throws Exception {
+		String answer = "HTTP/1.1 " + status + " OK\r\nid: 1\r\nseal: s\r\nContent-Length: 3\r\n\r\none";
+		try (ScriptedTarget target = new ScriptedTarget(answer, ScriptedTarget.answer("2", "", "two"))) {
+			assertThat(send(target.address(), "1"), startsWith("lost: "));
+			assertThat(send(target.address(), "2"), is("two"));
+			assertThat(target.connectionCount(), is(2));
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "200", "299", "404", "500", "599" })
+	void anAnswerWithAFinalStatusOfHttpIsPassedOn(String status) throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(
+				ScriptedTarget.answer("1", "", "one").replace("200 OK", status + " OK"))) {
+			assertThat(send(target.address(), "1"), is("one"));
+		}
+	}
+
 	@Test
 	void anAnswerThatEndsEarlyIsNotWhole() throws Exception {
 		String cut = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 50\r\n\r\nhalf";
