Continue an answer of the agents' path at engines of its software version only

Change: an engine may state software_version in its state; its agent reports it with its load, and an entry of an earlier version ignores it. A request that has text goes on only at engines of the version at which the attempt with its first text began. While such an engine has no room it waits as long as before, and no longer holds up the requests behind it. If the pool has only engines of other versions, the answer ends as cut short. Engines that state nothing count as one version, as until now.

--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/AgentService.java
@@ -70,6 +70,8 @@
 
 	private volatile long weightVersion;
 
+	private volatile String softwareVersion = "";
+
 	private volatile long revision;
 
 	private volatile boolean stopping;
@@ -182,7 +184,7 @@
 
 	private Message.Load load() {
 		return new Message.Load(this.admission.runningCount(), this.weightVersion, this.admission.isLeaving(),
-				this.health.isHealthy(), this.health.crashCount(), this.revision);
+				this.health.isHealthy(), this.health.crashCount(), this.revision, this.softwareVersion);
 	}
 
 	private void checkTarget() {
@@ -201,8 +203,10 @@
 
 	private void onState(Target.@Nullable State state, @Nullable Throwable failure) {
 		if (state != null) {
-			boolean stateChanged = this.health.recordAnswer() || this.weightVersion != state.weightVersion();
+			boolean stateChanged = this.health.recordAnswer() || this.weightVersion != state.weightVersion()
+					|| !this.softwareVersion.equals(state.softwareVersion());
 			this.weightVersion = state.weightVersion();
+			this.softwareVersion = state.softwareVersion();
 			if (stateChanged) {
 				sendLoad();
 			}
--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/HttpTarget.java
@@ -111,7 +111,9 @@
 		return call(request, STATE_TIMEOUT_MS).thenCompose((report) -> {
 			try {
 				JsonNode body = MAPPER.readTree(report.body());
-				return body.isObject() ? CompletableFuture.completedFuture(new State(versionOf(body)))
+				return body.isObject()
+						? CompletableFuture
+							.completedFuture(new State(versionOf(body), body.path("software_version").asText("")))
 						: CompletableFuture.failedFuture(new IOException("the target's state is no JSON object"));
 			}
 			catch (IOException ex) {
--- a/zinniatack-agent/src/main/java/org/zinniatack/agent/Target.java
+++ b/zinniatack-agent/src/main/java/org/zinniatack/agent/Target.java
@@ -55,8 +55,9 @@
 	 * The state that a target reports.
 	 *
 	 * @param weightVersion the weight version in use, 0 for a plain service
+	 * @param softwareVersion the version of its software, empty if it states none
 	 */
-	record State(long weightVersion) {
+	record State(long weightVersion, String softwareVersion) {
 	}
 
 }
--- a/zinniatack-agent/src/test/java/org/zinniatack/agent/BrokenTargetTests.java
+++ b/zinniatack-agent/src/test/java/org/zinniatack/agent/BrokenTargetTests.java
@@ -183,6 +183,16 @@
 		}
 	}
 
+	@Test
+	void theStateNamesTheSoftwareVersionIfTheEngineStatesIt() throws Exception {
+		for (String version : List.of("v2", "")) {
+			String state = version.isEmpty() ? "{\"weight_version\":3}"
+					: "{\"weight_version\":3,\"software_version\":\"" + version + "\"}";
+			this.response = "HTTP/1.1 200 OK\r\nContent-Length: " + state.length() + "\r\n\r\n" + state;
+			assertThat(target(true).state().get(WAIT_S, TimeUnit.SECONDS), is(new Target.State(3, version)));
+		}
+	}
+
 	// Guards against an agent that passes a status on that no answer of HTTP has.
 	@Test
 	void anAnswerWithoutAFinalStatusOfHttpFails() throws Exception {
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/CallerRequest.java
@@ -53,6 +53,12 @@
 
 	private @Nullable TargetLink lastTarget;
 
+	/** The software version of the target of the newest attempt when it began. */
+	private String attemptSoftwareVersion = "";
+
+	/** The software version of the targets that generated the text, null without any. */
+	private @Nullable String softwareVersion;
+
 	private Runnable cancelExchange = () -> {
 	};
 
@@ -129,6 +135,24 @@
 		return Optional.ofNullable(this.lastTarget);
 	}
 
+	/** Records that the target of the newest attempt has generated text. */
+	void markGenerated() {
+		this.softwareVersion = this.attemptSoftwareVersion;
+	}
+
+	/**
+	 * Returns whether a target can run the request. One that has text can go on only at
+	 * the software version that generated it.
+	 */
+	boolean mayRunAt(TargetLink other) {
+		return this.softwareVersion == null || this.softwareVersion.equals(other.softwareVersion());
+	}
+
+	/** Returns whether the request has text, so that not every target can run it. */
+	boolean needsSoftwareVersion() {
+		return this.softwareVersion != null;
+	}
+
 	/** Returns how many targets crashed or were lost while they ran this request. */
 	int lostTargetCount() {
 		return this.lostTargetCount;
@@ -179,6 +203,7 @@
 	void startAttempt(TargetLink newTarget, long nowMs) {
 		this.target = newTarget;
 		this.lastTarget = newTarget;
+		this.attemptSoftwareVersion = newTarget.softwareVersion();
 		this.attemptNumber++;
 		this.startedMs = nowMs;
 		this.progress.discardBody();
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/QueueingDispatcher.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/QueueingDispatcher.java
@@ -163,12 +163,13 @@
 		dispatchSuspects(pool, actions);
 		PoolState state = poolState(pool);
 		int freeSlots = this.targetRegistry.freeSlots(pool);
+		List<CallerRequest> withoutTarget = new ArrayList<>();
 		while (freeSlots > 0 && !state.queue().isEmpty()) {
 			int remainingSlots = freeSlots;
 			int reserved = state.reservedSlots(this.targetRegistry.usableSlotCount(pool), now());
 			Optional<CallerRequest> next = state.queue().poll((flow) -> !flow.bulk() || remainingSlots > reserved);
 			if (next.isEmpty()) {
-				return;
+				break;
 			}
 			if (this.suspects.mustRunAlone(next.get())) {
 				enqueue(next.get());
@@ -176,12 +177,16 @@
 			}
 			Optional<TargetLink> target = this.targetRegistry.choose(next.get());
 			if (target.isEmpty()) {
-				enqueue(next.get());
-				return;
+				withoutTarget.add(next.get());
+				if (next.get().needsSoftwareVersion()) {
+					continue;
+				}
+				break;
 			}
 			start(next.get(), target.get(), actions);
 			freeSlots--;
 		}
+		withoutTarget.forEach(this::enqueue);
 	}
 
 	private void dispatchSuspects(String pool, DeferredActions actions) {
@@ -240,6 +245,9 @@
 				}
 				if (event != null) {
 					request.progress().appendEvent(event);
+					if (!request.progress().text().isEmpty()) {
+						request.markGenerated();
+					}
 				}
 				else {
 					request.progress().appendBody(data);
@@ -327,6 +335,10 @@
 		else if (request.lostTargetCount() >= MAXIMUM_LOST_TARGETS) {
 			failRequest(request, failure, actions);
 		}
+		else if (this.targetRegistry.hasOnlyOtherSoftware(request)) {
+			failRequest(request, ServiceException.of(ResultCode.ANSWER_CUT_SHORT,
+					"no target has the software version that generated the text so far"), actions);
+		}
 		else if (neverStarted && now() < request.queuedUntilMs()) {
 			enqueue(request);
 		}
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/TargetLink.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/TargetLink.java
@@ -1,5 +1,6 @@
 package org.zinniatack.entry;
 
+import java.util.Objects;
 import java.util.function.LongSupplier;
 
 import org.zinniatack.core.routing.Candidate;
@@ -64,6 +65,11 @@
 				this.load.leaving(), this.load.revision());
 	}
 
+	/** Returns the version of the target's software, empty if it states none. */
+	String softwareVersion() {
+		return Objects.requireNonNullElse(this.load.softwareVersion(), "");
+	}
+
 	int ownRunningCount() {
 		return this.ownRunningCount;
 	}
--- a/zinniatack-entry/src/main/java/org/zinniatack/entry/TargetRegistry.java
+++ b/zinniatack-entry/src/main/java/org/zinniatack/entry/TargetRegistry.java
@@ -52,17 +52,32 @@
 	}
 
 	/**
-	 * Chooses a target for a request. A suspect gets an idle target only.
+	 * Chooses a target for a request. A suspect gets an idle target only, and one that
+	 * has text a target of the software version that generated it.
 	 */
 	Optional<TargetLink> choose(CallerRequest request) {
 		String pool = request.call().route().pool();
 		if (request.isSuspect()) {
-			return targetsIn(pool).stream().filter(TargetLink::isIdle).findFirst();
+			return targetsIn(pool).stream().filter((target) -> target.isIdle() && request.mayRunAt(target)).findFirst();
+		}
+		if (request.needsSoftwareVersion()) {
+			return targetsIn(pool).stream()
+				.filter((target) -> target.isAvailable() && request.mayRunAt(target))
+				.min(Comparator.comparingDouble(TargetLink::load).thenComparing(TargetLink::targetId));
 		}
 		return Optional.ofNullable(this.routersByPool.get(pool))
 			.flatMap((router) -> router.choose(request.call().prefixHash()));
 	}
 
+	/**
+	 * Returns whether a pool has targets and none of them, usable or not, can run a
+	 * request.
+	 */
+	boolean hasOnlyOtherSoftware(CallerRequest request) {
+		List<TargetLink> targets = targetsIn(request.call().route().pool());
+		return !targets.isEmpty() && targets.stream().noneMatch(request::mayRunAt);
+	}
+
 	/** Returns the number of requests that a pool can start now. */
 	int freeSlots(String pool) {
 		return targetsIn(pool).stream().mapToInt(TargetLink::freeSlots).sum();
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -392,9 +392,25 @@
 	 * @param healthy true if the target responds
 	 * @param crashCount the number of crashes since the agent started
 	 * @param revision the configuration revision in force at the agent
+	 * @param softwareVersion the version of the target's software, null if it states none
 	 */
-	record Load(int runningCount, long weightVersion, boolean leaving, boolean healthy, long crashCount,
-			long revision) implements Message {
+	record Load(int runningCount, long weightVersion, boolean leaving, boolean healthy, long crashCount, long revision,
+			@Nullable String softwareVersion) implements Message {
+
+		/**
+		 * Creates the report of a target that states no software version.
+		 * @param runningCount the number of requests running at the target
+		 * @param weightVersion the weight version that the engine reports, 0 for none
+		 * @param leaving true if the target is draining and accepts no new work
+		 * @param healthy true if the target responds
+		 * @param crashCount the number of crashes since the agent started
+		 * @param revision the configuration revision in force at the agent
+		 */
+		public Load(int runningCount, long weightVersion, boolean leaving, boolean healthy, long crashCount,
+				long revision) {
+			this(runningCount, weightVersion, leaving, healthy, crashCount, revision, null);
+		}
+
 	}
 
 	/**
