Choose the target of a call as before where no software version is required

A call that may go to any target built a set of excluded ones for each attempt, since streams are bound to a software version. Only those that are bound need it. CutAnswerTests pass.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/AttemptedTargets.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/AttemptedTargets.java
@@ -45,6 +45,9 @@
 
 	/** Chooses a target that the call was not sent to, even one that refuses calls. */
 	Optional<TargetNotice> chooseUntried(TargetSelector targets, String pool, long nowMs) {
+		if (this.softwareVersion == null) {
+			return targets.choose(pool, this.triedIds, nowMs);
+		}
 		Set<String> excludedIds = new HashSet<>(this.triedIds);
 		targets.ready(pool).stream().filter(this::hasOtherSoftware).map(TargetNotice::id).forEach(excludedIds::add);
 		return targets.choose(pool, excludedIds, nowMs);
