Ask control again for a stream while an entry connects

An entry that has just started may not be connected yet to one of the three control processes that remember a stream, and refused its take-up, mostly where all entries were killed and their callers came at once. In the first three seconds it asks again every 100 ms, up to seven times within the 800 ms that a take-up may wait, before it takes the stream for unknown.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/ControlLinks.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/ControlLinks.java
@@ -25,7 +25,7 @@
  * Connections to all known control processes. Their addresses come from the seeds in the
  * settings and from the feeds that control processes send.
  */
-final class ControlLinks {
+final class ControlLinks implements ControlCalls {
 
 	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -70,7 +70,8 @@
 	 * @return the reply; it fails with a code whose outcome is NOT_RUN only if no process
 	 * can have carried out the message
 	 */
-	CompletableFuture<Message> call(Message message, long extraTimeoutMs) {
+	@Override
+	public CompletableFuture<Message> call(Message message, long extraTimeoutMs) {
 		List<ReconnectingLink> candidates = new ArrayList<>(this.linksByAddress.values());
 		candidates.removeIf((link) -> link.peer().isEmpty());
 		candidates.sort((one, other) -> Boolean.compare(other.address().equals(this.lastRepliedAddress),
@@ -101,11 +102,8 @@
 				ServiceException.retryable(ResultCode.NOT_LEADER, "no control process is connected", timeoutMs));
 	}
 
-	/**
-	 * Calls all connected control processes.
-	 * @return their replies
-	 */
-	List<CompletableFuture<Message>> callAll(Message message, long timeoutMs) {
+	@Override
+	public List<CompletableFuture<Message>> callAll(Message message, long timeoutMs) {
 		return this.linksByAddress.values()
 			.stream()
 			.flatMap((link) -> link.peer().stream())
@@ -113,11 +111,8 @@
 			.toList();
 	}
 
-	/**
-	 * Returns some of the connected control processes, the same ones for a key as long as
-	 * they are connected.
-	 */
-	List<Peer> select(String key, int count) {
+	@Override
+	public List<Peer> select(String key, int count) {
 		Map<String, Peer> connected = new HashMap<>();
 		this.linksByAddress.forEach((address, link) -> link.peer().ifPresent((peer) -> connected.put(address, peer)));
 		return Hashing.rendezvous(key, connected.keySet(), count).stream().map(connected::get).toList();
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/SharedStreamRegistry.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/SharedStreamRegistry.java
@@ -41,11 +41,19 @@
 
 	private static final long FIND_TIMEOUT_MS = 250;
 
+	/** In this time after its start an entry connects to the control processes. */
+	private static final long CONNECTING_MS = 3_000;
+
+	/** The pause before control is asked again while the entry connects. */
+	private static final long ASK_AGAIN_MS = 100;
+
+	private static final int MAXIMUM_QUESTIONS = 7;
+
 	private final String entryName;
 
 	private final EventLoop loop;
 
-	private final ControlLinks control;
+	private final ControlCalls control;
 
 	private final Function<String, Set<String>> knownVersions;
 
@@ -53,6 +61,8 @@
 
 	private List<BegunStream> unsent = new ArrayList<>();
 
+	private final long startedAtMs;
+
 	/**
 	 * Creates a registry without streams.
 	 * @param entryName the name of this entry
@@ -60,12 +70,13 @@
 	 * @param control the control processes
 	 * @param knownVersions returns the software versions of a pool that this entry knows
 	 */
-	SharedStreamRegistry(String entryName, EventLoop loop, ControlLinks control,
+	SharedStreamRegistry(String entryName, EventLoop loop, ControlCalls control,
 			Function<String, Set<String>> knownVersions) {
 		this.entryName = entryName;
 		this.loop = loop;
 		this.control = control;
 		this.knownVersions = knownVersions;
+		this.startedAtMs = nowMs();
 	}
 
 	private long nowMs() {
@@ -124,10 +135,26 @@
 		if (own.isPresent()) {
 			return CompletableFuture.completedFuture(own);
 		}
-		return askControl(key).thenComposeAsync((origin) -> origin.isPresent()
+		return askControl(key, MAXIMUM_QUESTIONS).thenComposeAsync((origin) -> origin.isPresent()
 				? CompletableFuture.completedFuture(origin) : findOnlyVersion(call.route()), this.loop);
 	}
 
+	/**
+	 * Asks again while the entry may not be connected yet to a process that remembers the
+	 * stream.
+	 */
+	private CompletableFuture<Optional<StreamOrigin>> askControl(long key, int questions) {
+		return askControl(key).thenComposeAsync((origin) -> {
+			boolean connecting = nowMs() - this.startedAtMs < CONNECTING_MS;
+			if (origin.isPresent() || !connecting || questions <= 1) {
+				return CompletableFuture.completedFuture(origin);
+			}
+			CompletableFuture<Optional<StreamOrigin>> later = new CompletableFuture<>();
+			this.loop.schedule(() -> later.complete(Optional.empty()), ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
+			return later.thenCompose((none) -> askControl(key, questions - 1));
+		}, this.loop);
+	}
+
 	/** Completes with the first origin, or with none once no reply is missing. */
 	private CompletableFuture<Optional<StreamOrigin>> askControl(long key) {
 		CompletableFuture<Optional<StreamOrigin>> found = new CompletableFuture<>();
