--- a/zinniatack-control/src/main/java/org/zinniatack/control/StreamRecords.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/StreamRecords.java
@@ -8,9 +8,9 @@
 import org.zinniatack.wire.Message;
 
 /**
- * What entries told this process of the streams that they began. It is kept in memory
- * only: after a loss of all processes the software history of the replicated state is
- * left. Any thread may use it.
+ * The origins of streams that entries reported to this process, in memory only: after a
+ * loss of all processes the software history of the replicated state is left. Any thread
+ * may use it.
  */
 final class StreamRecords {
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/TakeUp.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/TakeUp.java
@@ -1,7 +1,7 @@
 package org.zinniatack.gateway.call;
 
 /**
- * What a caller says of a stream that it takes up in a new attempt.
+ * A caller's statement of the stream that it takes up in a new attempt.
  *
  * @param attemptId the id of the attempt that brought the first event, empty if the
  * caller does not name it
