--- a/review/standin-2/ForeignHeartbeat.java
+++ b/review/standin-2/ForeignHeartbeat.java
@@ -73,7 +73,10 @@
 		}
 		long submittedAtMs = rig.nowMs();
 		Thread.sleep(700);
-		if (trouble) {
+		if (trouble && "own".equals(System.getenv("WRITER"))) {
+			startOwnHeartbeats(rig, workers);
+		}
+		else if (trouble) {
 			for (ModelWorker worker : workers) {
 				rig.note("another writer's heartbeat for %s, service other-svc, answered %d", worker.id,
 						foreignHeartbeat(rig, worker));
@@ -129,12 +132,40 @@
 		return false;
 	}
 
+	/**
+	 * Lets the other writer announce itself under ids of its own, at the addresses of the workers, as often as workers
+	 * do.
+	 */
+	private static void startOwnHeartbeats(Rig rig, List<ModelWorker> workers) {
+		long bornMs = System.currentTimeMillis();
+		Thread writer = new Thread(() -> {
+			for (long count = 1;; count++) {
+				for (ModelWorker worker : workers) {
+					int status = heartbeat(rig, "x-" + worker.id, worker.address(), count, bornMs);
+					rig.note("another writer's heartbeat for x-%s at the address of %s, service other-svc, answered %d",
+							worker.id, worker.id, status);
+				}
+				try {
+					Thread.sleep(1_200);
+				}
+				catch (InterruptedException ex) {
+					return;
+				}
+			}
+		});
+		writer.setDaemon(true);
+		writer.start();
+	}
+
 	private static int foreignHeartbeat(Rig rig, ModelWorker worker) {
+		return heartbeat(rig, worker.id, worker.address(), worker.beat() + COUNT_LEAD, worker.bornMs());
+	}
+
+	private static int heartbeat(Rig rig, String id, String address, long count, long bornMs) {
 		String json = ("{\"service\":\"other-svc\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":8,"
 				+ "\"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\"mixed\",\"models\":[],\"seq\":%d,\"born\":%d}")
-			.formatted(worker.address(), worker.beat() + COUNT_LEAD, worker.bornMs());
-		return Rig
-			.call("POST", rig.controlAddress(1), "/zinniatack/instances/" + worker.id + "/heartbeat", json, 1_000)
+			.formatted(address, count, bornMs);
+		return Rig.call("POST", rig.controlAddress(1), "/zinniatack/instances/" + id + "/heartbeat", json, 1_000)
 			.status();
 	}
 
