--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins and scenarios of the second review. They use only what the Java runtime holds.
+# Compiles the stand-ins and scenarios of the second review, into target/review-2. They use only what the JDK holds.
 set -euo pipefail
-cd "$(dirname "$0")/standin-2"
-mkdir -p classes
-javac -nowarn -d classes ./*.java
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+javac -nowarn -encoding UTF-8 --release 17 -d target/review-2 review/standin-2/*.java
--- a/review/standin-2/ForeignHeartbeat.java
+++ b/review/standin-2/ForeignHeartbeat.java
@@ -45,7 +45,7 @@
 		try (Rig rig = new Rig(CONTROLS, TOLERATED_LOSSES, "", Path.of(arguments[0], "record.txt"))) {
 			status = run(rig, trouble);
 		}
-		catch (Exception ex) {
+		catch (Exception | Error ex) {
 			ex.printStackTrace();
 		}
 		System.exit(status);
