Let a replaced holder of the duties act again only after the lease

Cause: the lease bounds when one holder may act. Nothing bounded when a holder that was replaced may act again: a process that leads again looks at its present term only, one that was restarted does not know that it has acted, and the log names terms but not who acted in them.

Change: - A leader commits a claim, which names its process, before its first call with a fencing token. The state lists the processes that may have acted lately, in order. A later leader has every claim, also after a restart or a lost disk. - A leader that is listed before another waits until the lease and 1 s of transit have passed since it last led, or opened its data folder, by its own monotonic clock. It does everything but send. The last of the list, a first leader and one that is not listed wait for nothing. - A holder that has held the duties for as long drops the others from the list. - Orders of loads, orders of targets and usage reports pass one gate.

The claim is a field of the command that already carries news of targets, which earlier versions read as one without effect.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -32,6 +32,7 @@
 import org.zinniatack.core.directory.Evacuations;
 import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.duty.DutyTurns;
 import org.zinniatack.core.job.JobSize;
 import org.zinniatack.core.membership.MemberChange;
 import org.zinniatack.core.pace.HeldPermits;
@@ -68,6 +69,8 @@
 
 	private static final long MEMBERSHIP_INTERVAL_MS = 500;
 
+	private static final long DUTY_CHECK_INTERVAL_MS = 50;
+
 	private static final long CALL_TIMEOUT_MS = 5_000;
 
 	private static final long UNDECIDED_RETRY_MS = 500;
@@ -127,6 +130,8 @@
 
 	private volatile @Nullable ReplicaDriver driver;
 
+	private volatile @Nullable DutyGate dutyGate;
+
 	private @Nullable LeaderDuties duties;
 
 	private volatile @Nullable PresenceExchange exchange;
@@ -146,7 +151,7 @@
 		this(ControlMembers.named(settings.name(), settings.members()), settings.name(), Path.of(settings.dataFolder()),
 				settings.listenAddress(), settings.clusterSecret(),
 				new DutySettings(settings.failureDomains(), settings.usageWindowMs(), settings.usageGraceMs(),
-						settings.shrinkDelayMs()),
+						settings.shrinkDelayMs(), settings.dutyLeaseMs()),
 				createPlatform(settings.platformUrl()), NO_JOBS_RETENTION_MS, DomainSettings.none(), clockMs(), 1, 0);
 	}
 
@@ -173,9 +178,10 @@
 		this(ControlMembers.seeded(settings.listenAddress(), settings.clusterAddresses(), settings.firstStart(),
 				settings.voterCount()), settings.name(), Path.of(settings.dataFolder()), settings.listenAddress(),
 				settings.clusterSecret(),
-				new DutySettings(List.of(), settings.usageWindowMs(), settings.usageGraceMs(), 0), platform,
-				settings.jobRetentionMs(), new DomainSettings(settings.failureDomain(), settings.failureDomains(),
-						settings.toleratedDomainLosses()),
+				new DutySettings(List.of(), settings.usageWindowMs(), settings.usageGraceMs(), 0,
+						settings.dutyLeaseMs()),
+				platform, settings.jobRetentionMs(), new DomainSettings(settings.failureDomain(),
+						settings.failureDomains(), settings.toleratedDomainLosses()),
 				idleSinceMs, settings.coldOverage(), settings.coldSlack());
 	}
 
@@ -264,7 +270,9 @@
 				this::sendConsensusMessage, this::onStateChanged, SnapshotPolicy.proportional(), this.budget,
 				this.processEnd);
 		started.start();
-		this.duties = new LeaderDuties(started, this.presence, this.platform, this.dutySettings,
+		DutyGate gate = new DutyGate(started, new DutyTurns(this.members.ownName(), this.dutySettings.dutyLeaseMs()));
+		this.dutyGate = gate;
+		this.duties = new LeaderDuties(started, gate, this.presence, this.platform, this.dutySettings,
 				System::currentTimeMillis, this.processEnd);
 		PresenceExchange runningExchange = new PresenceExchange(this.store.replicaId(), started, this.presence,
 				this.duties, this::leaderLink, this.processEnd);
@@ -277,6 +285,8 @@
 				MEMBERSHIP_INTERVAL_MS, MEMBERSHIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.timer.scheduleWithFixedDelay(this.processEnd.guard("feeds", this.directoryFeeds::sendHeardTargets),
 				DirectoryFeeds.FEED_INTERVAL_MS, DirectoryFeeds.FEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this.processEnd.guard("duty-gate", gate::check), DUTY_CHECK_INTERVAL_MS,
+				DUTY_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		LOGGER.atInfo()
 			.log("event=control_started replica=%s journal_bytes=%d duration_ms=%d", this.store.replicaId(),
 					this.store.journalBytes(), clockMs() - replicaStartedMs);
@@ -699,6 +709,17 @@
 		return running.leading().stream().mapToLong(ReplicaStatus::term).findFirst();
 	}
 
+	/**
+	 * Returns the term in which this process may send calls that carry a fencing token,
+	 * which a leader that was replaced shortly before may not do at once.
+	 * @return the term, which serves as fencing token, or empty if this process must not
+	 * send such calls now
+	 */
+	public OptionalLong dutyTerm() {
+		DutyGate gate = this.dutyGate;
+		return (gate == null || this.stopping) ? OptionalLong.empty() : gate.term();
+	}
+
 	/**
 	 * Returns the directory of the targets that announced themselves to any control
 	 * process.
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DutySettings.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DutySettings.java
@@ -11,6 +11,9 @@
  * milliseconds
  * @param shrinkDelayMs the time for which load must be lower before fewer targets are
  * ordered, in milliseconds
+ * @param dutyLeaseMs the time within which two processes must not take turns in sending
+ * orders and reports, in milliseconds
  */
-record DutySettings(List<String> failureDomains, long usageWindowMs, long usageGraceMs, long shrinkDelayMs) {
+record DutySettings(List<String> failureDomains, long usageWindowMs, long usageGraceMs, long shrinkDelayMs,
+		long dutyLeaseMs) {
 }
--- a/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -37,7 +38,7 @@
 
 /**
  * The tasks of the leader: roll out weights, order targets, close usage windows and
- * report usage. Each order is committed before it is sent, and the lease is checked
+ * report usage. Each order is committed before it is sent, and the gate is checked
  * immediately before each order or report is sent.
  */
 final class LeaderDuties implements Service {
@@ -56,6 +57,8 @@
 
 	private final ReplicaDriver driver;
 
+	private final DutyGate gate;
+
 	private final Presence presence;
 
 	private final Platform platform;
@@ -81,9 +84,10 @@
 
 	private long dutiesTerm;
 
-	LeaderDuties(ReplicaDriver driver, Presence presence, Platform platform, DutySettings settings,
+	LeaderDuties(ReplicaDriver driver, DutyGate gate, Presence presence, Platform platform, DutySettings settings,
 			LongSupplier wallClockMs, ProcessEnd processEnd) {
 		this.driver = driver;
+		this.gate = gate;
 		this.presence = presence;
 		this.platform = platform;
 		this.settings = settings;
@@ -191,7 +195,9 @@
 				current = new TargetOrder(policy.pool(), accepted.revision(),
 						Placement.spread(desiredCount, this.settings.failureDomains()));
 			}
-			sendIfDue(current);
+			if (mayAct()) {
+				sendIfDue(current);
+			}
 		}
 	}
 
@@ -211,7 +217,7 @@
 				&& nowMs - lastSent.sentAtMs() < RESEND_INTERVAL_MS) {
 			return;
 		}
-		long term = requireLease();
+		long term = requireTerm();
 		this.platform.sendOrder(order, term);
 		this.sentOrders.put(order.pool(), new SentOrder(order.orderNumber(), nowMs));
 		if (lastSent == null || lastSent.orderNumber() != order.orderNumber()) {
@@ -234,21 +240,27 @@
 
 	private void reportUsage() throws ServiceException {
 		Optional<UsageWindow> window = read((state) -> state.usage().oldestUnacknowledged());
-		if (window.isPresent()) {
-			this.platform.reportUsage(window.get(), requireLease());
+		if (window.isPresent() && mayAct()) {
+			long term = requireTerm();
+			this.platform.reportUsage(window.get(), term);
 			commit(new Command.AcknowledgeWindow(window.get().startMs()));
 			LOGGER.atInfo()
-				.log("event=usage_reported window_start_ms=%d figures=%d", window.get().startMs(),
-						window.get().figures().size());
+				.log("event=usage_reported window_start_ms=%d figures=%d term=%d", window.get().startMs(),
+						window.get().figures().size(), term);
 		}
 	}
 
-	private long requireLease() throws ServiceException {
-		return this.driver.leading()
-			.map(ReplicaStatus::term)
-			.filter((term) -> term == this.dutiesTerm)
-			.orElseThrow(() -> ServiceException.of(ResultCode.NOT_LEADER,
-					"the leader lease has expired or the term has changed"));
+	/** A leader that has to wait for its turn does everything but send. */
+	private boolean mayAct() {
+		return this.gate.term().isPresent();
+	}
+
+	private long requireTerm() throws ServiceException {
+		OptionalLong term = this.gate.term();
+		if (term.isEmpty() || term.getAsLong() != this.dutiesTerm) {
+			throw ServiceException.of(ResultCode.NOT_LEADER, "the leader lease has expired or the term has changed");
+		}
+		return this.dutiesTerm;
 	}
 
 	private Configuration configuration() throws ServiceException {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -132,6 +132,9 @@
 	/** The suspensions after which this replica has given up its leadership. */
 	private int suspensionCount;
 
+	/** A time after which this process has not led in terms before the present one. */
+	private volatile long ledUntilMs;
+
 	private volatile boolean running = true;
 
 	private volatile ReplicaStatus status;
@@ -169,6 +172,7 @@
 		if (persistent.snapshot().index() > 0) {
 			this.applied.restoreAtStart(persistent.snapshot(), store.openSnapshot(persistent.snapshot()));
 		}
+		this.ledUntilMs = nowMs();
 		this.replica = startReplica(persistent, idleSinceMs);
 		this.status = currentStatus();
 	}
@@ -227,6 +231,14 @@
 		return current.holdsLease(nowMs(), this.suspensions.count()) ? Optional.of(current) : Optional.empty();
 	}
 
+	/**
+	 * Returns a time after which this process has not led in terms before the present
+	 * one: the time at which it opened the data folder, or noticed that it no longer led.
+	 */
+	long ledUntilMs() {
+		return this.ledUntilMs;
+	}
+
 	/**
 	 * Appends a command to the log and returns its reply once it is applied. The future
 	 * fails with NOT_LEADER if this replica does not lead.
@@ -519,7 +531,11 @@
 
 	private void updateStatus() {
 		ReplicaStatus previous = this.status;
-		this.status = currentStatus();
+		ReplicaStatus current = currentStatus();
+		if (previous != null && previous.isLeader() && (!current.isLeader() || current.term() != previous.term())) {
+			this.ledUntilMs = nowMs();
+		}
+		this.status = current;
 		if (previous != null
 				&& (previous.term() != this.status.term() || !previous.leaderId().equals(this.status.leaderId()))) {
 			LOGGER.atInfo().log("event=leader_changed term=%d leader=%s", this.status.term(), this.status.leaderId());
--- a/zinniatack-control/src/main/java/org/zinniatack/control/SeededControlSettings.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/SeededControlSettings.java
@@ -38,13 +38,16 @@
  * @param coldSlack the number of requests in a second by which they may exceed it as well
  * @param paceTargets true to limit the outstanding requests of a target that has just
  * started or recovered
+ * @param dutyLeaseMs the time within which two processes must not take turns in sending
+ * orders and reports, in milliseconds; 0 if they may
  */
 public record SeededControlSettings(String name, String failureDomain, String dataFolder, String listenAddress,
 		String operatorAddress, String metricsAddress, List<String> seedAddresses, boolean firstStart,
 		int toleratedLosses, String clusterSecret, String platformAddress, double usageWindowS, long usageGraceMs,
 		double jobRetentionS, double stopTimeoutS, @SettingDefault("[]") List<String> failureDomains,
 		@SettingDefault("0") int toleratedDomainLosses, @SettingDefault("1") double coldOverage,
-		@SettingDefault("0") double coldSlack, @SettingDefault("false") boolean paceTargets) {
+		@SettingDefault("0") double coldSlack, @SettingDefault("false") boolean paceTargets,
+		@SettingDefault("3000") long dutyLeaseMs) {
 
 	private static final double MAXIMUM_COLD_OVERAGE = 100;
 
@@ -56,6 +59,10 @@
 
 	private static final int MIN_VOTERS = 3;
 
+	static final long DEFAULT_DUTY_LEASE_MS = 3_000;
+
+	static final long MAX_DUTY_LEASE_MS = 60_000;
+
 	/**
 	 * Checks the fields.
 	 */
@@ -63,7 +70,7 @@
 			String operatorAddress, String metricsAddress, List<String> seedAddresses, boolean firstStart,
 			int toleratedLosses, String clusterSecret, String platformAddress, double usageWindowS, long usageGraceMs,
 			double jobRetentionS, double stopTimeoutS, List<String> failureDomains, int toleratedDomainLosses,
-			double coldOverage, double coldSlack, boolean paceTargets) {
+			double coldOverage, double coldSlack, boolean paceTargets, long dutyLeaseMs) {
 		this.name = SettingsValidation.name("name", name);
 		this.failureDomain = SettingsValidation.present("failureDomain", failureDomain);
 		this.dataFolder = SettingsValidation.present("dataFolder", dataFolder);
@@ -87,6 +94,7 @@
 		this.coldOverage = SettingsValidation.figure("coldOverage", coldOverage, 0, MAXIMUM_COLD_OVERAGE);
 		this.coldSlack = SettingsValidation.figure("coldSlack", coldSlack, 0, MAXIMUM_COLD_SLACK);
 		this.paceTargets = paceTargets;
+		this.dutyLeaseMs = SettingsValidation.range("dutyLeaseMs", dutyLeaseMs, 0, MAX_DUTY_LEASE_MS);
 	}
 
 	/**
@@ -119,7 +127,7 @@
 			double jobRetentionS, double stopTimeoutS) {
 		this(name, failureDomain, dataFolder, listenAddress, operatorAddress, metricsAddress, seedAddresses, firstStart,
 				toleratedLosses, clusterSecret, platformAddress, usageWindowS, usageGraceMs, jobRetentionS,
-				stopTimeoutS, List.of(), 0, 1, 0, false);
+				stopTimeoutS, List.of(), 0, 1, 0, false, DEFAULT_DUTY_LEASE_MS);
 	}
 
 	/**
--- a/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
+++ b/zinniatack-control/src/test/java/org/zinniatack/control/SeededControlTests.java
@@ -79,10 +79,12 @@
 
 	private void start(String host, boolean firstStart) throws ServiceException {
 		String address = host + ":" + this.port;
-		ControlService service = new ControlService(new SeededControlSettings(nameOf(host),
-				this.domains.getOrDefault(host, "a"), this.folder.resolve(host).toString(), address, address, address,
-				SEEDS.stream().map((seed) -> seed + ":1").toList(), firstStart, 1, "secret-of-this-test-only", "", 5, 0,
-				120, 1, List.of(), this.domains.isEmpty() ? 0 : 1, 1, 0, false), Platform.none());
+		ControlService service = new ControlService(
+				new SeededControlSettings(nameOf(host), this.domains.getOrDefault(host, "a"),
+						this.folder.resolve(host).toString(), address, address, address,
+						SEEDS.stream().map((seed) -> seed + ":1").toList(), firstStart, 1, "secret-of-this-test-only",
+						"", 5, 0, 120, 1, List.of(), this.domains.isEmpty() ? 0 : 1, 1, 0, false, 3_000),
+				Platform.none());
 		this.running.put(host, service);
 		service.start();
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -10,6 +10,7 @@
 
 import org.zinniatack.core.config.RecordKind;
 import org.zinniatack.core.directory.LeftTarget;
+import org.zinniatack.core.duty.DutyClaim;
 import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
 import org.zinniatack.core.job.JobId;
@@ -283,8 +284,8 @@
 	}
 
 	/**
-	 * Starts or stops draining a target, or records that it left by itself or which
-	 * software targets have.
+	 * Starts or stops draining a target, or records that it left by itself, which
+	 * software targets have or which process holds the duties of the leader.
 	 *
 	 * @param targetId the id of the target
 	 * @param leaving true if the target must accept no new work, false if it may serve
@@ -292,9 +293,10 @@
 	 * @param left the start of the target that has left, null for an operator's order and
 	 * in commands of earlier versions
 	 * @param software a sighting of a software version, null in other commands
+	 * @param duty the claim of a leader, null in other commands
 	 */
-	record DrainTarget(String targetId, boolean leaving, @Nullable LeftTarget left,
-			@Nullable SoftwareSighting software) implements Command {
+	record DrainTarget(String targetId, boolean leaving, @Nullable LeftTarget left, @Nullable SoftwareSighting software,
+			@Nullable DutyClaim duty) implements Command {
 
 		/**
 		 * Creates an operator's order.
@@ -303,7 +305,7 @@
 		 * serve again
 		 */
 		public DrainTarget(String targetId, boolean leaving) {
-			this(targetId, leaving, null, null);
+			this(targetId, leaving, null, null, null);
 		}
 
 		/**
@@ -313,7 +315,7 @@
 		 * @return the command
 		 */
 		public static DrainTarget ofLeft(LeftTarget left) {
-			return new DrainTarget(left.id(), false, left, null);
+			return new DrainTarget(left.id(), false, left, null, null);
 		}
 
 		/**
@@ -323,7 +325,17 @@
 		 * @return the command
 		 */
 		public static DrainTarget ofSoftware(SoftwareSighting software) {
-			return new DrainTarget("", false, null, software);
+			return new DrainTarget("", false, null, software, null);
+		}
+
+		/**
+		 * Creates the claim of a leader. Earlier versions take it for the end of an
+		 * operator's order for a target that does not exist.
+		 * @param claim the claim
+		 * @return the command
+		 */
+		public static DrainTarget ofDuty(DutyClaim claim) {
+			return new DrainTarget("", false, null, null, claim);
 		}
 
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -13,6 +13,8 @@
 import org.zinniatack.core.config.ConfigurationRecord;
 import org.zinniatack.core.config.RecordTable;
 import org.zinniatack.core.directory.LeftTarget;
+import org.zinniatack.core.duty.DutyClaim;
+import org.zinniatack.core.duty.DutyHolders;
 import org.zinniatack.core.job.Job;
 import org.zinniatack.core.job.JobLedger;
 import org.zinniatack.core.result.ResultCode;
@@ -56,6 +58,8 @@
 
 	private SoftwareHistory software = new SoftwareHistory(List.of());
 
+	private DutyHolders dutyHolders = DutyHolders.none();
+
 	private final Set<String> retiring = new LinkedHashSet<>();
 
 	private final Map<String, TargetOrder> orders = new TreeMap<>();
@@ -84,6 +88,7 @@
 		state.left = LeftTargets.of(image.left());
 		state.evacuations = EvacuationOrders.of(image.evacuations());
 		state.software = new SoftwareHistory(image.software());
+		state.dutyHolders = new DutyHolders(image.dutyHolders());
 		image.orders().forEach((order) -> state.orders.put(order.pool(), order));
 		state.weights.putAll(image.weights());
 		state.draining.addAll(image.draining());
@@ -185,6 +190,11 @@
 			this.software = this.software.with(sighting);
 			return;
 		}
+		DutyClaim claim = command.duty();
+		if (claim != null) {
+			this.dutyHolders = this.dutyHolders.with(claim);
+			return;
+		}
 		LeftTarget leftTarget = command.left();
 		if (leftTarget != null) {
 			this.left = this.left.with(leftTarget);
@@ -321,6 +331,14 @@
 		return this.software;
 	}
 
+	/**
+	 * Returns the processes that may have acted as leader lately.
+	 * @return the holders, the same object until they change
+	 */
+	public DutyHolders dutyHolders() {
+		return this.dutyHolders;
+	}
+
 	/**
 	 * Returns the stored form of the state.
 	 * @return the stored form
@@ -330,7 +348,8 @@
 				this.intents.images(), this.steps.images(), this.usage.image(), this.crashes.image(),
 				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining),
 				this.table.image(), this.jobs.images(), List.copyOf(this.retiring),
-				List.copyOf(this.left.byKey().values()), this.evacuations.images(), this.software.sightings());
+				List.copyOf(this.left.byKey().values()), this.evacuations.images(), this.software.sightings(),
+				this.dutyHolders.names());
 	}
 
 	/**
@@ -435,17 +454,19 @@
 	 * @param left the targets that left lately, oldest first
 	 * @param evacuations the last evacuation order of each failure domain
 	 * @param software the software versions that the targets had lately
+	 * @param dutyHolders the processes that may have acted as leader lately, the present
+	 * holder last
 	 */
 	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
 			List<RequestHistory.AnsweredRequest> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
 			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights,
 			List<String> draining, CurrentRoutingTable.@Nullable Image table, List<Job.Image> jobs,
 			List<String> retiring, List<LeftTarget> left, List<EvacuationOrder> evacuations,
-			List<SoftwareSighting> software) {
+			List<SoftwareSighting> software, List<String> dutyHolders) {
 
 		/**
-		 * Accepts an image without jobs, retiring members, targets that left, evacuations
-		 * or software versions, as earlier versions stored it.
+		 * Accepts an image without jobs, retiring members, targets that left,
+		 * evacuations, software versions or duty holders, as earlier versions stored it.
 		 */
 		public Image {
 			jobs = Objects.requireNonNullElse(jobs, List.of());
@@ -453,6 +474,7 @@
 			left = Objects.requireNonNullElse(left, List.of());
 			evacuations = Objects.requireNonNullElse(evacuations, List.of());
 			software = Objects.requireNonNullElse(software, List.of());
+			dutyHolders = Objects.requireNonNullElse(dutyHolders, List.of());
 		}
 
 	}
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -56,6 +56,9 @@
 
 	private final JoinRequests joinRequests = new JoinRequests();
 
+	private Runnable stepListener = () -> {
+	};
+
 	private long nowMs;
 
 	private long nextCommand;
@@ -352,6 +355,17 @@
 			}
 		}
 		checkLeases();
+		this.stepListener.run();
+	}
+
+	/** Calls a listener after each step. */
+	void afterEachStep(Runnable listener) {
+		this.stepListener = listener;
+	}
+
+	/** Returns the committed entry at an index, null if none is known. */
+	LogEntry committedEntry(long index) {
+		return this.committed.get(index);
 	}
 
 	/** Returns when the process of a replica that restarts now was started. */
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -43,9 +43,9 @@
 import org.zinniatack.process.Service;
 
 /**
- * Orders targets to load announced weight versions while this process is the leader, a
- * few at a time. Each order carries the number of orders that its target has accepted so
- * far, so a target refuses an order that arrives late.
+ * Orders targets to load announced weight versions while this process holds the duties of
+ * the leader, a few at a time. Each order carries the number of orders that its target
+ * has accepted so far, so a target refuses an order that arrives late.
  */
 public final class WeightOrders implements Service {
 
@@ -153,7 +153,7 @@
 	}
 
 	private void tick() {
-		OptionalLong current = this.control.leaseTerm();
+		OptionalLong current = this.control.dutyTerm();
 		if (current.isEmpty()) {
 			clearLoads();
 			return;
@@ -274,9 +274,9 @@
 		requestReport(load);
 	}
 
-	/** Returns whether this process is the leader and no target has refused its term. */
+	/** Returns whether this process may order and no target has refused its term. */
 	private boolean mayOrder() {
-		OptionalLong current = this.control.leaseTerm();
+		OptionalLong current = this.control.dutyTerm();
 		return current.isPresent() && current.getAsLong() == this.term && this.term != this.fencedTerm;
 	}
 
