Hand leadership over to a process that has not acted as leader lately

Cause: the successor is the voter with the highest match index, and of several such voters the last by name. With an idle log that is the process that was restarted just before, which has to wait.

Change: of several such voters one that is not listed as a recent holder of the duties. One that is behind is still not chosen, since it might not be elected. This makes waits rarer; what makes turns impossible is the claim and the wait.

The time that orders wait was not measured.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/AppliedState.java
@@ -76,6 +76,8 @@
 
 	private volatile Set<String> retiringMembers = Set.of();
 
+	private volatile Set<String> dutyHolders = Set.of();
+
 	private volatile StateSize size = this.state.size();
 
 	/** The size that commands waiting to be applied add to the state. */
@@ -152,6 +154,11 @@
 		return this.retiringMembers;
 	}
 
+	/** Returns the processes that may have acted as leader lately. */
+	Set<String> dutyHolders() {
+		return this.dutyHolders;
+	}
+
 	/** Returns the number of proposed commands that are not decided yet. */
 	int pendingCommands() {
 		return this.pendingCommands.size();
@@ -311,6 +318,7 @@
 		this.appliedIndex = snapshot.index();
 		this.table.publish(snapshot.index(), this.state.routingTable());
 		this.retiringMembers = this.state.retiringMembers();
+		this.dutyHolders = Set.copyOf(this.state.dutyHolders().names());
 		this.size = this.state.size();
 		LOGGER.atInfo()
 			.log("event=state_restored index=%d bytes=%d duration_ms=%d", snapshot.index(), snapshot.sizeBytes(),
@@ -361,6 +369,7 @@
 
 	private void onApplied() {
 		this.retiringMembers = this.state.retiringMembers();
+		this.dutyHolders = Set.copyOf(this.state.dutyHolders().names());
 		LOGGER.atInfo()
 			.atMostEvery(SIZE_LOG_INTERVAL_S, TimeUnit.SECONDS)
 			.log("event=state_size stored_bytes=%d final_bytes=%d table_bytes=%d applied=%d", this.size.storedBytes(),
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -197,7 +197,7 @@
 	@Override
 	public void stop() {
 		submit(() -> {
-			if (this.replica.transferLeadership(nowMs())) {
+			if (transferLeadership(nowMs())) {
 				LOGGER.atInfo().log("event=leadership_transferred term=%d", this.replica.term());
 			}
 		});
@@ -415,7 +415,7 @@
 		int count = this.suspensions.count();
 		if (count != this.suspensionCount) {
 			this.suspensionCount = count;
-			if (this.replica.transferLeadership(nowMs())) {
+			if (transferLeadership(nowMs())) {
 				LOGGER.atInfo().log("event=leadership_transferred term=%d reason=vm_suspended", this.replica.term());
 			}
 		}
@@ -460,7 +460,16 @@
 	private boolean transferIfRetiring(MemberChange.ReplaceableMembers replaceable, long nowMs) {
 		boolean isReplaced = replaceable.retiringNames().contains(MemberChange.nameOf(this.store.replicaId()))
 				&& this.replica.membership().voters().size() > this.voterLimits.maximumVoters();
-		return isReplaced && this.replica.transferLeadership(nowMs);
+		return isReplaced && transferLeadership(nowMs);
+	}
+
+	/**
+	 * Transfers leadership, if possible to a process that has not acted as leader lately,
+	 * since another one would have to wait before it sends orders and reports.
+	 */
+	private boolean transferLeadership(long nowMs) {
+		Set<String> recentHolders = this.applied.dutyHolders();
+		return this.replica.transferLeadership((id) -> !recentHolders.contains(MemberChange.nameOf(id)), nowMs);
 	}
 
 	private void processEffects() throws ServiceException {
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/RaftReplica.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import org.zinniatack.core.result.ResultCode;
@@ -522,11 +523,11 @@
 	}
 
 	@Override
-	public boolean transferLeadership(long nowMs) {
+	public boolean transferLeadership(Predicate<String> isPreferred, long nowMs) {
 		if (this.role != Role.LEADER) {
 			return false;
 		}
-		Optional<String> target = this.replication.mostAdvanced(membership());
+		Optional<String> target = this.replication.mostAdvanced(membership(), isPreferred);
 		target
 			.ifPresent((id) -> this.messages.add(new ConsensusMessage.TransferRequest(this.settings.id(), id, term())));
 		becomeFollower(term(), "", nowMs);
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replica.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import org.zinniatack.core.result.ServiceException;
@@ -169,9 +170,10 @@
 	/**
 	 * Transfers leadership to the voter with the highest match index and steps down at
 	 * once.
+	 * @param isPreferred tells by its id which of several such voters to choose
 	 * @param nowMs the monotonic time, in milliseconds
 	 * @return true if a follower was asked
 	 */
-	boolean transferLeadership(long nowMs);
+	boolean transferLeadership(Predicate<String> isPreferred, long nowMs);
 
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/consensus/Replication.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * A leader's replication of its log: tracks the progress of each follower and decides
@@ -58,12 +59,15 @@
 		return (progress != null) ? progress.matchIndex() : 0;
 	}
 
-	/** Returns the follower with a vote that has the highest match index. */
-	Optional<String> mostAdvanced(Membership membership) {
+	/**
+	 * Returns the follower with a vote that has the highest match index, of several a
+	 * preferred one. One that is behind might not be elected.
+	 */
+	Optional<String> mostAdvanced(Membership membership, Predicate<String> isPreferred) {
 		return membership.voters()
 			.stream()
 			.filter(this.followers::containsKey)
-			.max(Comparator.comparingLong(this::matchIndex));
+			.max(Comparator.comparingLong(this::matchIndex).thenComparing(isPreferred::test));
 	}
 
 	/** Records a follower's answer and returns whether to send to it at once. */
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ReplicationTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/ReplicationTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -134,4 +135,18 @@
 		assertThat(bytes, lessThan(2 * MAX_SENT_BYTES));
 	}
 
+	// Guards against handovers between the same two processes, of which one then has to
+	// wait before it sends orders and reports (issue 58, ONE).
+	@Test
+	void ofSeveralMostAdvancedVotersAPreferredOneSucceedsTheLeader() {
+		List.of("b", "c").forEach((id) -> answer(id, true, 1, 0));
+		for (String preferred : List.of("b", "c")) {
+			assertThat(this.replication.mostAdvanced(MEMBERS, preferred::equals), is(Optional.of(preferred)));
+		}
+		addEntry();
+		answer("c", true, 2, 0);
+		assertThat("one that is behind might not be elected", this.replication.mostAdvanced(MEMBERS, "b"::equals),
+				is(Optional.of("c")));
+	}
+
 }
--- a/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/consensus/SimulatedCluster.java
@@ -228,7 +228,7 @@
 			case SLOW_DISK -> node.slowDisk(!node.isSlowDisk());
 			case TRANSFER -> {
 				if (node.isUp(this.nowMs)) {
-					node.replica().transferLeadership(node.clockMs(this.nowMs));
+					node.replica().transferLeadership((id) -> true, node.clockMs(this.nowMs));
 				}
 			}
 			case COMPACT -> {
