Begin streams at a software version only once it is recorded

Cause: the record came after the use. An entry sent streams to a new version as soon as it heard of it, while the leader looked for new versions every 500 ms. Where nobody that another entry reaches remembers the stream, that entry concludes from a single recorded version that the stream began there. A take-up that does not name its attempt always goes this way.

Change: - Control processes feed entries the versions that their applied state names. An entry begins a resumable stream only at one of them; a call without another target is refused as not run, or waits where calls wait. A read of the state after the first event then names the version, at any entry. - The leader records a version within 50 ms of the news of a target. - stream_origin_inferred tells of an origin that nobody remembered. Entries that are fed by earlier versions only begin streams as before.

Not shown with real processes.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -44,6 +44,7 @@
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.state.StateSize;
+import org.zinniatack.core.stream.RecordedSoftware;
 import org.zinniatack.core.stream.SoftwareHistory;
 import org.zinniatack.core.table.CurrentRoutingTable;
 import org.zinniatack.process.ProcessEnd;
@@ -71,6 +72,8 @@
 
 	private static final long DUTY_CHECK_INTERVAL_MS = 50;
 
+	private static final long SOFTWARE_CHECK_INTERVAL_MS = 50;
+
 	private static final long CALL_TIMEOUT_MS = 5_000;
 
 	private static final long UNDECIDED_RETRY_MS = 500;
@@ -287,6 +290,8 @@
 				DirectoryFeeds.FEED_INTERVAL_MS, DirectoryFeeds.FEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.timer.scheduleWithFixedDelay(this.processEnd.guard("duty-gate", gate::check), DUTY_CHECK_INTERVAL_MS,
 				DUTY_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this.processEnd.guard("software", this::recordChangedSoftware),
+				SOFTWARE_CHECK_INTERVAL_MS, SOFTWARE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		LOGGER.atInfo()
 			.log("event=control_started replica=%s journal_bytes=%d duration_ms=%d", this.store.replicaId(),
 					this.store.journalBytes(), clockMs() - replicaStartedMs);
@@ -552,6 +557,13 @@
 		}
 	}
 
+	/** No stream begins at a new software version before it is recorded. */
+	private void recordChangedSoftware() {
+		if (this.directoryFeeds.takeTargetsChanged()) {
+			recordSoftware();
+		}
+	}
+
 	/** Records the software versions of the targets as leader. */
 	private void recordSoftware() {
 		if (leaseTerm().isPresent()) {
@@ -784,7 +796,11 @@
 	}
 
 	private void onStateChanged(ControlState state) {
-		this.softwareHistory = state.softwareHistory();
+		SoftwareHistory history = state.softwareHistory();
+		if (history != this.softwareHistory) {
+			this.softwareHistory = history;
+			this.directoryFeeds.updateSoftware(new RecordedSoftware(state.appliedIndex(), history.versionsByPool()));
+		}
 		// First, since an entry that has just started calls nobody without a table.
 		this.directoryFeeds.updateLeft(state.leftTargets());
 		this.directoryFeeds.updateEvacuations(new Evacuations(state.appliedIndex(), state.evacuatedDomains()));
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -21,6 +21,7 @@
 import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.stream.RecordedSoftware;
 import org.zinniatack.core.stream.SoftwareSighting;
 import org.zinniatack.core.table.Pool;
 import org.zinniatack.core.table.RoutingTable;
@@ -72,6 +73,11 @@
 
 	private Message.Suspects suspects = Message.Suspects.NONE;
 
+	private RecordedSoftware software = RecordedSoftware.NONE;
+
+	/** True if a target has changed since the software versions were looked at. */
+	private boolean targetsChanged;
+
 	private @Nullable CompletableFuture<EncodedNotification> encodedTable;
 
 	private long encodedNumber;
@@ -264,7 +270,8 @@
 		}
 		if (this.subscribers.add(peer)) {
 			peer.send(feed(null, this.directory.notices(), List.of(), this.suspects)
-				.withFailureDomains(this.ownDomainByAddress));
+				.withFailureDomains(this.ownDomainByAddress)
+				.withSoftware(this.software));
 		}
 	}
 
@@ -384,6 +391,26 @@
 		}
 	}
 
+	/**
+	 * Sends the recorded software versions to the subscribers if they changed, since
+	 * entries begin streams at recorded versions only.
+	 */
+	synchronized void updateSoftware(RecordedSoftware newest) {
+		if (!newest.versionsByPool().equals(this.software.versionsByPool())) {
+			this.software = newest;
+			LOGGER.atInfo()
+				.log("event=software_recorded index=%d versions=%s", newest.index(), newest.versionsByPool());
+			this.subscribers.forEach((peer) -> peer.send(feed(null, List.of(), List.of(), null).withSoftware(newest)));
+		}
+	}
+
+	/** Returns whether a target has changed since the last call. */
+	synchronized boolean takeTargetsChanged() {
+		boolean changed = this.targetsChanged;
+		this.targetsChanged = false;
+		return changed;
+	}
+
 	/** Subscribes to the feed of another control process. */
 	void subscribeTo(Peer peer) {
 		peer.send(new Message.Subscribe(null, null));
@@ -408,6 +435,7 @@
 	}
 
 	private void sendToSubscribers(List<TargetNotice> changed) {
+		this.targetsChanged |= !changed.isEmpty();
 		this.subscribers.forEach((peer) -> send(peer, changed, List.of()));
 	}
 
@@ -423,7 +451,7 @@
 		return new Message.SystemFeed(this.controlAddresses.get(), Map.copyOf(this.namesByAddress),
 				(newest != null) ? newest.number() : 0, requestedTable, changed,
 				heard.stream().map(HeardTarget::id).toList(), heard, silenceMsById, changedSuspects,
-				this.directory.evacuations(), null);
+				this.directory.evacuations(), null, null);
 	}
 
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/stream/SoftwareHistory.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/stream/SoftwareHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -77,4 +78,15 @@
 			.collect(Collectors.toUnmodifiableSet());
 	}
 
+	/**
+	 * Returns the software versions of all pools at which a stream can have begun that a
+	 * caller may still take up.
+	 * @return the versions by pool
+	 */
+	public Map<String, Set<String>> versionsByPool() {
+		return this.sightings.stream()
+			.collect(Collectors.groupingBy(SoftwareSighting::pool,
+					Collectors.mapping(SoftwareSighting::softwareVersion, Collectors.toUnmodifiableSet())));
+	}
+
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/AttemptedTargets.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/AttemptedTargets.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -21,16 +22,18 @@
 
 	private final Set<String> notRunIds = new HashSet<>();
 
-	/** The software version that a target must have, or null if any will do. */
-	private @Nullable String softwareVersion;
+	private static final Predicate<TargetNotice> ANY = (target) -> true;
 
-	/** Allows only targets of a software version from now on. */
-	void requireSoftwareVersion(String required) {
-		this.softwareVersion = required;
+	private Predicate<TargetNotice> allowed = ANY;
+
+	/** Allows only some targets until a software version is required. */
+	void allowOnly(Predicate<TargetNotice> predicate) {
+		this.allowed = predicate;
 	}
 
-	private boolean hasOtherSoftware(TargetNotice target) {
-		return this.softwareVersion != null && !this.softwareVersion.equals(target.softwareVersion());
+	/** Allows only targets of a software version from now on. */
+	void requireSoftwareVersion(String required) {
+		this.allowed = (target) -> required.equals(target.softwareVersion());
 	}
 
 	void add(String targetId) {
@@ -45,11 +48,11 @@
 
 	/** Chooses a target that the call was not sent to, even one that refuses calls. */
 	Optional<TargetNotice> chooseUntried(TargetSelector targets, String pool, long nowMs) {
-		if (this.softwareVersion == null) {
+		if (this.allowed == ANY) {
 			return targets.choose(pool, this.triedIds, nowMs);
 		}
 		Set<String> excludedIds = new HashSet<>(this.triedIds);
-		targets.ready(pool).stream().filter(this::hasOtherSoftware).map(TargetNotice::id).forEach(excludedIds::add);
+		targets.ready(pool).stream().filter(this.allowed.negate()).map(TargetNotice::id).forEach(excludedIds::add);
 		return targets.choose(pool, excludedIds, nowMs);
 	}
 
@@ -78,7 +81,7 @@
 			if (this.notRunIds.contains(id) && (freed || stats.isUsable(nowMs))) {
 				excludedIds.remove(id);
 			}
-			if (hasOtherSoftware(target)) {
+			if (!this.allowed.test(target)) {
 				excludedIds.add(id);
 			}
 			if (!freed && (stats.isRefusing(nowMs) || (excludeUnsure && !stats.reportsRoom(target, nowMs)))) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/CallDispatcher.java
@@ -375,6 +375,9 @@
 			if (origin != null) {
 				this.attemptedTargets.requireSoftwareVersion(origin.softwareVersion());
 			}
+			else if (call.route().kind() == RouteKind.STREAM && call.route().resumable()) {
+				this.attemptedTargets.allowOnly(CallDispatcher.this.streams::mayBeginAt);
+			}
 			this.mayWait = CallDispatcher.this.queueing.mayWait(call.route(), this.pool);
 			this.identity = call.identity();
 			this.sink = sink;
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/StreamRegistry.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/call/StreamRegistry.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.stream.StreamOrigin;
 
 /**
@@ -13,6 +14,11 @@
 	/** Remembers nothing, so that no stream can be taken up. */
 	StreamRegistry NONE = new StreamRegistry() {
 
+		@Override
+		public boolean mayBeginAt(TargetNotice target) {
+			return true;
+		}
+
 		@Override
 		public void recordBegun(Call call, StreamOrigin origin) {
 			// Nothing is remembered.
@@ -25,6 +31,14 @@
 
 	};
 
+	/**
+	 * Returns whether a stream that callers may take up can begin at a target.
+	 * @param target the target
+	 * @return false if an entry that does not know of the stream could take it for one of
+	 * another software version
+	 */
+	boolean mayBeginAt(TargetNotice target);
+
 	/**
 	 * Records where a stream began whose caller gets the first event.
 	 * @param call the call
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -314,6 +314,9 @@
 		}
 		DirectoryFeeds.recordHeard(feed, this.directory, nowMs());
 		this.directory.evictSilent(nowMs());
+		if (feed.software() != null) {
+			this.streams.accept(feed.software());
+		}
 		this.dispatcher.offerWaitingCalls();
 		RoutingTable table = feed.table();
 		if (table != null && table.number() > tableNumber()) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/SharedStreamRegistry.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/SharedStreamRegistry.java
@@ -11,9 +11,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.stream.BegunStream;
+import org.zinniatack.core.stream.RecordedSoftware;
 import org.zinniatack.core.stream.StreamOrigin;
 import org.zinniatack.core.stream.StreamOrigins;
 import org.zinniatack.core.table.PoolShare;
@@ -27,10 +31,14 @@
 /**
  * Remembers where streams began in this entry and in some control processes, which
  * outlive it. Where nobody remembers a stream, it is known where it began only if its
- * pool had a single software version for as long as streams can be taken up.
+ * pool had a single software version for as long as streams can be taken up. So that this
+ * is known wherever it is taken up, a stream begins only at a version that is recorded in
+ * the replicated state.
  */
 final class SharedStreamRegistry implements StreamRegistry {
 
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
 	/** One more than the control processes that may be lost at the same time. */
 	private static final int COPIES = 3;
 
@@ -59,6 +67,9 @@
 
 	private final StreamOrigins origins = new StreamOrigins();
 
+	/** Null while no control process has told of it; earlier versions do not. */
+	private @Nullable RecordedSoftware software;
+
 	private List<BegunStream> unsent = new ArrayList<>();
 
 	private final long startedAtMs;
@@ -87,6 +98,18 @@
 		return Objects.requireNonNullElse(call.customer(), "");
 	}
 
+	/** Accepts the recorded software versions unless newer ones are known. */
+	void accept(RecordedSoftware newest) {
+		if (this.software == null || newest.index() >= this.software.index()) {
+			this.software = newest;
+		}
+	}
+
+	@Override
+	public boolean mayBeginAt(TargetNotice target) {
+		return this.software == null || this.software.contains(target.pool(), target.softwareVersion());
+	}
+
 	@Override
 	public void recordBegun(Call call, StreamOrigin origin) {
 		if (call.requestId().isEmpty()) {
@@ -196,6 +219,8 @@
 			if (!(reply instanceof Message.SoftwareVersions recorded)) {
 				return Optional.<StreamOrigin>empty();
 			}
+			LOGGER.atInfo()
+				.log("event=stream_origin_inferred pool=%s recorded=%s known=%s", pool, recorded.versions(), versions);
 			versions.addAll(recorded.versions());
 			return (versions.size() == 1) ? Optional.of(new StreamOrigin(pool, versions.iterator().next()))
 					: Optional.<StreamOrigin>empty();
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -23,6 +23,7 @@
 import org.zinniatack.core.state.Reply;
 import org.zinniatack.core.state.Suspicion;
 import org.zinniatack.core.stream.BegunStream;
+import org.zinniatack.core.stream.RecordedSoftware;
 import org.zinniatack.core.stream.StreamOrigin;
 import org.zinniatack.core.table.RoutingTable;
 import org.zinniatack.core.usage.UsageFigure;
@@ -557,12 +558,15 @@
 	 * sender of an earlier version
 	 * @param failureDomainsByAddress the failure domain of the sender by its address, in
 	 * the first feed of a connection only, otherwise null
+	 * @param software the recorded software versions if the receiver may lack them,
+	 * otherwise null
 	 */
 	record SystemFeed(List<String> controlAddresses, Map<String, String> namesByAddress, long tableNumber,
 			@Nullable RoutingTable table, List<TargetNotice> targets, List<String> heardTargetIds,
 			@Nullable List<HeardTarget> heardTargets, @Nullable Map<String, Long> silenceMsById,
 			@Nullable Suspects suspects, @Nullable Evacuations evacuations,
-			@Nullable Map<String, String> failureDomainsByAddress) implements Message {
+			@Nullable Map<String, String> failureDomainsByAddress,
+			@Nullable RecordedSoftware software) implements Message {
 
 		/**
 		 * Returns the time since a process heard from a target.
@@ -581,7 +585,18 @@
 		public SystemFeed withFailureDomains(Map<String, String> domainsByAddress) {
 			return new SystemFeed(this.controlAddresses, this.namesByAddress, this.tableNumber, this.table,
 					this.targets, this.heardTargetIds, this.heardTargets, this.silenceMsById, this.suspects,
-					this.evacuations, domainsByAddress);
+					this.evacuations, domainsByAddress, this.software);
+		}
+
+		/**
+		 * Returns this feed with the recorded software versions.
+		 * @param recorded the versions
+		 * @return the feed
+		 */
+		public SystemFeed withSoftware(RecordedSoftware recorded) {
+			return new SystemFeed(this.controlAddresses, this.namesByAddress, this.tableNumber, this.table,
+					this.targets, this.heardTargetIds, this.heardTargets, this.silenceMsById, this.suspects,
+					this.evacuations, this.failureDomainsByAddress, recorded);
 		}
 
 	}
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/OddFrameTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/OddFrameTests.java
@@ -18,6 +18,7 @@
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.state.Command;
+import org.zinniatack.core.stream.RecordedSoftware;
 
 /**
  * Feeds odd frames to the decoder of the connections between processes, with the stack
@@ -39,7 +40,8 @@
 		for (Message message : List.of(
 				new Message.SystemFeed(List.of("10.0.0.1:2"), Map.of("10.0.0.1:2", "n"), 3, null, List.of(notice),
 						List.of("t"), List.of(new HeardTarget("t", 1, 2)), Map.of("t", 70L), null,
-						new Evacuations(7, Set.of("a")), Map.of("10.0.0.1:2", "a")),
+						new Evacuations(7, Set.of("a")), Map.of("10.0.0.1:2", "a"),
+						new RecordedSoftware(7, Map.of("p", Set.of("v1")))),
 				new Message.Propose(new Command.ReportCrash("c", List.of("d")), false),
 				new Message.ReadJob(new JobId("c", "j"), 3, 100), new Message.JoinRequest("r", null))) {
 			frames.add(FrameCodec.encode(new Frame(1, true, message)));
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/WireTests.java
@@ -23,6 +23,7 @@
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.Command;
 import org.zinniatack.core.state.Suspicion;
+import org.zinniatack.core.stream.RecordedSoftware;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -174,7 +175,8 @@
 		Message.SystemFeed feed = new Message.SystemFeed(List.of(), Map.of(), 3, null, List.of(notice), List.of("t"),
 				List.of(new HeardTarget("t", 1, 2)), Map.of("t", 70L),
 				new Message.Suspects(9, List.of(new Suspicion("d", List.of("t@1"), 5))),
-				new Evacuations(9, Set.of("a")), Map.of("10.0.0.1:2", "a"));
+				new Evacuations(9, Set.of("a")), Map.of("10.0.0.1:2", "a"),
+				new RecordedSoftware(9, Map.of("p", Set.of("v1"))));
 		assertThat(decoded(FrameCodec.encode(new Frame(0, true, feed))), equalTo(feed));
 		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 		JsonNode frame = mapper.readTree(FrameCodec.encode(new Frame(0, true, feed)));
