Look at the lease again when an order or report is written

Cause: the lease was checked before the call was handed to the HTTP client. If the client has to open a connection, up to 400 ms pass before the request is written.

Change: a listener is asked whether its request may still be sent immediately before it is written; if not, the request fails as not run. Orders of loads, orders of targets and usage reports answer with the gate. The client of the platform's interfaces that blocks can only look before the call.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/HttpPlatform.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/HttpPlatform.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import io.micronaut.core.type.Argument;
 import io.micronaut.http.HttpRequest;
@@ -56,18 +57,21 @@
 	}
 
 	@Override
-	public void sendOrder(TargetOrder order, long fencingNumber) throws ServiceException {
-		put("/orders/" + order.pool(),
+	public void sendOrder(TargetOrder order, long fencingNumber, BooleanSupplier maySend) throws ServiceException {
+		put(maySend, "/orders/" + order.pool(),
 				new OrderBody(fencingNumber, order.orderNumber(), order.countsByFailureDomain()));
 	}
 
 	@Override
-	public void reportUsage(UsageWindow window, long fencingNumber) throws ServiceException {
-		put("/usage/" + window.startMs(),
+	public void reportUsage(UsageWindow window, long fencingNumber, BooleanSupplier maySend) throws ServiceException {
+		put(maySend, "/usage/" + window.startMs(),
 				new UsageBody(fencingNumber, window.startMs(), window.endMs(), window.figures()));
 	}
 
-	private void put(String path, Object body) throws ServiceException {
+	private void put(BooleanSupplier maySend, String path, Object body) throws ServiceException {
+		if (!maySend.getAsBoolean()) {
+			throw ServiceException.of(ResultCode.NOT_LEADER, "this process may not call the platform any more");
+		}
 		try {
 			this.client.exchange(HttpRequest.PUT(path, body), Argument.STRING);
 		}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/LeaderDuties.java
@@ -218,7 +218,7 @@
 			return;
 		}
 		long term = requireTerm();
-		this.platform.sendOrder(order, term);
+		this.platform.sendOrder(order, term, () -> mayActIn(term));
 		this.sentOrders.put(order.pool(), new SentOrder(order.orderNumber(), nowMs));
 		if (lastSent == null || lastSent.orderNumber() != order.orderNumber()) {
 			LOGGER.atInfo()
@@ -242,7 +242,7 @@
 		Optional<UsageWindow> window = read((state) -> state.usage().oldestUnacknowledged());
 		if (window.isPresent() && mayAct()) {
 			long term = requireTerm();
-			this.platform.reportUsage(window.get(), term);
+			this.platform.reportUsage(window.get(), term, () -> mayActIn(term));
 			commit(new Command.AcknowledgeWindow(window.get().startMs()));
 			LOGGER.atInfo()
 				.log("event=usage_reported window_start_ms=%d figures=%d term=%d", window.get().startMs(),
@@ -255,9 +255,13 @@
 		return this.gate.term().isPresent();
 	}
 
+	private boolean mayActIn(long term) {
+		OptionalLong current = this.gate.term();
+		return current.isPresent() && current.getAsLong() == term;
+	}
+
 	private long requireTerm() throws ServiceException {
-		OptionalLong term = this.gate.term();
-		if (term.isEmpty() || term.getAsLong() != this.dutiesTerm) {
+		if (!mayActIn(this.dutiesTerm)) {
 			throw ServiceException.of(ResultCode.NOT_LEADER, "the leader lease has expired or the term has changed");
 		}
 		return this.dutiesTerm;
--- a/zinniatack-control/src/main/java/org/zinniatack/control/Platform.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/Platform.java
@@ -1,6 +1,7 @@
 package org.zinniatack.control;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.TargetOrder;
@@ -23,17 +24,21 @@
 	 * Orders the targets of a pool. An order that was sent before may be sent again.
 	 * @param order the order
 	 * @param fencingNumber the leader's term, which is higher for each new leader
+	 * @param maySend asked last before the order leaves, which it must not if this is
+	 * false
 	 * @throws ServiceException if the platform does not accept it
 	 */
-	void sendOrder(TargetOrder order, long fencingNumber) throws ServiceException;
+	void sendOrder(TargetOrder order, long fencingNumber, BooleanSupplier maySend) throws ServiceException;
 
 	/**
 	 * Reports the usage of a closed window.
 	 * @param window the usage window
 	 * @param fencingNumber the leader's term, which is higher for each new leader
+	 * @param maySend asked last before the report leaves, which it must not if this is
+	 * false
 	 * @throws ServiceException if the platform does not accept it
 	 */
-	void reportUsage(UsageWindow window, long fencingNumber) throws ServiceException;
+	void reportUsage(UsageWindow window, long fencingNumber, BooleanSupplier maySend) throws ServiceException;
 
 	/**
 	 * Returns a platform that ignores orders and reports and has no weights.
@@ -47,11 +52,11 @@
 			}
 
 			@Override
-			public void sendOrder(TargetOrder order, long fencingNumber) {
+			public void sendOrder(TargetOrder order, long fencingNumber, BooleanSupplier maySend) {
 			}
 
 			@Override
-			public void reportUsage(UsageWindow window, long fencingNumber) {
+			public void reportUsage(UsageWindow window, long fencingNumber, BooleanSupplier maySend) {
 			}
 		};
 	}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/ResponseListener.java
@@ -9,6 +9,16 @@
  */
 public interface ResponseListener {
 
+	/**
+	 * Returns whether the request may still be sent. It is asked immediately before the
+	 * request is written, which may be some time after the call if its connection has to
+	 * be opened first.
+	 * @return false to fail the request without sending it
+	 */
+	default boolean maySend() {
+		return true;
+	}
+
 	/**
 	 * Receives the status line and headers.
 	 * @param head the status and headers
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/TargetClient.java
@@ -325,6 +325,11 @@
 				replaceConnection(pending);
 				return;
 			}
+			if (!pending.listener.maySend()) {
+				pending.fail(new RequestFailure(false, "the sender may not send it any more"));
+				returnToPool();
+				return;
+			}
 			pending.connection = this;
 			this.current = pending;
 			this.head = null;
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/weight/WeightOrders.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
@@ -290,7 +291,7 @@
 			end(load);
 			return;
 		}
-		send(load, this.protocol.reportRequest(load.target.id()), (status, body) -> {
+		send(load, this.protocol.reportRequest(load.target.id()), () -> true, (status, body) -> {
 			try {
 				onReport(load, status, body);
 			}
@@ -337,21 +338,22 @@
 		LOGGER.atInfo()
 			.log("event=weights_ordered target=%s model=%s version=%d term=%d order_count=%d", load.target.id(),
 					load.model, load.version, this.term, orderCount);
-		send(load, this.protocol.loadRequest(new TargetProtocol.LoadOrder(load.target.id(), load.model, load.version,
-				load.keepRunning, this.term, orderCount)), (status, body) -> {
-					if (status == ACCEPTED) {
-						this.loop.schedule(() -> expectLoaded(load, "expected"), TYPICAL_LOAD_MS,
-								TimeUnit.MILLISECONDS);
-					}
-					else if (status == OK) {
-						expectLoaded(load, "holds already");
-					}
-					else {
-						LOGGER.atInfo().log("event=order_refused target=%s status=%d", load.target.id(), status);
-						this.fencedTerm = (status == HIGHER_FENCING_TOKEN_SEEN) ? this.term : this.fencedTerm;
-						retryLater(load);
-					}
-				});
+		long orderTerm = this.term;
+		FullHttpRequest request = this.protocol.loadRequest(new TargetProtocol.LoadOrder(load.target.id(), load.model,
+				load.version, load.keepRunning, orderTerm, orderCount));
+		send(load, request, () -> mayOrder() && this.term == orderTerm, (status, body) -> {
+			if (status == ACCEPTED) {
+				this.loop.schedule(() -> expectLoaded(load, "expected"), TYPICAL_LOAD_MS, TimeUnit.MILLISECONDS);
+			}
+			else if (status == OK) {
+				expectLoaded(load, "holds already");
+			}
+			else {
+				LOGGER.atInfo().log("event=order_refused target=%s status=%d", load.target.id(), status);
+				this.fencedTerm = (status == HIGHER_FENCING_TOKEN_SEEN) ? this.term : this.fencedTerm;
+				retryLater(load);
+			}
+		});
 	}
 
 	/**
@@ -408,13 +410,17 @@
 		this.loop.schedule(() -> finish(load, "tried again"), RETRY_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void send(Load load, FullHttpRequest request, AnswerHandler handler) {
+	/**
+	 * Sends a request to the target of a load.
+	 * @param maySend asked last before the request is written
+	 */
+	private void send(Load load, FullHttpRequest request, BooleanSupplier maySend, AnswerHandler handler) {
 		if (!this.targets.permits().take(load.target, nowMs())) {
 			request.release();
 			requestReportLater(load, BUSY_RETRY_MS);
 			return;
 		}
-		AnswerCollector answer = new AnswerCollector(load, handler);
+		AnswerCollector answer = new AnswerCollector(load, maySend, handler);
 		Runnable canceller = this.client.send(load.target.address(), request, answer);
 		answer.timeout = this.loop.schedule(() -> {
 			canceller.run();
@@ -463,14 +469,17 @@
 
 		private final Load load;
 
+		private final BooleanSupplier maySend;
+
 		private final AnswerHandler handler;
 
 		private final StringBuilder body = new StringBuilder();
 
 		private @Nullable Future<?> timeout;
 
-		AnswerCollector(Load load, AnswerHandler handler) {
+		AnswerCollector(Load load, BooleanSupplier maySend, AnswerHandler handler) {
 			this.load = load;
+			this.maySend = maySend;
 			this.handler = handler;
 		}
 
@@ -480,6 +489,11 @@
 			}
 		}
 
+		@Override
+		public boolean maySend() {
+			return this.maySend.getAsBoolean();
+		}
+
 		@Override
 		public void onHead(HttpResponse head) {
 			if (WeightOrders.this.protocol.isLeaving(head)) {
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/TargetClientTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -76,6 +77,31 @@
 		}
 	}
 
+	// Guards against an order of a leader that was replaced while the connection for it
+	// was
+	// opened, which arrives after one of the next leader (issue 58, ONE).
+	@Test
+	void aRequestThatMayNotBeSentAnyMoreOnceItsConnectionIsOpenDoesNotLeave() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.answer("2", "", "two"))) {
+			CompletableFuture<String> outcome = new CompletableFuture<>();
+			AtomicBoolean maySend = new AtomicBoolean(true);
+			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+			request.headers().set("id", "1");
+			this.loop.execute(() -> {
+				this.client.send(target.address(), request, new Collector(outcome) {
+					@Override
+					public boolean maySend() {
+						return maySend.get();
+					}
+				});
+				maySend.set(false);
+			});
+			assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS), startsWith("not run:"));
+			assertThat("another request is served", send(target.address(), "2"), is("two"));
+			assertThat(target.requests().size(), is(1));
+		}
+	}
+
 	@Test
 	void aSurplusAnswerReachesNoOtherRequest() throws Exception {
 		String surplus = ScriptedTarget.answer("1", "", "one") + ScriptedTarget.answer("2", "", "stray");
@@ -226,7 +252,7 @@
 	}
 
 	/** Collects the response body or the failure as text. */
-	private static final class Collector implements ResponseListener {
+	private static class Collector implements ResponseListener {
 
 		private final CompletableFuture<String> outcome;
 
