Look for new software versions only when one may be missing

Cause: the leader looked at all targets up to 20 times a second while any of them changed, though only a version that is not recorded matters.

Evidence: StreamTakeUpTests, OutOfStepTakeUpTests and DirectoryFeedsTests passed.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -290,7 +290,7 @@
 				DirectoryFeeds.FEED_INTERVAL_MS, DirectoryFeeds.FEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.timer.scheduleWithFixedDelay(this.processEnd.guard("duty-gate", gate::check), DUTY_CHECK_INTERVAL_MS,
 				DUTY_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
-		this.timer.scheduleWithFixedDelay(this.processEnd.guard("software", this::recordChangedSoftware),
+		this.timer.scheduleWithFixedDelay(this.processEnd.guard("software", this::recordNewSoftware),
 				SOFTWARE_CHECK_INTERVAL_MS, SOFTWARE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		LOGGER.atInfo()
 			.log("event=control_started replica=%s journal_bytes=%d duration_ms=%d", this.store.replicaId(),
@@ -558,8 +558,8 @@
 	}
 
 	/** No stream begins at a new software version before it is recorded. */
-	private void recordChangedSoftware() {
-		if (this.directoryFeeds.takeTargetsChanged()) {
+	private void recordNewSoftware() {
+		if (this.directoryFeeds.takeUnrecordedLearned()) {
 			recordSoftware();
 		}
 	}
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -75,8 +75,8 @@
 
 	private RecordedSoftware software = RecordedSoftware.NONE;
 
-	/** True if a target has changed since the software versions were looked at. */
-	private boolean targetsChanged;
+	/** True if a target of a version that is not recorded was learned of. */
+	private boolean unrecordedLearned;
 
 	private @Nullable CompletableFuture<EncodedNotification> encodedTable;
 
@@ -404,11 +404,14 @@
 		}
 	}
 
-	/** Returns whether a target has changed since the last call. */
-	synchronized boolean takeTargetsChanged() {
-		boolean changed = this.targetsChanged;
-		this.targetsChanged = false;
-		return changed;
+	/**
+	 * Returns whether a target of a software version that is not recorded was learned of
+	 * since the last call.
+	 */
+	synchronized boolean takeUnrecordedLearned() {
+		boolean learned = this.unrecordedLearned;
+		this.unrecordedLearned = false;
+		return learned;
 	}
 
 	/** Subscribes to the feed of another control process. */
@@ -435,7 +438,8 @@
 	}
 
 	private void sendToSubscribers(List<TargetNotice> changed) {
-		this.targetsChanged |= !changed.isEmpty();
+		this.unrecordedLearned |= changed.stream()
+			.anyMatch((notice) -> !this.software.contains(notice.pool(), notice.softwareVersion()));
 		this.subscribers.forEach((peer) -> send(peer, changed, List.of()));
 	}
 
