--- a/review/standin-3/Rig.java
+++ b/review/standin-3/Rig.java
@@ -61,6 +61,9 @@
 
 	private int tableVersion;
 
+	/** Whether configurations name a tenant and clients send its key. */
+	private boolean tenants = true;
+
 	/**
 	 * Creates a rig in a temporary folder.
 	 * @param recordFile the file to which everything is written that was sent, answered
@@ -335,6 +338,11 @@
 		this.workers.add(worker);
 	}
 
+	/** Sets whether further configurations name a tenant and clients send its key. */
+	void setTenants(boolean named) {
+		this.tenants = named;
+	}
+
 	/** Replaces the configuration and waits until it is acknowledged. */
 	void configure(String routes, String services) throws IOException, InterruptedException {
 		if (!configure(routes, services, START_LIMIT_MS)) {
@@ -351,8 +359,9 @@
 		String body = """
 				{"version":%d,"routes":[%s],"services":[%s],
 				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":33554432,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-				"tenants":[{"name":"tenant-1","apiKeys":["%s"],"priority":1}]}"""
-			.formatted(this.tableVersion, routes, services, KEY);
+				"tenants":[%s]}"""
+			.formatted(this.tableVersion, routes, services,
+					this.tenants ? "{\"name\":\"tenant-1\",\"apiKeys\":[\"%s\"],\"priority\":1}".formatted(KEY) : "");
 		long untilMs = nowMs() + limitMs;
 		int sent = 0;
 		for (int number = 1; nowMs() < untilMs; number = number % CONTROL_COUNT + 1) {
@@ -390,7 +399,9 @@
 	Http.Answer client(int front, String method, String path, String id, String body, int timeoutMs) {
 		Map<String, String> headers = new LinkedHashMap<>();
 		headers.put("Host", HOST);
-		headers.put("Key", KEY);
+		if (this.tenants) {
+			headers.put("Key", KEY);
+		}
 		headers.put("Request-Id", id);
 		headers.put("Deadline-Ms", String.valueOf(timeoutMs));
 		headers.put("Content-Type", "application/json");
