--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -101,10 +101,8 @@
 	private void announce() {
 		int next = 0;
 		while (!this.closed) {
-			String body = """
-					{"service":"%s","address":"%s","zone":"zone-1","version":"v1","slots":%d,"state":"ready","coldRemainingMs":0,"stage":"mixed","models":%s,"seq":%d,"born":%d}"""
-				.formatted(this.service, this.address, this.slots, models(), this.sequence.incrementAndGet(),
-						this.bornMs);
+			this.sequence.incrementAndGet();
+			String body = heartbeat(0);
 			for (int attempt = 0; attempt < 3; attempt++) {
 				Http.Answer answer = Http.send(this.rig.control(next % 3 + 1), "POST",
 						"/zinniatack/instances/" + this.id + "/heartbeat", Map.of("Content-Type", "application/json"),
@@ -118,6 +116,21 @@
 		}
 	}
 
+	/** Returns the newest heartbeat with a sequence number that is ahead by some. */
+	String heartbeat(long lead) {
+		return """
+				{"service":"%s","address":"%s","zone":"zone-1","version":"v1","slots":%d,"state":"ready","coldRemainingMs":0,"stage":"mixed","models":%s,"seq":%d,"born":%d}"""
+			.formatted(this.service, this.address, this.slots, models(), this.sequence.get() + lead, this.bornMs);
+	}
+
+	int running() {
+		return this.running.get();
+	}
+
+	String id() {
+		return this.id;
+	}
+
 	private String models() {
 		return this.model.isEmpty() ? "[]"
 				: "[{\"name\":\"%s\",\"version\":%d,\"adapters\":[]}]".formatted(this.model, this.version);
