--- a/review/standin-3/FailingItem.java
+++ b/review/standin-3/FailingItem.java
@@ -17,7 +17,7 @@
 
 	private static final int CONTACT_MS = 3_000;
 
-	private static final int KILLS = 3;
+	private static final int KILLS = 4;
 
 	private static final int MAX_ATTEMPTS = 4;
 
