Let no job run whose end was acknowledged before its submission

Cause: JobLedger.end dropped the end of a job that is not there. That a job is absent does not mean that it won't come: its submission can wait at a front, on a link or in a control process. Also, a front decided by a read which job an end means, and a submission could be committed in between.

Change: the end is remembered in the replicated state and a later submission is accepted as ended. Which job an end means is decided where it is applied. Removed jobs leave their end behind, so that a second copy of a submission does not run either.

A check of the waiting time at the front alone would only make it rarer.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ControlService.java
@@ -803,6 +803,7 @@
 		}
 		// First, since an entry that has just started calls nobody without a table.
 		this.directoryFeeds.updateLeft(state.leftTargets());
+		this.directoryFeeds.updateForgettableEnds(state.jobs().earlyEnds().forgettableIndex());
 		this.directoryFeeds.updateEvacuations(new Evacuations(state.appliedIndex(), state.evacuatedDomains()));
 		CurrentRoutingTable.Image table = state.routingTable();
 		if (table != null) {
--- a/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/DirectoryFeeds.java
@@ -75,6 +75,9 @@
 
 	private RecordedSoftware software = RecordedSoftware.NONE;
 
+	/** The log index up to which ends of jobs may be forgotten next. */
+	private long forgettableEndsIndex;
+
 	/** True if a target of a version that is not recorded was learned of. */
 	private boolean unrecordedLearned;
 
@@ -404,6 +407,11 @@
 		}
 	}
 
+	/** Tells the subscribers in the next feeds which ends of jobs may be forgotten. */
+	synchronized void updateForgettableEnds(long index) {
+		this.forgettableEndsIndex = index;
+	}
+
 	/**
 	 * Returns whether a target of a software version that is not recorded was learned of
 	 * since the last call.
@@ -455,7 +463,7 @@
 		return new Message.SystemFeed(this.controlAddresses.get(), Map.copyOf(this.namesByAddress),
 				(newest != null) ? newest.number() : 0, requestedTable, changed,
 				heard.stream().map(HeardTarget::id).toList(), heard, silenceMsById, changedSuspects,
-				this.directory.evacuations(), null, null);
+				this.directory.evacuations(), null, null, this.forgettableEndsIndex);
 	}
 
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Job.java
@@ -31,8 +31,12 @@
 
 	private boolean ended;
 
-	Job(JobSubmission submission) {
+	/** The log index of the submission or the end, whichever is later. */
+	private long lastCallIndex;
+
+	Job(JobSubmission submission, long index) {
 		this.submission = submission;
+		this.lastCallIndex = index;
 		this.slots = new HashMap<>(submission.items().size() * 4 / 3 + 1);
 		submission.items().forEach((item) -> {
 			if (this.slots.putIfAbsent(item.id(), new Slot(item)) == null) {
@@ -49,11 +53,11 @@
 	 * @return the size
 	 */
 	public static JobSize sizeOf(JobSubmission submission) {
-		return new Job(submission).size();
+		return new Job(submission, 0).size();
 	}
 
 	static Job of(Image image) {
-		Job job = new Job(image.submission());
+		Job job = new Job(image.submission(), image.lastCallIndex());
 		image.results().forEach((result) -> job.addResult(result, 0));
 		image.partialTexts().forEach(job::storePartialText);
 		job.ended = image.ended();
@@ -137,8 +141,17 @@
 		addBytes(bytes, 0);
 	}
 
-	void end() {
+	void end(long index) {
 		this.ended = true;
+		this.lastCallIndex = index;
+	}
+
+	/**
+	 * Returns the log index of the last command of its caller that changed the job.
+	 * @return the index, 0 if an earlier version stored the job
+	 */
+	public long lastCallIndex() {
+		return this.lastCallIndex;
 	}
 
 	Image image() {
@@ -148,7 +161,7 @@
 				partialTexts.put(itemId, slot.partialText);
 			}
 		});
-		return new Image(this.submission, List.copyOf(this.results), this.ended, partialTexts);
+		return new Image(this.submission, List.copyOf(this.results), this.ended, partialTexts, this.lastCallIndex);
 	}
 
 	/**
@@ -278,9 +291,11 @@
 	 * @param results the results by position
 	 * @param ended true if the caller has ended the job
 	 * @param partialTexts the stored progress by item
+	 * @param lastCallIndex the log index of the last command of its caller that changed
+	 * the job, 0 if an earlier version stored it
 	 */
 	public record Image(JobSubmission submission, List<ItemResult> results, boolean ended,
-			Map<String, PartialText> partialTexts) {
+			Map<String, PartialText> partialTexts, long lastCallIndex) {
 
 		/**
 		 * Copies the arguments. Images stored by earlier versions have no partial texts
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -9,6 +9,8 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
+import org.jspecify.annotations.Nullable;
+
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 
@@ -19,15 +21,29 @@
 
 	private final Map<JobId, Job> jobs = new LinkedHashMap<>();
 
+	private final EarlyEnds earlyEnds;
+
 	private JobSize size = JobSize.ZERO;
 
+	/**
+	 * Creates a ledger without jobs.
+	 */
+	public JobLedger() {
+		this(new EarlyEnds());
+	}
+
+	private JobLedger(EarlyEnds earlyEnds) {
+		this.earlyEnds = earlyEnds;
+	}
+
 	/**
 	 * Restores a ledger from its stored form.
 	 * @param images the stored jobs, oldest first
+	 * @param earlyEnds the remembered ends, null in the stored form of an earlier version
 	 * @return the ledger
 	 */
-	public static JobLedger of(List<Job.Image> images) {
-		JobLedger ledger = new JobLedger();
+	public static JobLedger of(List<Job.Image> images, EarlyEnds.@Nullable Image earlyEnds) {
+		JobLedger ledger = new JobLedger(EarlyEnds.of(earlyEnds));
 		images.forEach((image) -> ledger.add(Job.of(image)));
 		return ledger;
 	}
@@ -44,13 +60,50 @@
 	}
 
 	/**
-	 * Accepts a job. A job with an id that is already known is ignored.
+	 * Accepts a job as a process of an earlier version submits it. A job with an id that
+	 * is already known is ignored, and a job that was ended before is accepted as ended.
 	 * @param submission the job
+	 * @return what the submission did
 	 */
-	public void submit(JobSubmission submission) {
-		if (!this.jobs.containsKey(submission.id())) {
-			add(new Job(submission));
+	public JobEffect submit(JobSubmission submission) {
+		return isKnown(submission) ? JobEffect.REPEATED : accept(submission, 0);
+	}
+
+	/**
+	 * Accepts a job as {@link #submit(JobSubmission)} does, but only if it was sent after
+	 * all ends that are forgotten.
+	 * @param submission the job
+	 * @param index the log index of the submission
+	 * @param knownEndsIndex the index up to which the sender knew ends to be forgettable
+	 * @return what the submission did
+	 * @throws ServiceException with {@link ResultCode#SUBMISSION_STALE} if the job may
+	 * have been ended by a call that is forgotten
+	 */
+	public JobEffect submit(JobSubmission submission, long index, long knownEndsIndex) throws ServiceException {
+		if (isKnown(submission)) {
+			return JobEffect.REPEATED;
 		}
+		this.earlyEnds.requireSentAfterForgotten(submission.id(), knownEndsIndex);
+		return accept(submission, index);
+	}
+
+	private JobEffect accept(JobSubmission submission, long index) {
+		Job job = new Job(submission, index);
+		boolean ended = this.earlyEnds.include(submission.id());
+		if (ended) {
+			job.end(index);
+		}
+		add(job);
+		return ended ? JobEffect.ACCEPTED_ENDED : JobEffect.ACCEPTED;
+	}
+
+	/**
+	 * Returns whether a submission repeats one that was accepted.
+	 * @param submission the job
+	 * @return true if accepting it changes nothing
+	 */
+	public boolean isKnown(JobSubmission submission) {
+		return this.jobs.containsKey(submission.id());
 	}
 
 	/**
@@ -103,15 +156,43 @@
 	}
 
 	/**
-	 * Ends a job at the request of its caller. Its results are kept.
-	 * @param id the job
+	 * Ends the job that a call means. Its results are kept. Unless it is the caller's
+	 * own, the end is also remembered for a submission that may be on its way.
+	 * @param call the call
+	 * @param index the log index of the end
+	 * @return what the end did
+	 * @throws ServiceException with {@link ResultCode#STATE_FULL} if too many ends are
+	 * remembered to add another one
+	 */
+	public JobEffect end(JobCall call, long index) throws ServiceException {
+		Optional<Job> meant = find(call);
+		if (meant.filter((job) -> job.submission().id().equals(call.id())).isEmpty()) {
+			this.earlyEnds.remember(call, index);
+		}
+		meant.filter((job) -> !job.isEnded()).ifPresent((open) -> change(open, (job) -> job.end(index)));
+		return meant.isPresent() ? JobEffect.ENDED : JobEffect.END_REMEMBERED;
+	}
+
+	/**
+	 * Returns the job that a call means.
+	 * @param call the call
+	 * @return the job, which only the ledger may modify, or empty if there is none
 	 */
-	public void end(JobId id) {
-		job(id).ifPresent((job) -> change(job, Job::end));
+	public Optional<Job> find(JobCall call) {
+		Optional<Job> own = job(call.id());
+		return (own.isPresent() || call.match() == OwnerMatch.EXACT) ? own : job(call.id().withoutOwner());
 	}
 
 	/**
-	 * Removes jobs and their results.
+	 * Returns the ends of jobs that were not known when they ended, and of removed jobs.
+	 * @return the ends, which only the ledger may modify
+	 */
+	public EarlyEnds earlyEnds() {
+		return this.earlyEnds;
+	}
+
+	/**
+	 * Removes jobs and their results, whatever calls for them may be on their way.
 	 * @param ids the jobs
 	 */
 	public void removeJobs(Collection<JobId> ids) {
@@ -121,6 +202,26 @@
 		}
 	}
 
+	/**
+	 * Forgets the ends that were announced as forgettable, and announces further ones.
+	 * Removes jobs; a copy of a submission of them that is still on its way is refused or
+	 * accepted as ended. A job stays until a later call if too many ends are remembered.
+	 * @param ids the jobs
+	 * @param forgettableIndex the log index up to which ends may be forgotten next
+	 */
+	public void removeJobs(Collection<JobId> ids, long forgettableIndex) {
+		this.earlyEnds.forget();
+		this.earlyEnds.announce(forgettableIndex);
+		removeJobs(ids.stream().filter((id) -> job(id).filter(this::isCopyHarmless).isPresent()).toList());
+	}
+
+	/** Remembers the end of a job that is to be removed, unless it would be forgotten. */
+	private boolean isCopyHarmless(Job job) {
+		JobCall call = new JobCall(job.submission().id(), OwnerMatch.EXACT);
+		return job.lastCallIndex() <= this.earlyEnds.forgottenIndex()
+				|| this.earlyEnds.tryRemember(call, job.lastCallIndex());
+	}
+
 	/**
 	 * Returns the heap that all jobs take and are expected to take.
 	 * @return the size
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -82,6 +82,10 @@
 	STREAM_NOT_CONTINUABLE(2010, 503, Outcome.NOT_RUN,
 			"No target of the software version that began the stream is available, or it is not known which began it."),
 
+	/** The submission may have been held back since before the job was ended. */
+	SUBMISSION_STALE(2011, 503, Outcome.NOT_RUN,
+			"The job may have been ended after it was submitted, so long ago that this is not remembered."),
+
 	/** The request may have run. */
 	OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "The target was lost and it is unknown whether the request ran."),
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -13,8 +13,10 @@
 import org.zinniatack.core.duty.DutyClaim;
 import org.zinniatack.core.job.ItemProgress;
 import org.zinniatack.core.job.ItemResult;
+import org.zinniatack.core.job.JobCall;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.OwnerMatch;
 import org.zinniatack.core.sample.Sample;
 import org.zinniatack.core.stream.SoftwareSighting;
 import org.zinniatack.core.table.RoutingTable;
@@ -353,8 +355,20 @@
 	 * Accepts a job; submitting it again changes nothing.
 	 *
 	 * @param submission the job
+	 * @param knownEndsIndex the index up to which the sender knew ends of jobs to be
+	 * forgettable when it sent the command, null in commands of earlier versions
 	 */
-	record SubmitJob(JobSubmission submission) implements Command {
+	record SubmitJob(JobSubmission submission, @Nullable Long knownEndsIndex) implements Command {
+
+		/**
+		 * Creates a command as earlier versions write it, which is accepted whatever ends
+		 * are forgotten.
+		 * @param submission the job
+		 */
+		public SubmitJob(JobSubmission submission) {
+			this(submission, null);
+		}
+
 	}
 
 	/**
@@ -396,19 +410,52 @@
 	}
 
 	/**
-	 * Ends a job; none of its remaining items runs afterwards.
+	 * Ends a job; none of its remaining items runs afterwards, also if the job is
+	 * submitted later.
 	 *
-	 * @param id the id of the job
+	 * @param id the customer of the call, if any, and the caller's id of the job
+	 * @param match the owners whose job the call may mean, null in commands of earlier
+	 * versions, which name the job itself
 	 */
-	record EndJob(JobId id) implements Command {
+	record EndJob(JobId id, @Nullable OwnerMatch match) implements Command {
+
+		/**
+		 * Creates a command for a job of exactly this owner.
+		 * @param id the id of the job
+		 */
+		public EndJob(JobId id) {
+			this(id, null);
+		}
+
+		/**
+		 * Returns the call that the command carries out.
+		 * @return the call
+		 */
+		public JobCall call() {
+			return JobCall.of(this.id, this.match);
+		}
+
 	}
 
 	/**
-	 * Removes jobs whose retention has ended.
+	 * Removes jobs whose retention has ended, and forgets ends of jobs that were not
+	 * known when they ended.
 	 *
 	 * @param ids the ids of the jobs
+	 * @param forgettableIndex the log index up to which ends may be forgotten by the next
+	 * such command, null in commands of earlier versions, which remove all of the jobs at
+	 * once
 	 */
-	record RemoveJobs(List<JobId> ids) implements Command {
+	record RemoveJobs(List<JobId> ids, @Nullable Long forgettableIndex) implements Command {
+
+		/**
+		 * Creates a command that removes all of the jobs at once.
+		 * @param ids the ids of the jobs
+		 */
+		public RemoveJobs(List<JobId> ids) {
+			this(ids, null);
+		}
+
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -15,7 +15,9 @@
 import org.zinniatack.core.directory.LeftTarget;
 import org.zinniatack.core.duty.DutyClaim;
 import org.zinniatack.core.duty.DutyHolders;
+import org.zinniatack.core.job.EarlyEnds;
 import org.zinniatack.core.job.Job;
+import org.zinniatack.core.job.JobEffect;
 import org.zinniatack.core.job.JobLedger;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -83,7 +85,7 @@
 		state.usage = UsageLedger.of(image.usage());
 		state.crashes = CrashTable.of(image.crashes());
 		state.table = CurrentRoutingTable.of(image.table());
-		state.jobs = JobLedger.of(image.jobs());
+		state.jobs = JobLedger.of(image.jobs(), image.earlyEnds());
 		state.retiring.addAll(image.retiring());
 		state.left = LeftTargets.of(image.left());
 		state.evacuations = EvacuationOrders.of(image.evacuations());
@@ -143,6 +145,12 @@
 		if (command instanceof Command.BeginIntent begin) {
 			return new Reply.Intent(this.intents.begin(begin));
 		}
+		if (command instanceof Command.SubmitJob submit) {
+			return new Reply.Accepted(index, submit(index, submit));
+		}
+		if (command instanceof Command.EndJob end) {
+			return new Reply.Accepted(index, this.jobs.end(end.call(), index));
+		}
 		if (command instanceof Command.FinishIntent finish) {
 			this.intents.finish(finish);
 		}
@@ -232,20 +240,14 @@
 		if (command instanceof Command.ReplaceTable replace) {
 			this.table.replace(replace.table(), replace.document());
 		}
-		else if (command instanceof Command.SubmitJob submit) {
-			this.jobs.submit(submit.submission());
-		}
 		else if (command instanceof Command.FinishItems finish) {
 			this.jobs.addResults(finish.id(), finish.results(), finish.storedEvents());
 		}
 		else if (command instanceof Command.RecordProgress progressed) {
 			this.jobs.storeProgress(progressed.id(), progressed.progress());
 		}
-		else if (command instanceof Command.EndJob end) {
-			this.jobs.end(end.id());
-		}
 		else if (command instanceof Command.RemoveJobs removal) {
-			this.jobs.removeJobs(removal.ids());
+			remove(removal);
 		}
 		else if (command instanceof Command.RetireMember retire) {
 			this.retiring.add(retire.memberName());
@@ -256,6 +258,22 @@
 		return true;
 	}
 
+	private JobEffect submit(long index, Command.SubmitJob submit) throws ServiceException {
+		Long knownEndsIndex = submit.knownEndsIndex();
+		return (knownEndsIndex != null) ? this.jobs.submit(submit.submission(), index, knownEndsIndex)
+				: this.jobs.submit(submit.submission());
+	}
+
+	private void remove(Command.RemoveJobs removal) {
+		Long forgettableIndex = removal.forgettableIndex();
+		if (forgettableIndex == null) {
+			this.jobs.removeJobs(removal.ids());
+		}
+		else {
+			this.jobs.removeJobs(removal.ids(), forgettableIndex);
+		}
+	}
+
 	private Reply applyStep(long index, Command command) throws ServiceException {
 		if (command instanceof Command.OpenStep open) {
 			return new Reply.Slots(this.steps.open(new StepLedger.StepId(open.customer(), open.step()), open.model(),
@@ -349,7 +367,7 @@
 				List.copyOf(this.orders.values()), new TreeMap<>(this.weights), List.copyOf(this.draining),
 				this.table.image(), this.jobs.images(), List.copyOf(this.retiring),
 				List.copyOf(this.left.byKey().values()), this.evacuations.images(), this.software.sightings(),
-				this.dutyHolders.names());
+				this.dutyHolders.names(), this.jobs.earlyEnds().image());
 	}
 
 	/**
@@ -456,17 +474,19 @@
 	 * @param software the software versions that the targets had lately
 	 * @param dutyHolders the processes that may have acted as leader lately, the present
 	 * holder last
+	 * @param earlyEnds the ends of jobs that were not known when they ended
 	 */
 	public record Image(long appliedIndex, long recordRevision, List<ConfigurationRecord> records,
 			List<RequestHistory.AnsweredRequest> answered, List<IntentTable.Intent> intents, List<Step.Image> steps,
 			UsageLedger.Image usage, CrashTable.Image crashes, List<TargetOrder> orders, Map<String, Long> weights,
 			List<String> draining, CurrentRoutingTable.@Nullable Image table, List<Job.Image> jobs,
 			List<String> retiring, List<LeftTarget> left, List<EvacuationOrder> evacuations,
-			List<SoftwareSighting> software, List<String> dutyHolders) {
+			List<SoftwareSighting> software, List<String> dutyHolders, EarlyEnds.Image earlyEnds) {
 
 		/**
 		 * Accepts an image without jobs, retiring members, targets that left,
-		 * evacuations, software versions or duty holders, as earlier versions stored it.
+		 * evacuations, software versions, duty holders or early ends, as earlier versions
+		 * stored it.
 		 */
 		public Image {
 			jobs = Objects.requireNonNullElse(jobs, List.of());
@@ -475,6 +495,7 @@
 			evacuations = Objects.requireNonNullElse(evacuations, List.of());
 			software = Objects.requireNonNullElse(software, List.of());
 			dutyHolders = Objects.requireNonNullElse(dutyHolders, List.of());
+			earlyEnds = Objects.requireNonNullElse(earlyEnds, EarlyEnds.Image.NONE);
 		}
 
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Reply.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Reply.java
@@ -4,7 +4,9 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.core.job.JobEffect;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 
@@ -43,8 +45,19 @@
 	 * The command was accepted and applied.
 	 *
 	 * @param revision the log index of the command
+	 * @param jobEffect what the command did to a job, null for other commands and from
+	 * processes of earlier versions
 	 */
-	record Accepted(long revision) implements Reply {
+	record Accepted(long revision, @Nullable JobEffect jobEffect) implements Reply {
+
+		/**
+		 * Creates the reply to a command that submits or ends no job.
+		 * @param revision the log index of the command
+		 */
+		public Accepted(long revision) {
+			this(revision, null);
+		}
+
 	}
 
 	/**
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -64,10 +64,10 @@
 						new ItemProgress("b", 0, new PartialText(List.of("1"), List.of(1L), 1))));
 		this.ledger.addResults(ID, List.of(result("a", "3")), Map.of("a", 2));
 		this.ledger.addResults(ID, List.of(result("a", "repeated"), result("c", "x")));
-		assertThat(JobLedger.of(this.ledger.images()).size(), is(this.ledger.size()));
-		this.ledger.end(ID);
+		assertThat(JobLedger.of(this.ledger.images(), this.ledger.earlyEnds().image()).size(), is(this.ledger.size()));
+		this.ledger.end(new JobCall(ID, OwnerMatch.EXACT), 1);
 		assertThat(this.ledger.size().awaitedBytes(), is(0L));
-		assertThat(JobLedger.of(this.ledger.images()).size(), is(this.ledger.size()));
+		assertThat(JobLedger.of(this.ledger.images(), this.ledger.earlyEnds().image()).size(), is(this.ledger.size()));
 		this.ledger.removeJobs(List.of(ID, ID));
 		assertThat(this.ledger.size(), is(JobSize.ZERO));
 	}
@@ -115,10 +115,10 @@
 	}
 
 	@Test
-	void anEndedJobKeepsWhatIsListedAndRunsNothing() {
+	void anEndedJobKeepsWhatIsListedAndRunsNothing() throws ServiceException {
 		this.ledger.submit(submission("a", "b"));
 		this.ledger.addResults(ID, List.of(result("a", "x")));
-		this.ledger.end(ID);
+		this.ledger.end(new JobCall(ID, OwnerMatch.EXACT), 1);
 		assertThat(this.ledger.job(ID).orElseThrow().isOpen(), is(false));
 		assertThat(resultIdsFrom(0), contains("a"));
 	}
@@ -127,7 +127,7 @@
 	void aLedgerFromItsStoredFormIsTheSame() {
 		this.ledger.submit(submission("a", "b"));
 		this.ledger.addResults(ID, List.of(result("b", "x")));
-		JobLedger restored = JobLedger.of(this.ledger.images());
+		JobLedger restored = JobLedger.of(this.ledger.images(), this.ledger.earlyEnds().image());
 		assertThat(restored.images(), is(this.ledger.images()));
 		assertThat(restored.job(ID).orElseThrow().isFinished("b"), is(true));
 		assertThat(restored.job(ID).orElseThrow().isOpen(), is(true));
@@ -203,7 +203,7 @@
 	void progressSurvivesTheStoredForm() throws ServiceException {
 		this.ledger.submit(submission("a", "b"));
 		this.ledger.storeProgress(ID, List.of(progress("a", 0, "1", "2")));
-		JobLedger restored = JobLedger.of(this.ledger.images());
+		JobLedger restored = JobLedger.of(this.ledger.images(), this.ledger.earlyEnds().image());
 		assertThat(restored.job(ID).orElseThrow().partialText("a").orElseThrow().events(), contains("1", "2"));
 		assertThat(restored.images(), is(this.ledger.images()));
 	}
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -43,6 +44,8 @@
 
 	private final long firstByteAtMs;
 
+	private final LongSupplier ageMs;
+
 	private final Runnable onCompleted;
 
 	private final List<Runnable> disconnectActions = new ArrayList<>();
@@ -53,11 +56,12 @@
 
 	private boolean streaming;
 
-	Exchange(Channel channel, FullHttpRequest request, long firstByteAtMs, boolean closeAfterResponse,
-			Runnable onCompleted) {
+	Exchange(Channel channel, FullHttpRequest request, long firstByteAtMs, LongSupplier ageMs,
+			boolean closeAfterResponse, Runnable onCompleted) {
 		this.channel = channel;
 		this.request = request;
 		this.firstByteAtMs = firstByteAtMs;
+		this.ageMs = ageMs;
 		this.body = ByteBufUtil.getBytes(request.content());
 		this.closeAfterResponse = closeAfterResponse || !HttpUtil.isKeepAlive(request);
 		this.onCompleted = onCompleted;
@@ -121,6 +125,16 @@
 		return TimeUnit.NANOSECONDS.toMillis(eventLoop().ticker().nanoTime()) - this.firstByteAtMs;
 	}
 
+	/**
+	 * Returns the longest time since the caller may have sent the request, however long
+	 * it was held back on its way: the time since the connection was opened or, on a
+	 * connection that is used again, since the request before was read.
+	 * @return the time in milliseconds, with times in which the VM was suspended
+	 */
+	public long maximumAgeMs() {
+		return this.ageMs.getAsLong();
+	}
+
 	/**
 	 * Returns the host of the Host header, without its port.
 	 * @return the host, or an empty string if there is no such header
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/FreezeDetector.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/FreezeDetector.java
@@ -1,5 +1,8 @@
 package org.zinniatack.gateway.http;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * Detects that the VM was suspended: the wall clock advanced while the monotonic clock
  * stood still. Also tells how long bytes may have waited to be read, whether the VM was
@@ -12,6 +15,11 @@
 
 	private static final long RESUME_PERIOD_MS = 100;
 
+	/**
+	 * Connections that wait when the process runs again are accepted within this time.
+	 */
+	private static final long MAXIMUM_QUEUE_MS = 10_000;
+
 	private long lastWallMs;
 
 	private long lastMonotonicMs;
@@ -22,6 +30,12 @@
 
 	private long readPeriodEndMs;
 
+	/** The time that only the wall clock saw, in milliseconds. */
+	private long suspendedMs;
+
+	/** The stops after which something may still wait, oldest first. */
+	private final Deque<Stop> recentStops = new ArrayDeque<>();
+
 	private boolean started;
 
 	/**
@@ -37,6 +51,9 @@
 		if (frozen || (this.started && uncheckedMs > MINIMUM_FREEZE_MS)) {
 			this.stoppedMs = uncheckedMs + Math.max(0, missedMs);
 			this.readPeriodEndMs = monotonicMs + RESUME_PERIOD_MS;
+			this.suspendedMs += frozen ? missedMs : 0;
+			long endedMs = elapsedMs(monotonicMs);
+			this.recentStops.add(new Stop(endedMs - this.stoppedMs, endedMs));
 		}
 		this.started = true;
 		this.lastWallMs = wallMs;
@@ -56,6 +73,29 @@
 		return monotonicMs < this.resumePeriodEndMs;
 	}
 
+	/**
+	 * Returns a time that goes on while the VM is suspended.
+	 * @param monotonicMs the monotonic time, in milliseconds
+	 * @return the monotonic time with the time of all suspensions, in milliseconds
+	 */
+	long elapsedMs(long monotonicMs) {
+		return monotonicMs + this.suspendedMs;
+	}
+
+	/**
+	 * Returns the earliest time at which a connection that is accepted now may have been
+	 * opened. Unlike {@link #unreadMs}, it allows for a long queue after a stop.
+	 * @param monotonicMs the monotonic time, in milliseconds
+	 * @return the time as {@link #elapsedMs} states it
+	 */
+	long openedSinceMs(long monotonicMs) {
+		long nowMs = elapsedMs(monotonicMs);
+		while (!this.recentStops.isEmpty() && nowMs - this.recentStops.peek().endedMs() > MAXIMUM_QUEUE_MS) {
+			this.recentStops.remove();
+		}
+		return this.recentStops.isEmpty() ? nowMs : this.recentStops.peek().beganMs();
+	}
+
 	/**
 	 * Returns how long bytes that are read now may have waited, as the time between the
 	 * last two checks if that was unusually long. It applies for a short time after the
@@ -67,4 +107,13 @@
 		return (monotonicMs < this.readPeriodEndMs) ? this.stoppedMs : 0;
 	}
 
+	/**
+	 * A time in which the process did not run.
+	 *
+	 * @param beganMs the last time at which it ran before, in milliseconds
+	 * @param endedMs the time at which it ran again, in milliseconds
+	 */
+	private record Stop(long beganMs, long endedMs) {
+	}
+
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -156,6 +156,12 @@
 		}
 	}
 
+	/** Returns a time that goes on while the VM is suspended. */
+	private long elapsedMs() {
+		checkForFreeze();
+		return this.freezeDetector.elapsedMs(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+	}
+
 	/** Closes each connection after its current or next response. */
 	public void drain() {
 		this.draining = true;
@@ -219,8 +225,10 @@
 	 *
 	 * @param request the request
 	 * @param firstByteAtMs the time at which its first byte arrived
+	 * @param sentSinceMs the earliest time at which its caller may have sent it, as
+	 * {@link #elapsedMs} states it
 	 */
-	private record PendingRequest(FullHttpRequest request, long firstByteAtMs) {
+	private record PendingRequest(FullHttpRequest request, long firstByteAtMs, long sentSinceMs) {
 	}
 
 	/** Handles the requests of one connection in order. */
@@ -234,6 +242,12 @@
 
 		private volatile @Nullable Exchange current;
 
+		/** The earliest time at which the next request may have been sent. */
+		private long nextSentSinceMs;
+
+		/** The time at which the last request was read. */
+		private long lastReadMs;
+
 		/** Whether nothing that arrives can be answered any more. */
 		private boolean lastResponseSent;
 
@@ -245,6 +259,9 @@
 		public void channelActive(ChannelHandlerContext context) {
 			this.context = context;
 			HttpListener.this.connections.add(this);
+			checkForFreeze();
+			this.nextSentSinceMs = HttpListener.this.freezeDetector
+				.openedSinceMs(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
 		}
 
 		@Override
@@ -272,14 +289,16 @@
 				LOGGER.atInfo()
 					.log("event=request_malformed caller=%s cause=\"%s\"", context.channel().remoteAddress(),
 							request.decoderResult().cause().getMessage());
-				Exchange malformed = new Exchange(context.channel(), request, this.arrivals.firstByteAtMs(), true,
-						() -> {
+				Exchange malformed = new Exchange(context.channel(), request, this.arrivals.firstByteAtMs(), () -> 0L,
+						true, () -> {
 						});
 				malformed.respond(HttpResponseStatus.BAD_REQUEST, new DefaultHttpHeaders(),
 						io.netty.buffer.Unpooled.EMPTY_BUFFER);
 				return;
 			}
-			this.pendingRequests.add(new PendingRequest(request.retain(), this.arrivals.firstByteAtMs()));
+			this.lastReadMs = elapsedMs();
+			this.pendingRequests
+				.add(new PendingRequest(request.retain(), this.arrivals.firstByteAtMs(), this.nextSentSinceMs));
 			if (this.pendingRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
 				context.channel().config().setAutoRead(false);
 			}
@@ -300,7 +319,7 @@
 			}
 			PendingRequest pending = this.pendingRequests.remove();
 			Exchange exchange = new Exchange(openContext.channel(), pending.request(), pending.firstByteAtMs(),
-					HttpListener.this.draining, this::onExchangeCompleted);
+					() -> elapsedMs() - pending.sentSinceMs(), HttpListener.this.draining, this::onExchangeCompleted);
 			pending.request().release();
 			this.current = exchange;
 			openContext.channel().config().setAutoRead(true);
@@ -324,10 +343,19 @@
 			this.current = null;
 			ChannelHandlerContext openContext = this.context;
 			if (openContext != null) {
-				openContext.executor().execute(this::handleNext);
+				openContext.executor().execute(this::handleAfterCompletion);
 			}
 		}
 
+		private void handleAfterCompletion() {
+			if (!hasRequest() && !isArriving()) {
+				// The caller sends the next request once it has the response. Bytes that
+				// it sends before may have arrived since the last request was read.
+				this.nextSentSinceMs = this.lastReadMs;
+			}
+			handleNext();
+		}
+
 		private void drain() {
 			Exchange running = this.current;
 			if (running != null) {
@@ -335,6 +363,11 @@
 			}
 		}
 
+		/** Returns whether a part of a request that can be answered has arrived. */
+		private boolean isArriving() {
+			return this.arrivals.isReading() && !this.lastResponseSent;
+		}
+
 		/** Returns whether a request runs or waits. */
 		private boolean hasRequest() {
 			return this.current != null || !this.pendingRequests.isEmpty();
@@ -346,8 +379,8 @@
 		 */
 		private boolean isBusy() {
 			ChannelHandlerContext openContext = this.context;
-			boolean arriving = this.arrivals.isReading() && !this.lastResponseSent;
-			return hasRequest() || arriving || (openContext != null && Exchange.unsentBytes(openContext.channel()) > 0);
+			return hasRequest() || isArriving()
+					|| (openContext != null && Exchange.unsentBytes(openContext.channel()) > 0);
 		}
 
 		private void close() {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRetention.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/job/JobRetention.java
@@ -1,5 +1,7 @@
 package org.zinniatack.gateway.job;
 
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -9,13 +11,18 @@
 import org.jspecify.annotations.Nullable;
 
 import org.zinniatack.control.ControlService;
+import org.zinniatack.core.job.AppliedIndexes;
+import org.zinniatack.core.job.EarlyEnds;
+import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobRetentionPolicy;
 import org.zinniatack.core.state.Command;
+import org.zinniatack.core.state.ControlState;
 import org.zinniatack.process.ProcessEnd;
 import org.zinniatack.process.Service;
 
 /**
- * Removes jobs after their retention time, so that the replicated state stays bounded.
+ * Removes jobs after their retention time and the ends of jobs that were never submitted,
+ * so that the replicated state stays bounded.
  */
 final class JobRetention implements Service {
 
@@ -31,6 +38,8 @@
 
 	private final JobRetentionPolicy policy;
 
+	private final AppliedIndexes appliedIndexes = new AppliedIndexes(EarlyEnds.MEMORY_MS);
+
 	private @Nullable Future<?> removalTask;
 
 	/**
@@ -62,23 +71,40 @@
 	}
 
 	private void removeOldJobs() {
-		if (!this.isLeader.getAsBoolean()) {
-			return;
-		}
+		this.control.readApplied(this::due).thenAccept((due) -> this.loop.execute(() -> remove(due)));
+	}
+
+	private Due due(ControlState state) {
 		long nowMs = System.currentTimeMillis();
-		this.control
-			.readApplied((state) -> state.jobs()
-				.jobs()
-				.stream()
-				.filter((job) -> nowMs > this.policy.removableAtMs(job))
-				.map((job) -> job.submission().id())
-				.toList())
-			.thenAccept((old) -> {
-				if (!old.isEmpty()) {
-					LOGGER.atInfo().log("event=jobs_forgotten count=%d", old.size());
-					this.control.propose(new Command.RemoveJobs(old));
-				}
-			});
+		List<JobId> old = state.jobs()
+			.jobs()
+			.stream()
+			.filter((job) -> nowMs > this.policy.removableAtMs(job))
+			.map((job) -> job.submission().id())
+			.toList();
+		return new Due(state.appliedIndex(), old, state.jobs().earlyEnds().oldestIndex());
+	}
+
+	private void remove(Due due) {
+		// Read after the state, so that the index is at least as old.
+		long nowMs = TimeUnit.NANOSECONDS.toMillis(this.loop.ticker().nanoTime());
+		this.appliedIndexes.record(due.appliedIndex(), nowMs);
+		long forgettableIndex = this.appliedIndexes.oldEnough(nowMs);
+		boolean endsDue = due.oldestEndIndex().orElse(Long.MAX_VALUE) <= forgettableIndex;
+		if (this.isLeader.getAsBoolean() && (endsDue || !due.jobs().isEmpty())) {
+			LOGGER.atInfo().log("event=jobs_forgotten count=%d ends_through=%d", due.jobs().size(), forgettableIndex);
+			this.control.propose(new Command.RemoveJobs(due.jobs(), forgettableIndex));
+		}
+	}
+
+	/**
+	 * What may be removed from the state.
+	 *
+	 * @param appliedIndex the log index of the last command in the state
+	 * @param jobs the jobs whose retention has ended
+	 * @param oldestEndIndex the log index of the oldest remembered end, empty for none
+	 */
+	private record Due(long appliedIndex, List<JobId> jobs, OptionalLong oldestEndIndex) {
 	}
 
 }
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
@@ -18,6 +19,8 @@
 import org.zinniatack.control.DirectoryFeeds;
 import org.zinniatack.core.directory.TargetDirectory;
 import org.zinniatack.core.directory.TargetNotice;
+import org.zinniatack.core.job.EarlyEnds;
+import org.zinniatack.core.job.JobSubmission;
 import org.zinniatack.core.pace.HeldPermits;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -99,6 +102,9 @@
 
 	private volatile long drainEndsAtMs;
 
+	/** Ends of jobs up to this log index were forgettable when a feed told so. */
+	private volatile long forgettableEndsIndex;
+
 	private volatile long lastFeedAtMs = Long.MIN_VALUE / 2;
 
 	private long usageSequence;
@@ -314,6 +320,10 @@
 		}
 		DirectoryFeeds.recordHeard(feed, this.directory, nowMs());
 		this.directory.evictSilent(nowMs());
+		Long endsIndex = feed.forgettableEndsIndex();
+		if (endsIndex != null) {
+			this.forgettableEndsIndex = Math.max(this.forgettableEndsIndex, endsIndex);
+		}
 		if (feed.software() != null) {
 			this.streams.accept(feed.software());
 		}
@@ -407,6 +417,28 @@
 		});
 	}
 
+	/**
+	 * Submits a job. A submission that was held back on its way, here or later, is not
+	 * accepted after an end of the job.
+	 * @param submission the job
+	 * @param maximumAgeMs returns the longest time since the caller has sent it, in
+	 * milliseconds
+	 * @return the reply; it fails with a {@link ServiceException} whose code tells
+	 * whether the job may have been accepted
+	 */
+	public CompletableFuture<Reply> submit(JobSubmission submission, LongSupplier maximumAgeMs) {
+		// Before the age, which then includes a stop of this process in between.
+		long knownEndsIndex = this.forgettableEndsIndex;
+		long ageMs = maximumAgeMs.getAsLong();
+		if (ageMs > EarlyEnds.MAX_SUBMISSION_AGE_MS) {
+			return CompletableFuture.failedFuture(ServiceException.retryable(ResultCode.SUBMISSION_STALE,
+					"job %s may have been sent %d ms ago, the limit is %d".formatted(submission.id().name(), ageMs,
+							EarlyEnds.MAX_SUBMISSION_AGE_MS),
+					0));
+		}
+		return propose(new Command.SubmitJob(submission, knownEndsIndex));
+	}
+
 	/**
 	 * Returns the jobs of callers.
 	 * @return the jobs, as control holds them
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/FreezeDetectorTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/FreezeDetectorTests.java
@@ -41,4 +41,20 @@
 		assertThat("the process was stopped", this.detector.unreadMs(3_601), is(3_000L));
 	}
 
+	// Guards against taking a submission that waited for a stopped process for a new one.
+	@Test
+	void aConnectionThatIsAcceptedAfterAStopMayHaveBeenOpenedWhenItBegan() {
+		this.detector.check(1_000_000, 0);
+		assertThat(this.detector.openedSinceMs(100), is(100L));
+		this.detector.check(1_000_200, 200);
+		this.detector.check(1_003_200, 3_200);
+		assertThat("the process was stopped", this.detector.openedSinceMs(3_200), is(200L));
+		this.detector.check(1_003_400, 3_400);
+		assertThat("its queue may be long", this.detector.openedSinceMs(3_400), is(200L));
+		this.detector.check(1_063_600, 3_600);
+		assertThat("the VM was suspended too", this.detector.elapsedMs(3_600), is(63_600L));
+		assertThat(this.detector.openedSinceMs(3_600), is(3_400L));
+		assertThat(this.detector.openedSinceMs(13_601), is(73_601L));
+	}
+
 }
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/job/ItemRunTests.java
@@ -10,10 +10,12 @@
 import org.junit.jupiter.api.Test;
 
 import org.zinniatack.core.job.Job;
+import org.zinniatack.core.job.JobCall;
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.JobLedger;
 import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.OwnerMatch;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
 
@@ -162,7 +164,7 @@
 		ItemRun run = run(job);
 		read(run, 1, 12);
 		store(run, true);
-		this.ledger.end(job.id());
+		this.ledger.end(new JobCall(job.id(), OwnerMatch.EXACT), 1);
 		JobSubmission fitting = submitted("k", 3);
 		JobSubmission newer = submitted("l", 4);
 		assertThat(opened(newer).stored().isEmpty(), is(true));
@@ -180,7 +182,7 @@
 		ItemRun run = run(job);
 		read(run, 1, 12);
 		finish(run);
-		this.ledger.end(job.id());
+		this.ledger.end(new JobCall(job.id(), OwnerMatch.EXACT), 1);
 		ItemRun second = resumedRun(submitted("k", 3));
 		assertThat(second.restoredComplete, is(true));
 		assertThat(finish(second), is(text(12)));
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -560,13 +560,41 @@
 	 * the first feed of a connection only, otherwise null
 	 * @param software the recorded software versions if the receiver may lack them,
 	 * otherwise null
+	 * @param forgettableEndsIndex the log index up to which ends of jobs may be forgotten
+	 * next, null from a sender of an earlier version
 	 */
 	record SystemFeed(List<String> controlAddresses, Map<String, String> namesByAddress, long tableNumber,
 			@Nullable RoutingTable table, List<TargetNotice> targets, List<String> heardTargetIds,
 			@Nullable List<HeardTarget> heardTargets, @Nullable Map<String, Long> silenceMsById,
 			@Nullable Suspects suspects, @Nullable Evacuations evacuations,
-			@Nullable Map<String, String> failureDomainsByAddress,
-			@Nullable RecordedSoftware software) implements Message {
+			@Nullable Map<String, String> failureDomainsByAddress, @Nullable RecordedSoftware software,
+			@Nullable Long forgettableEndsIndex) implements Message {
+
+		/**
+		 * Creates a feed that does not tell which ends of jobs may be forgotten, as
+		 * earlier versions send it.
+		 * @param controlAddresses the addresses of all known control processes
+		 * @param namesByAddress the operators' names of control processes by address
+		 * @param tableNumber the number of the sender's routing table, 0 for none
+		 * @param table the routing table if it was requested, otherwise null
+		 * @param targets the newest notices of targets that changed
+		 * @param heardTargetIds the ids of the heard targets
+		 * @param heardTargets the newest announcements of the heard targets, or null
+		 * @param silenceMsById the time since a process heard from each target, in
+		 * milliseconds, or null
+		 * @param suspects the requests that may crash targets, or null
+		 * @param evacuations the evacuated failure domains, or null
+		 * @param failureDomainsByAddress the failure domain of the sender, or null
+		 * @param software the recorded software versions, or null
+		 */
+		public SystemFeed(List<String> controlAddresses, Map<String, String> namesByAddress, long tableNumber,
+				@Nullable RoutingTable table, List<TargetNotice> targets, List<String> heardTargetIds,
+				@Nullable List<HeardTarget> heardTargets, @Nullable Map<String, Long> silenceMsById,
+				@Nullable Suspects suspects, @Nullable Evacuations evacuations,
+				@Nullable Map<String, String> failureDomainsByAddress, @Nullable RecordedSoftware software) {
+			this(controlAddresses, namesByAddress, tableNumber, table, targets, heardTargetIds, heardTargets,
+					silenceMsById, suspects, evacuations, failureDomainsByAddress, software, null);
+		}
 
 		/**
 		 * Returns the time since a process heard from a target.
@@ -585,7 +613,7 @@
 		public SystemFeed withFailureDomains(Map<String, String> domainsByAddress) {
 			return new SystemFeed(this.controlAddresses, this.namesByAddress, this.tableNumber, this.table,
 					this.targets, this.heardTargetIds, this.heardTargets, this.silenceMsById, this.suspects,
-					this.evacuations, domainsByAddress, this.software);
+					this.evacuations, domainsByAddress, this.software, this.forgettableEndsIndex);
 		}
 
 		/**
@@ -596,7 +624,7 @@
 		public SystemFeed withSoftware(RecordedSoftware recorded) {
 			return new SystemFeed(this.controlAddresses, this.namesByAddress, this.tableNumber, this.table,
 					this.targets, this.heardTargetIds, this.heardTargets, this.silenceMsById, this.suspects,
-					this.evacuations, this.failureDomainsByAddress, recorded);
+					this.evacuations, this.failureDomainsByAddress, recorded, this.forgettableEndsIndex);
 		}
 
 	}
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
@@ -17,6 +17,7 @@
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.OwnerMatch;
 import org.zinniatack.core.job.PartialText;
 import org.zinniatack.core.job.Scoring;
 import org.zinniatack.core.result.ServiceException;
@@ -166,6 +167,32 @@
 				is(new Command.DrainTarget("t", false)));
 	}
 
+	/**
+	 * Guards against an early end that a snapshot loses, and against commands and
+	 * snapshots of an earlier version that cannot be read.
+	 */
+	@Test
+	void earlyEndsSurviveTheLogAndASnapshotAndAreOptional() throws IOException, ServiceException {
+		ControlState state = new ControlState();
+		applyEncoded(state, 1, new Command.EndJob(JOB.id(), OwnerMatch.OWN_OR_NOBODYS));
+		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+		ObjectNode image = (ObjectNode) mapper.readTree(StateCodec.encode(state.image()));
+		ControlState restored = ControlState.of(StateCodec.decodeImage(mapper.writeValueAsBytes(image)));
+		applyEncoded(restored, 2, new Command.SubmitJob(JOB, 0L));
+		assertThat(restored.jobs().job(JOB.id()).orElseThrow().isEnded(), is(true));
+		image.remove("earlyEnds");
+		ControlState earlier = ControlState.of(StateCodec.decodeImage(mapper.writeValueAsBytes(image)));
+		assertThat(earlier.jobs().earlyEnds().count(), is(0));
+		for (Command command : List.of(new Command.EndJob(JOB.id()), new Command.SubmitJob(JOB),
+				new Command.RemoveJobs(List.of(JOB.id())))) {
+			ObjectNode encoded = (ObjectNode) mapper.readTree(StateCodec.encode(command));
+			encoded.remove(List.of("match", "knownEndsIndex", "forgettableIndex"));
+			assertThat(earlier.apply(3, StateCodec.decodeCommand(mapper.writeValueAsBytes(encoded))),
+					instanceOf(Reply.Accepted.class));
+		}
+		assertThat(earlier.jobs().jobs(), is(empty()));
+	}
+
 	@Test
 	void crashReportsAndSnapshotsWithoutLostRequestsAreReadAsEarlierVersionsWroteThem()
 			throws IOException, ServiceException {
