Keep a job and its results when it is sent again after a change of customers

Callers saw: a job was accepted and read while no customer was configured. Once the first customer was, the same job sent again with the key was answered 202, its results were gone and all items ran again; an end with the key reached the second copy only. With the last customer removed, its jobs were answered with 404 and ran again when they were sent again.

Cause: four places decided which job a call means. Reads, bodies and ends fell back to the job that nobody owns, a submission did not, so it stored a second job that hid the first one.

Change: JobLedger decides it for reads, bodies, ends and submissions, where they are applied. A call means the customer's own job, else nobody's; without customers in the configuration nobody's, else the only one of the name (4107 if there are several). A submission that asks for the same (host, model, version, items) as a job that its caller means repeats it.

An end that finds nobody's job is remembered for the caller's own alone, no longer for all that the call may have meant.

--- a/zinniatack-control/src/main/java/org/zinniatack/control/JobReads.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/JobReads.java
@@ -1,14 +1,19 @@
 package org.zinniatack.control;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 
+import org.zinniatack.core.job.Job;
+import org.zinniatack.core.job.JobCall;
 import org.zinniatack.core.job.JobItem;
+import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.core.state.ControlState;
 import org.zinniatack.wire.Message;
 
@@ -57,21 +62,28 @@
 	}
 
 	private static Message.JobPage pageOf(ControlState state, Message.ReadJob read) {
-		return state.jobs()
-			.job(read.id())
+		return find(state, read.call())
 			.map((job) -> new Message.JobPage(true, job.submission().items().size(),
 					job.resultsFrom(read.position(), MAX_PAGE_BYTES)))
 			.orElseGet(() -> new Message.JobPage(false, 0, List.of()));
 	}
 
+	private static Optional<Job> find(ControlState state, JobCall call) {
+		try {
+			return state.jobs().find(call);
+		}
+		catch (ServiceException ex) {
+			throw new CompletionException(ex);
+		}
+	}
+
 	/** Reads the body of an item that has no result, or null if there is none. */
 	CompletableFuture<byte @Nullable []> itemBody(Message.ReadItem read) {
-		return this.control.readCurrent((state) -> state.jobs()
-			.job(read.id())
-			.filter((job) -> !job.isEnded() && !job.isFinished(read.itemId()))
-			.flatMap((job) -> job.item(read.itemId()))
-			.map(JobItem::body)
-			.orElse(null));
+		return this.control.readCurrent(
+				(state) -> find(state, read.call()).filter((job) -> !job.isEnded() && !job.isFinished(read.itemId()))
+					.flatMap((job) -> job.item(read.itemId()))
+					.map(JobItem::body)
+					.orElse(null));
 	}
 
 }
--- a/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
+++ b/zinniatack-control/src/main/java/org/zinniatack/control/ReplicaDriver.java
@@ -306,7 +306,7 @@
 
 	/** Returns why a job is not accepted, empty for one that is already known. */
 	private Optional<ServiceException> refusalOf(Command.SubmitJob submit, ControlState state, JobSize added) {
-		if (state.jobs().isKnown(submit.submission())) {
+		if (state.jobs().isKnown(submit.submission(), submit.ownerMatch())) {
 			return Optional.empty();
 		}
 		ServiceException refusal = this.budget.refusal(state, added, System.currentTimeMillis());
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/EarlyEnds.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/EarlyEnds.java
@@ -127,7 +127,9 @@
 
 	/** Returns whether a remembered end may have meant a job that was not known then. */
 	boolean include(JobId job) {
-		return List.of(new JobCall(job, OwnerMatch.EXACT), new JobCall(job, OwnerMatch.OWN_OR_NOBODYS))
+		return List
+			.of(new JobCall(job, OwnerMatch.EXACT), new JobCall(job, OwnerMatch.OWN_OR_NOBODYS),
+					new JobCall(job.withoutOwner(), OwnerMatch.ANYBODYS))
 			.stream()
 			.anyMatch(this.indexByCall::containsKey)
 				|| (job.owner().isEmpty() && this.indexByCall.keySet().stream().anyMatch((end) -> end.mayMean(job)));
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobItem.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobItem.java
@@ -1,5 +1,6 @@
 package org.zinniatack.core.job;
 
+import java.util.Arrays;
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
@@ -39,6 +40,14 @@
 		headers = Map.copyOf(headers);
 	}
 
+	/** Returns whether another item asks for the same. */
+	boolean hasSameContent(JobItem other) {
+		boolean sameScoring = (this.scoring != null) ? this.scoring.hasSameContent(other.scoring)
+				: other.scoring == null;
+		return sameScoring && this.id.equals(other.id) && this.group.equals(other.group) && this.path.equals(other.path)
+				&& this.headers.equals(other.headers) && Arrays.equals(this.body, other.body);
+	}
+
 	/** Returns the heap that the item takes, in bytes. */
 	long heapBytes() {
 		Scoring scored = this.scoring;
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -66,21 +67,23 @@
 	 * @return what the submission did
 	 */
 	public JobEffect submit(JobSubmission submission) {
-		return isKnown(submission) ? JobEffect.REPEATED : accept(submission, 0);
+		return isKnown(submission, OwnerMatch.EXACT) ? JobEffect.REPEATED : accept(submission, 0);
 	}
 
 	/**
 	 * Accepts a job as {@link #submit(JobSubmission)} does, but only if it was sent after
 	 * all ends that are forgotten.
 	 * @param submission the job
+	 * @param match the owners whose job the submission may repeat
 	 * @param index the log index of the submission
 	 * @param knownEndsIndex the index up to which the sender knew ends to be forgettable
 	 * @return what the submission did
 	 * @throws ServiceException with {@link ResultCode#SUBMISSION_STALE} if the job may
 	 * have been ended by a call that is forgotten
 	 */
-	public JobEffect submit(JobSubmission submission, long index, long knownEndsIndex) throws ServiceException {
-		if (isKnown(submission)) {
+	public JobEffect submit(JobSubmission submission, OwnerMatch match, long index, long knownEndsIndex)
+			throws ServiceException {
+		if (isKnown(submission, match)) {
 			return JobEffect.REPEATED;
 		}
 		this.earlyEnds.requireSentAfterForgotten(submission.id(), knownEndsIndex);
@@ -98,12 +101,17 @@
 	}
 
 	/**
-	 * Returns whether a submission repeats one that was accepted.
+	 * Returns whether a submission repeats one that was accepted: one with the same id,
+	 * or one with the same content whose job the caller reads and ends by this name. A
+	 * caller sends the same job with a key once customers are configured, and without an
+	 * owner once none are.
 	 * @param submission the job
+	 * @param match the owners whose job the submission may repeat
 	 * @return true if accepting it changes nothing
 	 */
-	public boolean isKnown(JobSubmission submission) {
-		return this.jobs.containsKey(submission.id());
+	public boolean isKnown(JobSubmission submission, OwnerMatch match) {
+		return this.jobs.containsKey(submission.id()) || candidates(new JobCall(submission.id(), match))
+			.anyMatch((job) -> job.submission().hasSameContent(submission));
 	}
 
 	/**
@@ -162,12 +170,12 @@
 	 * @param index the log index of the end
 	 * @return what the end did
 	 * @throws ServiceException with {@link ResultCode#STATE_FULL} if too many ends are
-	 * remembered to add another one
+	 * remembered to add another one, or with {@link ResultCode#JOB_AMBIGUOUS}
 	 */
 	public JobEffect end(JobCall call, long index) throws ServiceException {
 		Optional<Job> meant = find(call);
 		if (meant.filter((job) -> job.submission().id().equals(call.id())).isEmpty()) {
-			this.earlyEnds.remember(call, index);
+			this.earlyEnds.remember(meant.isEmpty() ? call : new JobCall(call.id(), OwnerMatch.EXACT), index);
 		}
 		meant.filter((job) -> !job.isEnded()).ifPresent((open) -> change(open, (job) -> job.end(index)));
 		return meant.isPresent() ? JobEffect.ENDED : JobEffect.END_REMEMBERED;
@@ -177,10 +185,30 @@
 	 * Returns the job that a call means.
 	 * @param call the call
 	 * @return the job, which only the ledger may modify, or empty if there is none
+	 * @throws ServiceException with {@link ResultCode#JOB_AMBIGUOUS} if it may mean jobs
+	 * of several customers
 	 */
-	public Optional<Job> find(JobCall call) {
+	public Optional<Job> find(JobCall call) throws ServiceException {
 		Optional<Job> own = job(call.id());
-		return (own.isPresent() || call.match() == OwnerMatch.EXACT) ? own : job(call.id().withoutOwner());
+		if (own.isPresent()) {
+			return own;
+		}
+		List<Job> others = candidates(call).toList();
+		if (others.size() > 1) {
+			throw ServiceException.of(ResultCode.JOB_AMBIGUOUS,
+					"%d customers have a job %s".formatted(others.size(), call.id().name()));
+		}
+		return others.stream().findFirst();
+	}
+
+	/** Returns the jobs that a call may mean. */
+	private Stream<Job> candidates(JobCall call) {
+		return switch (call.match()) {
+			case EXACT -> job(call.id()).stream();
+			case OWN_OR_NOBODYS ->
+				Stream.of(call.id(), call.id().withoutOwner()).distinct().flatMap((id) -> job(id).stream());
+			case ANYBODYS -> this.jobs.values().stream().filter((job) -> call.mayMean(job.submission().id()));
+		};
 	}
 
 	/**
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobSubmission.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobSubmission.java
@@ -1,6 +1,7 @@
 package org.zinniatack.core.job;
 
 import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * A job as the caller submitted it.
@@ -26,4 +27,17 @@
 		items = List.copyOf(items);
 	}
 
+	/**
+	 * Returns whether another submission of the same name asks for the same, whoever sent
+	 * it and when.
+	 * @param other the other submission
+	 * @return true if it does
+	 */
+	boolean hasSameContent(JobSubmission other) {
+		return this.id.name().equals(other.id.name()) && this.host.equals(other.host) && this.model.equals(other.model)
+				&& this.oldestVersion == other.oldestVersion && this.items.size() == other.items.size()
+				&& IntStream.range(0, this.items.size())
+					.allMatch((index) -> this.items.get(index).hasSameContent(other.items.get(index)));
+	}
+
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/OwnerMatch.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/OwnerMatch.java
@@ -12,7 +12,13 @@
 	 * The owner's job, else the one that nobody owns. A job without an owner was accepted
 	 * without a customer, so it is open to whoever knows its name.
 	 */
-	OWN_OR_NOBODYS;
+	OWN_OR_NOBODYS,
+
+	/**
+	 * Nobody's job, else the only one of the name, whoever owns it: where no customers
+	 * are configured, a call cannot state an owner.
+	 */
+	ANYBODYS;
 
 	/**
 	 * Returns whether a call may mean a job of the same name.
@@ -21,7 +27,7 @@
 	 * @return true if it may, whatever other jobs there are
 	 */
 	boolean allows(String callOwner, String jobOwner) {
-		return callOwner.equals(jobOwner) || (this == OWN_OR_NOBODYS && jobOwner.isEmpty());
+		return callOwner.equals(jobOwner) || this == ANYBODYS || (this == OWN_OR_NOBODYS && jobOwner.isEmpty());
 	}
 
 }
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/Scoring.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/Scoring.java
@@ -1,5 +1,9 @@
 package org.zinniatack.core.job;
 
+import java.util.Arrays;
+
+import org.jspecify.annotations.Nullable;
+
 import org.zinniatack.core.size.HeapSize;
 
 /**
@@ -12,6 +16,12 @@
  */
 public record Scoring(String id, String host, String path, byte[] body) {
 
+	/** Returns whether another request is the same. */
+	boolean hasSameContent(@Nullable Scoring other) {
+		return other != null && this.id.equals(other.id) && this.host.equals(other.host) && this.path.equals(other.path)
+				&& Arrays.equals(this.body, other.body);
+	}
+
 	/** Returns the heap that the request takes, in bytes. */
 	long heapBytes() {
 		return HeapSize.OBJECT_BYTES + HeapSize.of(this.id) + HeapSize.of(this.path) + HeapSize.of(this.body);
--- a/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/result/ResultCode.java
@@ -169,6 +169,10 @@
 	/** A sample is older than its policy allows. */
 	SAMPLE_TOO_OLD(4106, 409, Outcome.RAN, "The sample is older than the bound of its policy."),
 
+	/** A call without a customer may mean jobs of several customers. */
+	JOB_AMBIGUOUS(4107, 409, Outcome.NOT_RUN,
+			"Several customers have a job of this name, and the configuration names no customers to tell them apart."),
+
 	/** A frame exceeds the size limit. */
 	FRAME_TOO_LARGE(5001, 500, Outcome.NOT_RUN, "A frame exceeds the size limit."),
 
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/Command.java
@@ -357,8 +357,11 @@
 	 * @param submission the job
 	 * @param knownEndsIndex the index up to which the sender knew ends of jobs to be
 	 * forgettable when it sent the command, null in commands of earlier versions
+	 * @param match the owners whose job the submission may repeat, null in commands of
+	 * earlier versions, which repeat only a job of the same id
 	 */
-	record SubmitJob(JobSubmission submission, @Nullable Long knownEndsIndex) implements Command {
+	record SubmitJob(JobSubmission submission, @Nullable Long knownEndsIndex,
+			@Nullable OwnerMatch match) implements Command {
 
 		/**
 		 * Creates a command as earlier versions write it, which is accepted whatever ends
@@ -366,7 +369,15 @@
 		 * @param submission the job
 		 */
 		public SubmitJob(JobSubmission submission) {
-			this(submission, null);
+			this(submission, null, null);
+		}
+
+		/**
+		 * Returns the owners whose job the submission may repeat.
+		 * @return the owners
+		 */
+		public OwnerMatch ownerMatch() {
+			return Objects.requireNonNullElse(this.match, OwnerMatch.EXACT);
 		}
 
 	}
--- a/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/state/ControlState.java
@@ -260,7 +260,8 @@
 
 	private JobEffect submit(long index, Command.SubmitJob submit) throws ServiceException {
 		Long knownEndsIndex = submit.knownEndsIndex();
-		return (knownEndsIndex != null) ? this.jobs.submit(submit.submission(), index, knownEndsIndex)
+		return (knownEndsIndex != null)
+				? this.jobs.submit(submit.submission(), submit.ownerMatch(), index, knownEndsIndex)
 				: this.jobs.submit(submit.submission());
 	}
 
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/EarlyEndsTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/EarlyEndsTests.java
@@ -26,12 +26,16 @@
 	private long index;
 
 	private static JobSubmission submission(JobId id) {
-		JobItem item = new JobItem("a", "g", "/p/", Map.of(), new byte[] { 1 }, "", 0, null);
+		return submission(id, "a");
+	}
+
+	private static JobSubmission submission(JobId id, String itemId) {
+		JobItem item = new JobItem(itemId, "g", "/p/", Map.of(), new byte[] { 1 }, "", 0, null);
 		return new JobSubmission(id, "h.example", "m", 1, 1_000, 7_000, 40_000, List.of(item));
 	}
 
 	private JobEffect submit(JobId id, long knownEndsIndex) throws ServiceException {
-		return this.ledger.submit(submission(id), ++this.index, knownEndsIndex);
+		return this.ledger.submit(submission(id), OwnerMatch.OWN_OR_NOBODYS, ++this.index, knownEndsIndex);
 	}
 
 	private JobEffect end(JobId id) throws ServiceException {
@@ -99,13 +103,22 @@
 		assertThat("a call without a key ends no customer's job", isOpen(new JobId("t", "second")), is(true));
 	}
 
+	// Guards against a job that runs although it was ended while no customer was
+	// configured.
+	@Test
+	void anEndWithoutConfiguredCustomersAppliesToAnybodysJobOnItsWay() throws ServiceException {
+		this.ledger.end(new JobCall(new JobId("", "job"), OwnerMatch.ANYBODYS), ++this.index);
+		submit(ID, 0);
+		assertThat(isOpen(ID), is(false));
+	}
+
 	// Guards against an end that finds nobody's job and misses the caller's own, which is
 	// on its way.
 	@Test
 	void anEndOfNobodysJobAlsoAppliesToTheCallersOwnOnItsWay() throws ServiceException {
-		submit(new JobId("", "job"), 0);
+		this.ledger.submit(submission(new JobId("", "job"), "other"));
 		assertThat(end(ID), is(JobEffect.ENDED));
-		submit(ID, 0);
+		assertThat(submit(ID, 0), is(JobEffect.ACCEPTED_ENDED));
 		assertThat(isOpen(ID), is(false));
 	}
 
--- a/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
+++ b/zinniatack-core/src/test/java/org/zinniatack/core/job/JobLedgerTests.java
@@ -2,6 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -216,6 +217,30 @@
 		assertThat(new PartialText(List.of(), List.of(), 0).meetsOldestVersion(0), is(false));
 	}
 
+	private static JobSubmission submissionOf(String customer, String body) {
+		JobItem item = new JobItem("a", "g", "/p/", Map.of("h", "v"), body.getBytes(StandardCharsets.US_ASCII), "", 0,
+				new Scoring("s", "h.example", "/s/", new byte[] { 2 }));
+		return new JobSubmission(new JobId(customer, "job"), "h.example", "m", 1, System.nanoTime(), 7_000, 40_000,
+				List.of(item));
+	}
+
+	// Guards against a second job that hides the first one from its caller, who had no
+	// key, or has none any more.
+	@Test
+	void aSubmissionRepeatsAnotherOwnersJobOnlyIfItMayMeanItAndAsksForTheSame() {
+		this.ledger.submit(submissionOf("", "x"));
+		assertThat(this.ledger.isKnown(submissionOf("t", "x"), OwnerMatch.OWN_OR_NOBODYS), is(true));
+		assertThat(this.ledger.isKnown(submissionOf("t", "y"), OwnerMatch.OWN_OR_NOBODYS), is(false));
+		assertThat(this.ledger.isKnown(submissionOf("t", "x"), OwnerMatch.EXACT), is(false));
+		assertThat(this.ledger.isKnown(submissionOf("", "y"), OwnerMatch.EXACT), is(true));
+		this.ledger.submit(submissionOf("t", "y"));
+		assertThat(this.ledger.isKnown(submissionOf("u", "y"), OwnerMatch.OWN_OR_NOBODYS), is(false));
+		this.ledger.removeJobs(List.of(new JobId("", "job")));
+		assertThat(this.ledger.isKnown(submissionOf("", "y"), OwnerMatch.OWN_OR_NOBODYS), is(false));
+		assertThat(this.ledger.isKnown(submissionOf("", "y"), OwnerMatch.ANYBODYS), is(true));
+		assertThat(this.ledger.isKnown(submissionOf("", "x"), OwnerMatch.ANYBODYS), is(false));
+	}
+
 	/** A change of the ledger that may be refused. */
 	private interface Change {
 
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/CallerJobs.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/CallerJobs.java
@@ -4,15 +4,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
+import org.zinniatack.core.job.JobCall;
 import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.OwnerMatch;
 import org.zinniatack.core.result.ServiceException;
 import org.zinniatack.wire.Message;
 
 /**
- * Finds and reads jobs for their callers. A call of a customer means the customer's own
- * job, else the job of that name that nobody owns. Such a job was accepted without a
- * customer, so it is open to whoever knows its name. All results fail with a
- * {@link ServiceException} if no control process can confirm them.
+ * Finds and reads jobs for their callers. Control processes decide which job a call
+ * means; those of earlier versions find only a job of exactly the owner in the call, so a
+ * call of a customer that finds none is repeated for the job that nobody owns. All
+ * results fail with a {@link ServiceException} if no control process can confirm them.
  */
 public final class CallerJobs {
 
@@ -27,17 +29,19 @@
 
 	/**
 	 * Finds the job that a call means.
-	 * @param id the customer of the call, if any, and the name of the job
-	 * @return the id of the job, or empty if there is none
+	 * @param call the call
+	 * @return the id that finds the job, or empty if there is none
 	 */
-	public CompletableFuture<Optional<JobId>> find(JobId id) {
-		return exists(id).thenCompose((own) -> (own || id.owner().isEmpty())
-				? CompletableFuture.completedFuture(Optional.of(id).filter((known) -> own)) : exists(id.withoutOwner())
+	public CompletableFuture<Optional<JobId>> find(JobCall call) {
+		JobId id = call.id();
+		return exists(call).thenCompose((own) -> (own || id.owner().isEmpty())
+				? CompletableFuture.completedFuture(Optional.of(id).filter((known) -> own))
+				: exists(new JobCall(id.withoutOwner(), OwnerMatch.EXACT))
 					.thenApply((found) -> Optional.of(id.withoutOwner()).filter((known) -> found)));
 	}
 
-	private CompletableFuture<Boolean> exists(JobId id) {
-		return page(new Message.ReadJob(id, NO_RESULTS, 0)).thenApply(Message.JobPage::found);
+	private CompletableFuture<Boolean> exists(JobCall call) {
+		return page(new Message.ReadJob(call.id(), NO_RESULTS, 0, call.match())).thenApply(Message.JobPage::found);
 	}
 
 	/**
@@ -51,8 +55,9 @@
 			if (page.found()) {
 				return CompletableFuture.completedFuture(page);
 			}
-			return read.id().owner().isEmpty() ? CompletableFuture.failedFuture(absence.get())
-					: read(new Message.ReadJob(read.id().withoutOwner(), read.position(), read.waitMs()), absence);
+			return read.id().owner().isEmpty() ? CompletableFuture.failedFuture(absence.get()) : read(
+					new Message.ReadJob(read.id().withoutOwner(), read.position(), read.waitMs(), OwnerMatch.EXACT),
+					absence);
 		});
 	}
 
@@ -68,8 +73,8 @@
 	 */
 	public CompletableFuture<Optional<byte[]>> readItem(Message.ReadItem read, Supplier<ServiceException> absence) {
 		return body(read).thenCompose((body) -> body.isPresent() ? CompletableFuture.completedFuture(body)
-				: find(read.id()).thenCompose((found) -> found.isEmpty() ? CompletableFuture.failedFuture(absence.get())
-						: bodyIn(found.get(), read)));
+				: find(read.call()).thenCompose((found) -> found.isEmpty()
+						? CompletableFuture.failedFuture(absence.get()) : bodyIn(found.get(), read)));
 	}
 
 	/**
@@ -77,7 +82,7 @@
 	 */
 	private CompletableFuture<Optional<byte[]>> bodyIn(JobId found, Message.ReadItem read) {
 		return found.equals(read.id()) ? CompletableFuture.completedFuture(Optional.empty())
-				: body(new Message.ReadItem(found, read.itemId()));
+				: body(new Message.ReadItem(found, read.itemId(), OwnerMatch.EXACT));
 	}
 
 	private CompletableFuture<Optional<byte[]>> body(Message.ReadItem read) {
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/service/GatewayService.java
@@ -21,6 +21,7 @@
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.job.EarlyEnds;
 import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.OwnerMatch;
 import org.zinniatack.core.pace.HeldPermits;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.core.result.ServiceException;
@@ -421,12 +422,13 @@
 	 * Submits a job. A submission that was held back on its way, here or later, is not
 	 * accepted after an end of the job.
 	 * @param submission the job
+	 * @param match the owners whose job the submission may repeat
 	 * @param maximumAgeMs returns the longest time since the caller has sent it, in
 	 * milliseconds
 	 * @return the reply; it fails with a {@link ServiceException} whose code tells
 	 * whether the job may have been accepted
 	 */
-	public CompletableFuture<Reply> submit(JobSubmission submission, LongSupplier maximumAgeMs) {
+	public CompletableFuture<Reply> submit(JobSubmission submission, OwnerMatch match, LongSupplier maximumAgeMs) {
 		// Before the age, which then includes a stop of this process in between.
 		long knownEndsIndex = this.forgettableEndsIndex;
 		long ageMs = maximumAgeMs.getAsLong();
@@ -436,7 +438,7 @@
 							EarlyEnds.MAX_SUBMISSION_AGE_MS),
 					0));
 		}
-		return propose(new Command.SubmitJob(submission, knownEndsIndex));
+		return propose(new Command.SubmitJob(submission, knownEndsIndex, match));
 	}
 
 	/**
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/SubmissionAgeTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/service/SubmissionAgeTests.java
@@ -15,6 +15,7 @@
 import org.zinniatack.core.job.JobId;
 import org.zinniatack.core.job.JobItem;
 import org.zinniatack.core.job.JobSubmission;
+import org.zinniatack.core.job.OwnerMatch;
 import org.zinniatack.core.result.ResultCode;
 import org.zinniatack.gateway.http.ScriptedProtocol;
 
@@ -44,7 +45,7 @@
 		JobSubmission submission = new JobSubmission(new JobId("t", "job"), "h.example", "m", 1, 1_000, 7_000, 40_000,
 				List.of(item));
 		try {
-			this.gateway.submit(submission, () -> ageMs).join();
+			this.gateway.submit(submission, OwnerMatch.EXACT, () -> ageMs).join();
 			return ResultCode.OK;
 		}
 		catch (CompletionException ex) {
--- a/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
+++ b/zinniatack-wire/src/main/java/org/zinniatack/wire/Message.java
@@ -13,7 +13,9 @@
 import org.zinniatack.core.directory.HeardTarget;
 import org.zinniatack.core.directory.TargetNotice;
 import org.zinniatack.core.job.ItemResult;
+import org.zinniatack.core.job.JobCall;
 import org.zinniatack.core.job.JobId;
+import org.zinniatack.core.job.OwnerMatch;
 import org.zinniatack.core.presence.TableChanges;
 import org.zinniatack.core.presence.TableVersion;
 import org.zinniatack.core.result.ResultCode;
@@ -645,11 +647,22 @@
 	/**
 	 * Asks for results of a job.
 	 *
-	 * @param id the id of the job
+	 * @param id the customer of the call, if any, and the caller's id of the job
 	 * @param position the position of the first result requested
 	 * @param waitMs the longest wait for a result, in milliseconds
+	 * @param match the owners whose job the call may mean, null from a sender of an
+	 * earlier version
 	 */
-	record ReadJob(JobId id, int position, long waitMs) implements Message {
+	record ReadJob(JobId id, int position, long waitMs, @Nullable OwnerMatch match) implements Message {
+
+		/**
+		 * Returns what the call names the job by.
+		 * @return the call
+		 */
+		public JobCall call() {
+			return JobCall.of(this.id, this.match);
+		}
+
 	}
 
 	/**
@@ -665,10 +678,21 @@
 	/**
 	 * Asks for the body of a job's item.
 	 *
-	 * @param id the id of the job
+	 * @param id the customer of the call, if any, and the caller's id of the job
 	 * @param itemId the id of the item
+	 * @param match the owners whose job the call may mean, null from a sender of an
+	 * earlier version
 	 */
-	record ReadItem(JobId id, String itemId) implements Message {
+	record ReadItem(JobId id, String itemId, @Nullable OwnerMatch match) implements Message {
+
+		/**
+		 * Returns what the call names the job by.
+		 * @return the call
+		 */
+		public JobCall call() {
+			return JobCall.of(this.id, this.match);
+		}
+
 	}
 
 	/**
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/OddFrameTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/OddFrameTests.java
@@ -43,7 +43,7 @@
 						new Evacuations(7, Set.of("a")), Map.of("10.0.0.1:2", "a"),
 						new RecordedSoftware(7, Map.of("p", Set.of("v1")))),
 				new Message.Propose(new Command.ReportCrash("c", List.of("d")), false),
-				new Message.ReadJob(new JobId("c", "j"), 3, 100), new Message.JoinRequest("r", null))) {
+				new Message.ReadJob(new JobId("c", "j"), 3, 100, null), new Message.JoinRequest("r", null))) {
 			frames.add(FrameCodec.encode(new Frame(1, true, message)));
 		}
 		return frames;
--- a/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
+++ b/zinniatack-wire/src/test/java/org/zinniatack/wire/StateCodecTests.java
@@ -178,7 +178,7 @@
 		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 		ObjectNode image = (ObjectNode) mapper.readTree(StateCodec.encode(state.image()));
 		ControlState restored = ControlState.of(StateCodec.decodeImage(mapper.writeValueAsBytes(image)));
-		applyEncoded(restored, 2, new Command.SubmitJob(JOB, 0L));
+		applyEncoded(restored, 2, new Command.SubmitJob(JOB, 0L, OwnerMatch.OWN_OR_NOBODYS));
 		assertThat(restored.jobs().job(JOB.id()).orElseThrow().isEnded(), is(true));
 		image.remove("earlyEnds");
 		ControlState earlier = ControlState.of(StateCodec.decodeImage(mapper.writeValueAsBytes(image)));
