Count the wait for a process to load into the age of a submission

Cause: a front can listen before it is loaded. A connection that waited in that socket counted as new when it was accepted, and a stop of the process before its first look at the clocks was not seen. A submission that waited there for over a minute would pass for one that was sent after its end was forgotten. Read, not seen: no caller met it.

Change: the time for which the socket has listened counts, and the clocks are looked at before connections are accepted.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/FreezeDetector.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/FreezeDetector.java
@@ -64,6 +64,16 @@
 		return frozen;
 	}
 
+	/**
+	 * Allows for connections that have waited until now without being accepted.
+	 * @param waitedMs the longest time for which one may have waited, in milliseconds
+	 * @param monotonicMs the monotonic time, in milliseconds
+	 */
+	void allowForWait(long waitedMs, long monotonicMs) {
+		long nowMs = elapsedMs(monotonicMs);
+		this.recentStops.add(new Stop(nowMs - waitedMs, nowMs));
+	}
+
 	/**
 	 * Returns whether the VM resumed a moment ago.
 	 * @param monotonicMs the monotonic time, in milliseconds
--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/HttpListener.java
@@ -7,6 +7,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -96,6 +97,7 @@
 	 */
 	public int open(String address) throws ServiceException {
 		int colon = address.lastIndexOf(':');
+		this.group.execute(this::checkForFreeze);
 		return started(address, bootstrap().channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -106,10 +108,15 @@
 	 * Starts to accept connections on a socket that listens already, first those that
 	 * wait in its backlog.
 	 * @param listening the socket, which this listener closes
+	 * @param listenedMs returns for how long it has listened, in milliseconds
 	 * @return the bound port
 	 * @throws ServiceException with SETTINGS_INVALID if the socket cannot be used
 	 */
-	public int open(ServerSocketChannel listening) throws ServiceException {
+	public int open(ServerSocketChannel listening, LongSupplier listenedMs) throws ServiceException {
+		this.group.execute(() -> {
+			checkForFreeze();
+			this.freezeDetector.allowForWait(listenedMs.getAsLong(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+		});
 		return started(String.valueOf(listening.socket().getLocalSocketAddress()),
 				bootstrap().channelFactory(() -> new NioServerSocketChannel(listening)).register());
 	}
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/RequestAgeTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/RequestAgeTests.java
@@ -1,7 +1,9 @@
 package org.zinniatack.gateway.http;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -59,6 +61,20 @@
 		return (ageMs != null) ? ageMs : -1;
 	}
 
+	// Guards against taking a request that waited for a process to load for one that was
+	// just sent.
+	@Test
+	void aRequestOnASocketThatListenedBeforeIsAsOldAsTheSocket() throws Exception {
+		try (ServerSocketChannel early = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0))) {
+			int port = early.socket().getLocalPort();
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				send(socket, REQUEST);
+				this.listener.open(early, () -> 50_000);
+				assertThat(nextAgeMs(), is(greaterThanOrEqualTo(50_000L)));
+			}
+		}
+	}
+
 	// Guards against taking a request whose bytes came late for one that was just sent.
 	@Test
 	void aRequestIsAsOldAsItsConnectionOrTheRequestBefore() throws Exception {
