Leave no trace of an end that is refused for want of a key

An end without a key of a job that is not there is answered with 401 where customers are configured. Since it was remembered all the same if a route of jobs is open, so a refused call changed the state.

CallOwnerTests, FrontHandlerTests, OddInputTests and RehearsalTests pass.

--- a/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteIndex.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/table/RouteIndex.java
@@ -91,14 +91,6 @@
 		return !this.table.customers().isEmpty();
 	}
 
-	/**
-	 * Returns whether jobs can be submitted without a key although customers have keys.
-	 * @return true if the table has an open route of jobs
-	 */
-	public boolean hasOpenJobRoute() {
-		return this.table.routes().stream().anyMatch((route) -> route.open() && route.kind() == RouteKind.JOB);
-	}
-
 	/**
 	 * Returns the indexed table.
 	 * @return the table
