--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobLedger.java
@@ -240,11 +240,20 @@
 	public void removeJobs(Collection<JobId> ids, long forgettableIndex) {
 		this.earlyEnds.forget();
 		this.earlyEnds.announce(forgettableIndex);
-		removeJobs(ids.stream().filter((id) -> job(id).filter(this::isCopyHarmless).isPresent()).toList());
+		for (JobId id : ids) {
+			Optional<Job> job = job(id);
+			if (job.isPresent() && preventsCopies(job.get())) {
+				removeJobs(List.of(id));
+			}
+		}
 	}
 
-	/** Remembers the end of a job that is to be removed, unless it would be forgotten. */
-	private boolean isCopyHarmless(Job job) {
+	/**
+	 * Remembers the end of a job that is to be removed, unless copies of its submission
+	 * are refused.
+	 * @return false if there is no room for the end
+	 */
+	private boolean preventsCopies(Job job) {
 		JobCall call = new JobCall(job.submission().id(), OwnerMatch.EXACT);
 		return job.lastCallIndex() <= this.earlyEnds.forgottenIndex()
 				|| this.earlyEnds.tryRemember(call, job.lastCallIndex());
