Forget old stops also where no connection asks for them

Cause: since FreezeDetector remembers stops of the process and forgot old ones only when a connection was accepted, so a listener that nobody connects to kept each stop for ever. Found by reading.

Change: they are forgotten when another stop is added.

Measured: FreezeDetectorTests#stopsAreForgotten... is red with the rule switched off (trial: 1,000 stops after 1,000 stops) and green with it.

--- a/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/FreezeDetector.java
+++ b/zinniatack-gateway/src/main/java/org/zinniatack/gateway/http/FreezeDetector.java
@@ -53,7 +53,7 @@
 			this.readPeriodEndMs = monotonicMs + RESUME_PERIOD_MS;
 			this.suspendedMs += frozen ? missedMs : 0;
 			long endedMs = elapsedMs(monotonicMs);
-			this.recentStops.add(new Stop(endedMs - this.stoppedMs, endedMs));
+			addStop(new Stop(endedMs - this.stoppedMs, endedMs));
 		}
 		this.started = true;
 		this.lastWallMs = wallMs;
@@ -71,7 +71,24 @@
 	 */
 	void allowForWait(long waitedMs, long monotonicMs) {
 		long nowMs = elapsedMs(monotonicMs);
-		this.recentStops.add(new Stop(nowMs - waitedMs, nowMs));
+		addStop(new Stop(nowMs - waitedMs, nowMs));
+	}
+
+	/** Also forgets old stops, since no connection may ask for them. */
+	private void addStop(Stop stop) {
+		forgetOldStops(stop.endedMs());
+		this.recentStops.add(stop);
+	}
+
+	private void forgetOldStops(long nowMs) {
+		while (!this.recentStops.isEmpty() && nowMs - this.recentStops.peek().endedMs() > MAXIMUM_QUEUE_MS) {
+			this.recentStops.remove();
+		}
+	}
+
+	/** Returns the number of stops that are remembered. */
+	int recentStopCount() {
+		return this.recentStops.size();
 	}
 
 	/**
@@ -100,9 +117,7 @@
 	 */
 	long openedSinceMs(long monotonicMs) {
 		long nowMs = elapsedMs(monotonicMs);
-		while (!this.recentStops.isEmpty() && nowMs - this.recentStops.peek().endedMs() > MAXIMUM_QUEUE_MS) {
-			this.recentStops.remove();
-		}
+		forgetOldStops(nowMs);
 		return this.recentStops.isEmpty() ? nowMs : this.recentStops.peek().beganMs();
 	}
 
--- a/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/FreezeDetectorTests.java
+++ b/zinniatack-gateway/src/test/java/org/zinniatack/gateway/http/FreezeDetectorTests.java
@@ -4,6 +4,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Tests of {@link FreezeDetector}.
@@ -57,4 +58,14 @@
 		assertThat(this.detector.openedSinceMs(13_601), is(73_601L));
 	}
 
+	// Guards against memory that grows with each stop of a process nobody connects to.
+	@Test
+	void stopsAreForgottenWithoutConnections() {
+		this.detector.check(1_000_000, 0);
+		for (long nowMs = 1_000; nowMs <= 1_000_000; nowMs += 1_000) {
+			this.detector.check(1_000_000 + nowMs, nowMs);
+		}
+		assertThat(this.detector.recentStopCount(), is(lessThan(20)));
+	}
+
 }
