--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobCall.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobCall.java
@@ -5,8 +5,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What a call names a job by. Which job it means is decided where the call is applied to
- * the replicated state.
+ * The name of a job in a call, with the owners whose job the call may mean. Which job it
+ * means is decided where the call is applied to the replicated state.
  *
  * @param id the customer of the call, if any, and the caller's id of the job
  * @param match the owners whose job the call may mean
--- a/zinniatack-core/src/main/java/org/zinniatack/core/job/JobEffect.java
+++ b/zinniatack-core/src/main/java/org/zinniatack/core/job/JobEffect.java
@@ -1,7 +1,7 @@
 package org.zinniatack.core.job;
 
 /**
- * What a command did to a job.
+ * The effect of a command that submits or ends a job.
  */
 public enum JobEffect {
 
